--- a/bin/chicorywood.c
+++ b/bin/chicorywood.c
@@ -1,6 +1,7 @@
 #include "../packages/control/control.h"
 #include "../packages/core/log.h"
 #include "../packages/core/version.h"
+#include "router.h"
 
 #include <argtable2.h>
 #include <pthread.h>
@@ -99,9 +100,11 @@
 {
   struct arg_lit *help = arg_lit0 ("h", "help", "show this and exit");
   struct arg_lit *version = arg_lit0 (NULL, "version", "show the version and exit");
+  struct arg_rex *command
+      = arg_rex0 (NULL, NULL, "^route$", "COMMAND", 0, "route: serve on the platform");
   struct arg_file *settings = arg_file0 ("s", "settings", "FILE", "this host's settings");
   struct arg_end *end = arg_end (8);
-  void *table[] = { help, version, settings, end };
+  void *table[] = { help, version, settings, command, end };
   int exit_code = EXIT_USAGE;
   int errors = arg_parse (argc, argv, table);
 
@@ -123,6 +126,8 @@
       arg_print_errors (stderr, end, "chicorywood");
       fputs ("chicorywood: expected --settings FILE; see --help\n", stderr);
     }
+  else if (command->count > 0)
+    exit_code = router_main (settings->filename[0]);
   else
     exit_code = load_and_serve (settings->filename[0]);
   arg_freetable (table, G_N_ELEMENTS (table));
--- /dev/null
+++ b/bin/router.c
@@ -0,0 +1,85 @@
+#include "router.h"
+
+#include "../packages/coordinator/coordinator.h"
+#include "../packages/core/eventlog.h"
+#include "../packages/core/version.h"
+#include "../platform/platform.h"
+
+#include <event2/thread.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+enum
+{
+  EXIT_FINE = 0,
+  EXIT_SETTINGS = 3,
+  EXIT_START = 4,
+};
+
+static int
+serve (const router_settings_t *settings)
+{
+  coordinator_t *coordinator = g_new0 (coordinator_t, 1);
+  proxy_t *proxy = g_new0 (proxy_t, 1);
+  pthread_t proxy_thread;
+  fault_t fault;
+
+  fault_clear (&fault);
+  status_t status
+      = coordinator_init (coordinator, settings, &platform_deployment, &fault);
+  if (status == STATUS_OK)
+    status = proxy_init (proxy, settings, &platform_dialect, &coordinator->inbox, &fault);
+  if (status != STATUS_OK)
+    {
+      fprintf (stderr, "chicorywood: %.*s\n", TEXT_ARG (fault_text (&fault)));
+      return EXIT_START;
+    }
+  coordinator_attach (
+      coordinator,
+      platform_store_open (coordinator->base, name_text (&settings->store)),
+      proxy);
+  eventlog_write (EVENT_BELIEF,
+                  "process",
+                  "started",
+                  "version=%s host=%.*s data_centre=%.*s callers=%.*s store=%.*s",
+                  CHICORYWOOD_VERSION,
+                  NAME_ARG (settings->host),
+                  NAME_ARG (settings->data_centre),
+                  NAME_ARG (settings->callers),
+                  NAME_ARG (settings->store));
+  pthread_create (&proxy_thread, NULL, proxy_run, proxy);
+  coordinator_run (coordinator);
+  pthread_join (proxy_thread, NULL);
+  proxy_finish (proxy);
+  coordinator_finish (coordinator);
+  g_free (proxy);
+  g_free (coordinator);
+  eventlog_write (EVENT_BELIEF, "process", "stopped", "reason=signal");
+  eventlog_flush ();
+  return EXIT_FINE;
+}
+
+int
+router_main (const char *settings_file)
+{
+  router_settings_t settings;
+  fault_t fault;
+  form_t form;
+
+  fault_clear (&fault);
+  status_t status = router_settings_load (&settings, settings_file, &form, &fault);
+  if (status == STATUS_SETTINGS)
+    form_print (&form, stderr);
+  form_finish (&form);
+  if (status != STATUS_OK)
+    {
+      fprintf (stderr, "chicorywood: %.*s\n", TEXT_ARG (fault_text (&fault)));
+      return EXIT_SETTINGS;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  evthread_use_pthreads ();
+  eventlog_open (STDOUT_FILENO);
+  return serve (&settings);
+}
--- a/packages/config/answers.c
+++ b/packages/config/answers.c
@@ -308,6 +308,7 @@
       fprintf (out, "%s = \"%s\"\n", field->key, line);
       break;
     case FORM_UINT:
+    case FORM_REAL:
     case FORM_BOOL:
       fprintf (out, "%s = %s\n", field->key, line);
       break;
--- /dev/null
+++ b/packages/coordinator/coordinator.c
@@ -0,0 +1,140 @@
+#include "coordinator_parts.h"
+
+#include "../core/eventlog.h"
+
+#include <signal.h>
+
+static void
+on_report (void *owner, void *item)
+{
+  coordinator_t *self = owner;
+  proxy_report_t *report = item;
+
+  if (report->ended)
+    event_base_loopbreak (self->base);
+  else
+    {
+      keys_msg_t msg
+          = { .kind = KEYS_LOADS, .service = report->service, .loads = report->loads };
+      grants_tell (self, &msg);
+    }
+  g_free (report);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  coordinator_t *self = arg;
+  keys_msg_t msg = { .kind = KEYS_TICK };
+  msec_t now = msclock_now (&self->clock);
+
+  (void)fd;
+  (void)what;
+  news_step (self, g_get_monotonic_time () / 1000);
+  role_step (self, now);
+  if (self->role.state != ROLE_HELD)
+    return;
+  grants_tell (self, &msg);
+  role_step (self, now);
+}
+
+static void
+on_flush (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  eventlog_flush ();
+}
+
+static void
+on_stop (evutil_socket_t fd, short what, void *arg)
+{
+  coordinator_t *self = arg;
+  proxy_msg_t *msg;
+  keys_msg_t resign = { .kind = KEYS_RESIGN };
+
+  (void)what;
+  if (self->stopping)
+    return;
+  eventlog_write (EVENT_BELIEF, "process", "stopping", "signal=%d", (int)fd);
+  grants_tell (self, &resign); /* a last renewal, as long as may be */
+  self->stopping = true;
+  role_resign (self, msclock_now (&self->clock));
+  msg = g_new0 (proxy_msg_t, 1);
+  msg->kind = PROXY_DRAIN;
+  news_post (self, msg);
+}
+
+static struct event *
+every (coordinator_t *self, msec_t period, event_callback_fn callback)
+{
+  const struct timeval gap = { period / 1000, period % 1000 * 1000 };
+  struct event *event = event_new (self->base, -1, EV_PERSIST, callback, self);
+
+  event_add (event, &gap);
+  return event;
+}
+
+status_t
+coordinator_init (coordinator_t *self,
+                  const router_settings_t *settings,
+                  const deployment_ops_t *deployment,
+                  fault_t *fault)
+{
+  *self = (coordinator_t){ .settings = settings,
+                           .deployment = deployment,
+                           .base = event_base_new (),
+                           .life = (uint64_t)g_get_real_time (),
+                           .out = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
+  msclock_init_boot (&self->clock);
+  rng_init (&self->rng, text_hash (name_text (&settings->host)) ^ self->life);
+  keys_init (&self->keys, settings->bounds.hold_max_ms);
+  news_init (self);
+  g_queue_init (&self->role.tables);
+  self->role.next_look = msclock_now (&self->clock) + (msec_t)rng_below (&self->rng, 300);
+  if (!mailbox_init (&self->inbox,
+                     self->base,
+                     COORDINATOR_MAILBOX,
+                     on_report,
+                     g_free,
+                     self))
+    return fault_raise (fault, STATUS_IO, "no eventfd");
+  return STATUS_OK;
+}
+
+void
+coordinator_attach (coordinator_t *self, store_t *store, proxy_t *proxy)
+{
+  self->store = store;
+  self->proxy = proxy;
+}
+
+void
+coordinator_run (coordinator_t *self)
+{
+  self->tick = every (self, COORDINATOR_TICK_MS, on_tick);
+  self->flush = every (self, EVENTLOG_FLUSH_MS, on_flush);
+  self->on_term = evsignal_new (self->base, SIGTERM, on_stop, self);
+  self->on_int = evsignal_new (self->base, SIGINT, on_stop, self);
+  event_add (self->on_term, NULL);
+  event_add (self->on_int, NULL);
+  news_start (self);
+  event_base_dispatch (self->base);
+}
+
+void
+coordinator_finish (coordinator_t *self)
+{
+  grants_finish (self);
+  self->store->ops->close (self->store);
+  news_finish (self);
+  event_free (self->tick);
+  event_free (self->flush);
+  event_free (self->on_term);
+  event_free (self->on_int);
+  mailbox_finish (&self->inbox);
+  keys_finish (&self->keys);
+  g_array_unref (self->out);
+  event_base_free (self->base);
+}
--- /dev/null
+++ b/packages/coordinator/deployment.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "../core/fault.h"
+#include "../directory/directory.h"
+#include "../httpc/httpc.h"
+
+/*
+ * DEPLOYMENT: how a deployment writes what the coordinator reads, and how its
+ * targets are given keys and give them back.
+ */
+
+typedef enum
+{
+  ORDER_TAKEN,
+  ORDER_SUPERSEDED, /* the target saw a higher fence */
+  ORDER_FAILED,     /* no answer, or one that says nothing */
+} order_outcome_t;
+
+/* Gives a target keys, or takes them back. */
+typedef struct
+{
+  bool release;
+  uint32_t first, last;
+  uint64_t fence;
+  msec_t hold;     /* of a grant, from its arrival */
+  name_t handover; /* of a grant: what the last owner gave; may be empty */
+} key_order_t;
+
+/* SENT: a byte of it may have left.  HANDOVER: of a release, may be empty. */
+typedef void (*order_done_t) (void *owner,
+                              order_outcome_t outcome,
+                              bool sent,
+                              text_t handover);
+
+typedef struct
+{
+  /* The key of the row that holds the newest configuration. */
+  text_t configuration_key;
+
+  status_t (*read_directory) (text_t bytes, directory_t *directory, fault_t *fault);
+
+  /* STATUS_DECODE if the row names no target that can be used. */
+  status_t (*read_target) (text_t id,
+                           text_t bytes,
+                           target_entry_t *target,
+                           fault_t *fault);
+
+  void (*order) (httpc_pool_t *target,
+                 const key_order_t *order,
+                 order_done_t done,
+                 void *owner,
+                 msec_t now);
+} deployment_ops_t;
--- /dev/null
+++ b/packages/coordinator/feed.c
@@ -0,0 +1,172 @@
+#include "feed.h"
+
+#include "../core/eventlog.h"
+#include "../core/limits.h"
+
+static msec_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static void on_reply (void *owner, const store_reply_t *reply);
+
+static void
+call (feed_t *self)
+{
+  const store_ops_t *ops = self->store->ops;
+
+  if (self->watching)
+    ops->watch (self->store, self->table, self->version, STORE_WATCH_MS, on_reply, self);
+  else
+    ops->read (self->store,
+               self->table,
+               (text_t){ self->after->str, self->after->len },
+               on_reply,
+               self);
+}
+
+static void
+on_retry (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  call (arg);
+}
+
+static void
+call_later (feed_t *self, msec_t wait)
+{
+  const struct timeval after = { wait / 1000, wait % 1000 * 1000 };
+
+  evtimer_add (self->retry, &after);
+}
+
+static void
+failed (feed_t *self, const store_reply_t *reply)
+{
+  if (self->pause == 0)
+    eventlog_write (EVENT_BELIEF,
+                    "store",
+                    "lost",
+                    "feed=%s outcome=%s why=%s version=%llu",
+                    self->name,
+                    store_outcome_name (reply->outcome),
+                    reply->why != NULL ? reply->why : "none",
+                    (unsigned long long)self->version);
+  self->pause = CLAMP (self->pause * 2, STORE_RETRY_MS, STORE_RETRY_MAX_MS);
+  call_later (self, self->pause / 2 + (msec_t)rng_below (&self->rng, self->pause));
+}
+
+static void
+succeeded (feed_t *self, const store_reply_t *reply)
+{
+  self->last_good = now_ms ();
+  if (self->pause == 0)
+    return;
+  self->pause = 0;
+  self->regained = self->last_good;
+  eventlog_write (EVENT_BELIEF,
+                  "store",
+                  "regained",
+                  "feed=%s version=%llu newest=%llu",
+                  self->name,
+                  (unsigned long long)self->version,
+                  (unsigned long long)reply->version);
+}
+
+static void
+read_page (feed_t *self, const store_reply_t *reply)
+{
+  if (self->after->len == 0)
+    {
+      /* Later pages may be of a later moment; the watch goes on from the first. */
+      self->version = reply->version;
+      self->ops->begin (self->owner);
+    }
+  for (guint i = 0; i < reply->rows->len; i++)
+    {
+      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
+      self->ops->row (self->owner, row);
+      g_string_assign (self->after, row->key->str);
+    }
+  if (reply->more && reply->rows->len > 0)
+    return;
+  g_string_truncate (self->after, 0);
+  self->watching = true;
+  self->ops->settled (self->owner, true);
+}
+
+static void
+on_reply (void *owner, const store_reply_t *reply)
+{
+  feed_t *self = owner;
+
+  if (reply->outcome == STORE_HISTORY_GONE && self->watching)
+    {
+      eventlog_write (EVENT_BELIEF,
+                      "store",
+                      "history_gone",
+                      "feed=%s version=%llu",
+                      self->name,
+                      (unsigned long long)self->version);
+      self->watching = false;
+      call (self);
+      return;
+    }
+  if (reply->outcome != STORE_DONE)
+    {
+      failed (self, reply);
+      return;
+    }
+  succeeded (self, reply);
+  if (self->watching)
+    {
+      for (guint i = 0; i < reply->rows->len; i++)
+        self->ops->row (self->owner, &g_array_index (reply->rows, store_row_t, i));
+      self->version = MAX (self->version, reply->version);
+      if (reply->rows->len > 0)
+        self->ops->settled (self->owner, false);
+    }
+  else
+    read_page (self, reply);
+  call (self);
+}
+
+void
+feed_init (feed_t *self,
+           store_t *store,
+           struct event_base *base,
+           store_table_t table,
+           const char *name,
+           const feed_ops_t *ops,
+           void *owner)
+{
+  *self = (feed_t){ .store = store,
+                    .table = table,
+                    .name = name,
+                    .ops = ops,
+                    .owner = owner,
+                    .after = g_string_new (NULL) };
+  self->retry = evtimer_new (base, on_retry, self);
+  rng_init (&self->rng, (uint64_t)g_get_monotonic_time ());
+}
+
+void
+feed_start (feed_t *self)
+{
+  call (self);
+}
+
+void
+feed_finish (feed_t *self)
+{
+  event_free (self->retry);
+  g_string_free (self->after, TRUE);
+}
+
+bool
+feed_is_current (const feed_t *self)
+{
+  return self->watching && self->pause == 0;
+}
--- /dev/null
+++ b/packages/coordinator/feed.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "../core/rng.h"
+#include "../store/store.h"
+
+/*
+ * FEED: follows one table of the store.
+ *
+ * Reads the table whole, then watches it for changes; reads anew when the
+ * store no longer has the changes in between.  Failed calls are repeated after
+ * a growing pause.
+ */
+
+typedef struct
+{
+  /* A whole read begins: rows that it doesn't bring are gone. */
+  void (*begin) (void *owner);
+  void (*row) (void *owner, const store_row_t *row);
+  /* All rows of an answer were told; WHOLE: they end a whole read. */
+  void (*settled) (void *owner, bool whole);
+} feed_ops_t;
+
+typedef struct
+{
+  store_t *store;
+  store_table_t table;
+  const char *name; /* for the log */
+  const feed_ops_t *ops;
+  void *owner;
+  struct event *retry;
+  rng_t rng;
+  bool watching;    /* else a whole read is due or under way */
+  uint64_t version; /* all changes up to this were told */
+  GString *after;   /* last key of the page before */
+  msec_t pause;     /* before the next try; 0: the last call went well */
+  msec_t last_good; /* the last answer came */
+  msec_t regained;  /* the store answered again after failures */
+} feed_t;
+
+void feed_init (feed_t *self,
+                store_t *store,
+                struct event_base *base,
+                store_table_t table,
+                const char *name,
+                const feed_ops_t *ops,
+                void *owner);
+void feed_start (feed_t *self);
+void feed_finish (feed_t *self);
+
+/* The store hasn't failed since, and a whole read was told. */
+bool feed_is_current (const feed_t *self);
--- /dev/null
+++ b/packages/coordinator/role.c
@@ -0,0 +1,408 @@
+#include "coordinator_parts.h"
+
+#include "../core/eventlog.h"
+
+#define ROLE_KEY TEXT ("granter")
+
+static void on_written (void *owner, const store_reply_t *reply);
+
+/* No earlier than the store's clock is now: its last answer was made after the call. */
+static msec_t
+store_clock (const role_t *role, msec_t now)
+{
+  return role->clock + (now - role->clock_asked_at);
+}
+
+static void
+take_clock (role_t *role, const store_reply_t *reply)
+{
+  if (reply->outcome != STORE_DONE)
+    return;
+  role->clock = reply->clock;
+  role->clock_asked_at = role->asked_at;
+}
+
+static bool
+is_ours (const coordinator_t *self, const role_row_t *row)
+{
+  return row->life == self->life && name_equal (&row->host, &self->settings->host);
+}
+
+static void
+tell_role (coordinator_t *self, msec_t until)
+{
+  keys_msg_t msg = { .kind = KEYS_ROLE, .until = until };
+
+  grants_tell (self, &msg);
+}
+
+static void
+want_loads (coordinator_t *self, bool wanted)
+{
+  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
+
+  msg->kind = PROXY_LOADS_WANTED;
+  msg->wanted = wanted;
+  news_post (self, msg);
+}
+
+static void
+drop_write (role_t *role)
+{
+  key_table_t *table;
+
+  if (role->write.has_table)
+    key_table_finish (&role->write.table);
+  role->write = (role_write_t){ 0 };
+  while ((table = g_queue_pop_head (&role->tables)) != NULL)
+    {
+      key_table_finish (table);
+      g_free (table);
+    }
+}
+
+static void
+lose (coordinator_t *self, const char *why, msec_t now)
+{
+  role_t *role = &self->role;
+
+  if (role->state == ROLE_HELD)
+    {
+      eventlog_write (EVENT_BELIEF,
+                      "role",
+                      "lost",
+                      "why=%s row_version=%llu holder=%.*s",
+                      why,
+                      (unsigned long long)role->version,
+                      NAME_ARG (role->row.host));
+      want_loads (self, false);
+    }
+  role->state = ROLE_ELSEWHERE;
+  role->until = 0;
+  role->tables_read = false;
+  role->next_look
+      = now + ROLE_WATCH_MS / 2 + (msec_t)rng_below (&self->rng, ROLE_WATCH_MS);
+  drop_write (role);
+  tell_role (self, 0);
+}
+
+/* Writes the role's row, with the table of the write under way if it has one. */
+static void
+write_role (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+  role_write_t *write = &role->write;
+  store_put_t puts[2];
+  size_t n_puts = 1;
+  GString *table = NULL;
+
+  write->under_way = true;
+  write->started = now;
+  write->row = (role_row_t){
+    .host = self->settings->host,
+    .life = self->life,
+    .beat = role->row.beat + 1,
+    .next_fence = MAX (self->keys.next_fence, role->row.next_fence),
+    .until = self->stopping ? 0 : store_clock (role, now) + ROLE_LEASE_MS,
+  };
+  GString *row = key_rows_write_role (&write->row);
+  puts[0] = (store_put_t){ STORE_ROLE, ROLE_KEY, { row->str, row->len } };
+  if (write->has_table)
+    {
+      table = key_rows_write_table (&write->table);
+      puts[n_puts++] = (store_put_t){ STORE_KEYS,
+                                      name_text (&write->table.service),
+                                      { table->str, table->len } };
+    }
+  store_commit_t commit = { .condition_table = STORE_ROLE,
+                            .condition_key = ROLE_KEY,
+                            .expected = role->version,
+                            .puts = puts,
+                            .n_puts = n_puts };
+  role->asked_at = now;
+  self->store->ops->commit (self->store, &commit, on_written, self);
+  g_string_free (row, TRUE);
+  if (table != NULL)
+    g_string_free (table, TRUE);
+}
+
+static void on_tables (void *owner, const store_reply_t *reply);
+
+static void
+read_tables (coordinator_t *self)
+{
+  self->store->ops->read (self->store, STORE_KEYS, TEXT_NONE, on_tables, self);
+}
+
+/* The store has no table of SERVICE unless a row said otherwise. */
+static void
+tell_table (coordinator_t *self, const name_t *service, const store_reply_t *reply)
+{
+  keys_msg_t msg = { .kind = KEYS_TABLE, .service = *service };
+  key_table_t table;
+  fault_t fault;
+
+  key_table_init (&table, name_text (service));
+  for (guint i = 0; i < reply->rows->len; i++)
+    {
+      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
+      text_t key = { row->key->str, row->key->len };
+      if (!text_equal (key, name_text (service)))
+        continue;
+      if (key_rows_read_table (&table,
+                               (text_t){ row->value->str, row->value->len },
+                               &fault)
+          == STATUS_OK)
+        msg.table = &table;
+      else
+        eventlog_write (EVENT_BELIEF,
+                        "role",
+                        "table_rejected",
+                        "service=%.*s why=\"%.*s\"",
+                        NAME_ARG (*service),
+                        TEXT_ARG (fault_text (&fault)));
+    }
+  grants_tell (self, &msg);
+  key_table_finish (&table);
+}
+
+static void
+on_tables (void *owner, const store_reply_t *reply)
+{
+  coordinator_t *self = owner;
+
+  if (self->role.state != ROLE_HELD)
+    return;
+  if (reply->outcome != STORE_DONE)
+    {
+      read_tables (self); /* the role ends by itself if the store stays away */
+      return;
+    }
+  for (guint i = 0; i < self->keyed->len; i++)
+    tell_table (self, &g_array_index (self->keyed, name_t, i), reply);
+  self->role.tables_read = true;
+}
+
+static void
+won (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+
+  role->state = ROLE_HELD;
+  eventlog_write (EVENT_BELIEF,
+                  "role",
+                  "taken",
+                  "row_version=%llu next_fence=%llu lease_ms=%d",
+                  (unsigned long long)role->version,
+                  (unsigned long long)role->row.next_fence,
+                  ROLE_LEASE_MS);
+  keys_set_fence (&self->keys, role->row.next_fence);
+  want_loads (self, true);
+  read_tables (self);
+  role->next_write = now + ROLE_RENEW_MS;
+}
+
+/* The write under way took effect, at the store's VERSION of the row. */
+static void
+settle_write (coordinator_t *self, uint64_t version, msec_t now)
+{
+  role_t *role = &self->role;
+  role_write_t done = role->write;
+
+  role->write = (role_write_t){ 0 };
+  role->version = version;
+  role->row = done.row;
+  role->until = done.started + ROLE_LEASE_MS - ROLE_MARGIN_MS;
+  role->next_write = done.started + ROLE_RENEW_MS;
+  if (role->state == ROLE_TAKING)
+    won (self, now);
+  tell_role (self, role->until);
+  if (done.has_table)
+    {
+      keys_msg_t msg = { .kind = KEYS_COMMITTED, .service = done.table.service };
+      grants_tell (self, &msg);
+      key_table_finish (&done.table);
+    }
+}
+
+static void
+read_row (role_t *role, const store_reply_t *reply)
+{
+  fault_t fault;
+
+  role->version = 0;
+  role->row = (role_row_t){ 0 };
+  for (guint i = 0; i < reply->rows->len; i++)
+    {
+      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
+      role->version = row->version;
+      if (key_rows_read_role (&role->row,
+                              (text_t){ row->value->str, row->value->len },
+                              &fault)
+          != STATUS_OK)
+        eventlog_write (EVENT_BELIEF,
+                        "role",
+                        "row_rejected",
+                        "row_version=%llu why=\"%.*s\"",
+                        (unsigned long long)row->version,
+                        TEXT_ARG (fault_text (&fault)));
+    }
+}
+
+/* After a write without a clear outcome: the row itself says what happened. */
+static void
+on_read_back (void *owner, const store_reply_t *reply)
+{
+  coordinator_t *self = owner;
+  role_t *role = &self->role;
+  msec_t now = msclock_now (&self->clock);
+
+  take_clock (role, reply);
+  if (!role->write.under_way)
+    return;
+  role->write.reading_back = false;
+  if (reply->outcome != STORE_DONE)
+    return; /* role_step asks again */
+  read_row (role, reply);
+  if (!is_ours (self, &role->row))
+    lose (self, "another_holder", now);
+  else if (role->row.beat == role->write.row.beat)
+    settle_write (self, role->version, now);
+  else
+    write_role (self, now); /* under the new version an earlier try can't apply */
+}
+
+static void
+read_back (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+
+  role->write.reading_back = true;
+  role->next_look = now + STORE_RETRY_MS;
+  role->asked_at = now;
+  self->store->ops->read (self->store, STORE_ROLE, TEXT_NONE, on_read_back, self);
+}
+
+static void
+on_written (void *owner, const store_reply_t *reply)
+{
+  coordinator_t *self = owner;
+  role_t *role = &self->role;
+  msec_t now = msclock_now (&self->clock);
+
+  take_clock (role, reply);
+  if (!role->write.under_way)
+    return;
+  if (reply->outcome == STORE_DONE)
+    settle_write (self, reply->version, now);
+  else if (role->state == ROLE_TAKING && reply->outcome != STORE_UNKNOWN)
+    lose (self, store_outcome_name (reply->outcome), now);
+  else if (reply->outcome == STORE_REFUSED)
+    {
+      role->write.under_way = false; /* the table, if any, goes with the next write */
+      role->next_write = now + STORE_RETRY_MS;
+    }
+  else
+    read_back (self, now);
+}
+
+/* Looks who holds the role, and takes it if nobody does. */
+static void
+on_looked (void *owner, const store_reply_t *reply)
+{
+  coordinator_t *self = owner;
+  role_t *role = &self->role;
+  msec_t now = msclock_now (&self->clock);
+
+  role->looking = false;
+  take_clock (role, reply);
+  if (role->state != ROLE_ELSEWHERE || reply->outcome != STORE_DONE || self->stopping)
+    return;
+  read_row (role, reply);
+  if (role->version != 0 && reply->clock <= role->row.until)
+    return;
+  eventlog_write (EVENT_BELIEF,
+                  "role",
+                  "lapsed",
+                  "holder=%.*s until=%lld store_clock=%lld row_version=%llu",
+                  NAME_ARG (role->row.host),
+                  (long long)role->row.until,
+                  (long long)reply->clock,
+                  (unsigned long long)role->version);
+  role->state = ROLE_TAKING;
+  write_role (self, now);
+}
+
+static void
+look (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+
+  role->looking = true;
+  role->next_look
+      = now + ROLE_WATCH_MS / 2 + (msec_t)rng_below (&self->rng, ROLE_WATCH_MS);
+  role->asked_at = now;
+  self->store->ops->read (self->store, STORE_ROLE, TEXT_NONE, on_looked, self);
+}
+
+void
+role_step (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+  role_write_t *write = &role->write;
+
+  if (role->state == ROLE_HELD && now >= role->until)
+    lose (self, "lease_over", now);
+  if (role->state == ROLE_ELSEWHERE)
+    {
+      if (!role->looking && now >= role->next_look && news_complete (self)
+          && self->keyed->len > 0 && !self->stopping)
+        look (self, now);
+      return;
+    }
+  if (write->under_way)
+    {
+      if (write->reading_back || now < role->next_look
+          || now < write->started + STORE_CALL_MS)
+        return;
+      read_back (self, now);
+      return;
+    }
+  if (role->state != ROLE_HELD)
+    return;
+  key_table_t *table = write->has_table ? NULL : g_queue_pop_head (&role->tables);
+  if (table != NULL)
+    {
+      write->has_table = true;
+      write->table = *table;
+      g_free (table);
+    }
+  if ((write->has_table && now >= role->next_write - ROLE_RENEW_MS)
+      || now >= role->next_write)
+    write_role (self, now);
+}
+
+void
+role_commit_table (coordinator_t *self, key_table_t *table)
+{
+  key_table_t *queued = g_new (key_table_t, 1);
+
+  *queued = *table;
+  g_queue_push_tail (&self->role.tables, queued);
+}
+
+void
+role_resign (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+
+  if (role->state != ROLE_HELD || role->write.under_way)
+    return;
+  eventlog_write (EVENT_BELIEF,
+                  "role",
+                  "resigned",
+                  "row_version=%llu",
+                  (unsigned long long)role->version);
+  write_role (self, now);
+  role->state = ROLE_ELSEWHERE;
+}
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -117,3 +117,89 @@
 
 /* A shutdown waits this long for requests in flight. */
 #define DRAIN_MS 30000
+
+/* The structured log. */
+#define EVENTLOG_BUFFER_BYTES (64 * 1024) /* some 300 lines: more than a burst's second  \
+                                           */
+#define EVENTLOG_LINE_BYTES 768
+#define EVENTLOG_ROUTINE_PER_S 20 /* a sample of served requests, 5 KB/s at most */
+#define EVENTLOG_FLUSH_MS 500
+
+/* Dispatch: the fate of one request. */
+#define DISPATCH_WORK_START_MS 100 /* a target's work on a request, before any answer */
+#define DISPATCH_REPORT_KEEP_MS                                                          \
+  1000 /* a target's report of its load is worth nothing later */
+#define DISPATCH_TARGET_LOAD_MAX                                                         \
+  12                          /* targets of the first users queue 12 beside their slots */
+#define DISPATCH_AVOID_MS 100 /* first pause after a failed connection; doubles */
+#define DISPATCH_AVOID_MAX_MS 2000
+#define DISPATCH_MISDIRECTED_MS 2000 /* somebody else has the address: the entry is old  \
+                                      */
+#define DISPATCH_OWNER_RETRY_MS 40   /* a grant takes one or two round trips to arrive */
+#define DISPATCH_POLL_MS 25          /* how often a waiting request looks again */
+#define DISPATCH_SENDS_MAX 4         /* of one request, those that weren't run included */
+#define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
+#define DISPATCH_SILENCE_FACTOR 4 /* an answer this many times late is taken for lost */
+#define DISPATCH_RETRY_AFTER_MIN_MS 100
+/* A target answers at its deadline; the answer may take so long to arrive. */
+#define DISPATCH_LAST_ANSWER_MS 40
+
+/* Another data centre's target is taken if it is this much faster, by kind of request:
+ * large answers cost the links between data centres most. */
+#define DISPATCH_REMOTE_PERCENT_DOWNLOAD 200
+#define DISPATCH_REMOTE_PERCENT_MUTATING 30
+#define DISPATCH_REMOTE_PERCENT_IDEMPOTENT 5
+
+/* The budget of repeats is kept in this many parts of its window. */
+#define BUDGET_PARTS 10
+/* Hosts that share the extra repeats; more than the first users have. */
+#define BUDGET_HOSTS 16
+/* Kept below the ratio, since each host counts on its own. */
+#define BUDGET_SAFETY_PERCENT 70
+
+/* The proxy's connections. */
+#define PROXY_LISTEN_BACKLOG 1024
+#define PROXY_LINE_MAX 32                       /* requests of one connection at a time */
+#define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024) /* one request's body, held whole */
+#define PROXY_ANSWER_MAX_BYTES (32 * 1024 * 1024) /* one answer, held whole */
+#define PROXY_HEAD_MAX_BYTES (64 * 1024)          /* before a configuration tells it */
+#define PROXY_IDLE_MS 15000     /* the same for a connection without a request */
+#define PROXY_LINGER_MS 1000    /* a closed connection's last bytes are read so long */
+#define CALL_CONNECT_MS 400     /* two round trips within a region and a lost packet */
+#define CALL_IDLE_MS 8000       /* a target that tells no Keep-Alive time */
+#define CALL_IDLE_MARGIN_MS 700 /* before the time that the target told */
+#define CALL_IDLE_MAX 6         /* connections kept for one target */
+#define CALL_SILENT_MS 1500     /* unacknowledged bytes: the peer is gone */
+#define PROXY_MAILBOX 256
+#define PROXY_LOADS_MS 1000       /* how often loads of keys are told */
+#define PROXY_GRACE_MARGIN_MS 700 /* from the last connection's end to SIGKILL */
+
+/* Owners of keys. */
+#define KEYS_HOLD_MS                                                                     \
+  4000 /* a grant's length in calm: a crashed owner's keys rest so long */
+#define KEYS_RENEW_MS 1000        /* three renewals may be lost before a grant runs out */
+#define KEYS_SLOW_CLOCK_PERCENT 2 /* a target's clock may run so much slow */
+#define KEYS_MARGIN_MS 100        /* a grant's bytes on the way */
+#define KEYS_SETTLE_MS 1200       /* first split: no target joined for so long */
+#define KEYS_RETRY_MS 150         /* between tries of a call that failed */
+#define KEYS_PLAN_MS 1000         /* how often loads are weighed */
+#define KEYS_LAST_ROUND_MS 900 /* before the role ends, the longest holds are granted */
+#define KEYS_MOVE_LOAD_PERCENT 250 /* of the mean load: its keys are shared out */
+#define KEYS_MOVE_SAMPLES 20       /* fewer requests in the average say nothing */
+#define KEYS_JOIN_KEYS_MIN 64      /* a joining target's share isn't cut finer */
+
+/* The granter's role. */
+#define ROLE_LEASE_MS 2500
+#define ROLE_RENEW_MS 800
+#define ROLE_WATCH_MS 4000 /* between one host's looks; the hosts' looks are spread */
+#define ROLE_MARGIN_MS 100 /* from the check to the grant's last byte */
+
+/* The store's client. */
+#define STORE_CALL_MS 1200 /* the slowest answers of a working store come after 0.4 s */
+#define STORE_WATCH_MS 20000
+#define STORE_RETRY_MS 250
+#define STORE_RETRY_MAX_MS 1000
+#define STORE_LAPSE_MS 2500 /* entries that lapsed in an outage are back 2 s after it */
+#define COORDINATOR_TICK_MS 100
+#define COORDINATOR_MAILBOX 64
+#define ORDER_CALL_MS 1200 /* a release is answered when the work under way has ended */
--- a/packages/core/msclock.h
+++ b/packages/core/msclock.h
@@ -30,6 +30,10 @@
 /* A clock that follows CLOCK_MONOTONIC, which goes on while a process is stopped. */
 void msclock_init_real (msclock_t *self);
 
+/* A clock that follows CLOCK_BOOTTIME, which also goes on while the machine is suspended.
+ */
+void msclock_init_boot (msclock_t *self);
+
 /* A clock that stands still until msclock_set moves it. */
 void msclock_init_settable (msclock_t *self, msec_t start);
 void msclock_set (msclock_t *self, msec_t now);
--- /dev/null
+++ b/packages/directory/directory.c
@@ -0,0 +1,134 @@
+#include "directory.h"
+
+#include <string.h>
+
+void
+directory_init (directory_t *self)
+{
+  *self = (directory_t){
+    .routes = g_array_new (FALSE, TRUE, sizeof (route_entry_t)),
+    .shares = g_array_new (FALSE, TRUE, sizeof (route_share_t)),
+    .services = g_array_new (FALSE, TRUE, sizeof (service_entry_t)),
+    .texts = g_string_chunk_new (4096),
+  };
+}
+
+void
+directory_finish (directory_t *self)
+{
+  g_array_unref (self->routes);
+  g_array_unref (self->shares);
+  g_array_unref (self->services);
+  g_string_chunk_free (self->texts);
+}
+
+text_t
+directory_keep (directory_t *self, text_t text)
+{
+  return (text_t){ g_string_chunk_insert_len (self->texts, text.at, (gssize)text.len),
+                   text.len };
+}
+
+int
+directory_find_service (const directory_t *self, text_t name)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    if (text_equal (g_array_index (self->services, service_entry_t, i).name, name))
+      return (int)i;
+  return -1;
+}
+
+static int
+compare_hosts (text_t a, text_t b)
+{
+  int order = g_ascii_strncasecmp (a.at, b.at, MIN (a.len, b.len));
+
+  return order != 0 ? order : (int)a.len - (int)b.len;
+}
+
+static int
+compare_routes (const void *left, const void *right)
+{
+  const route_entry_t *a = left, *b = right;
+  int order = compare_hosts (a->host, b->host);
+
+  return order != 0 ? order : (int)b->prefix.len - (int)a->prefix.len;
+}
+
+void
+directory_sort (directory_t *self)
+{
+  g_array_sort (self->routes, compare_routes);
+}
+
+/* The first route whose host isn't below HOST. */
+static guint
+first_of_host (const directory_t *self, text_t host)
+{
+  guint low = 0, high = self->routes->len;
+
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      if (compare_hosts (g_array_index (self->routes, route_entry_t, middle).host, host)
+          < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+int
+directory_match (const directory_t *self, text_t host, text_t path)
+{
+  for (guint i = first_of_host (self, host); i < self->routes->len; i++)
+    {
+      const route_entry_t *route = &g_array_index (self->routes, route_entry_t, i);
+      if (compare_hosts (route->host, host) != 0)
+        break;
+      if (text_starts (path, route->prefix))
+        return (int)i;
+    }
+  return -1;
+}
+
+void
+key_table_init (key_table_t *self, text_t service)
+{
+  *self = (key_table_t){ .runs = g_array_new (FALSE, TRUE, sizeof (key_run_t)) };
+  name_set (&self->service, service);
+}
+
+void
+key_table_finish (key_table_t *self)
+{
+  g_array_unref (self->runs);
+}
+
+void
+key_table_copy (key_table_t *self, const key_table_t *from)
+{
+  key_table_init (self, name_text (&from->service));
+  self->version = from->version;
+  g_array_append_vals (self->runs, from->runs->data, from->runs->len);
+}
+
+const key_run_t *
+key_table_find (const key_table_t *self, uint32_t key)
+{
+  guint low = 0, high = self->runs->len;
+
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      const key_run_t *run = &g_array_index (self->runs, key_run_t, middle);
+      if (key < run->first)
+        high = middle;
+      else if (key > run->last)
+        low = middle + 1;
+      else
+        return run;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/packages/directory/directory.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "../core/msclock.h"
+#include "../core/text.h"
+
+#include <glib.h>
+
+/*
+ * DIRECTORY: what the hosts are told about the deployment: routes and services
+ * (one configuration), targets, and which target owns which keys.
+ *
+ * Plain data, made by whoever decodes it and handed to a task whole.  No
+ * socket, no clock, no encoding.
+ */
+
+/* Keys of a service whose keys have owners run from 0 to this, both included. */
+#define KEY_LAST 65535
+
+typedef enum
+{
+  KIND_IDEMPOTENT, /* may run more than once */
+  KIND_MUTATING,   /* runs at most once for each request id */
+  KIND_DOWNLOAD,   /* large answer; otherwise like idempotent */
+} request_kind_t;
+
+typedef struct
+{
+  uint32_t service; /* index in the directory's services */
+  uint32_t weight;
+} route_share_t;
+
+typedef struct
+{
+  text_t name;
+  text_t host;   /* compared without case */
+  text_t prefix; /* begins and ends with a slash */
+  request_kind_t kind;
+  msec_t timeout;   /* the longest time that a caller is kept waiting */
+  msec_t objective; /* an answer within this earns full credit */
+  uint32_t rank;    /* 0 is the most urgent */
+  uint32_t targets; /* at most so many may be sent one request */
+  uint32_t first_share, n_shares;
+} route_entry_t;
+
+typedef struct
+{
+  text_t name;
+  bool keyed;           /* its keys have owners */
+  uint32_t connections; /* that one target accepts from all hosts together */
+  msec_t warm_up; /* keys that arrive without their last owner's hand-over are slow */
+} service_entry_t;
+
+typedef struct
+{
+  uint32_t head_bytes;
+  uint64_t body_bytes;
+  msec_t head_ms; /* for a whole head to arrive */
+  msec_t idle_ms; /* for a connection without a request */
+} caller_limits_t;
+
+typedef struct
+{
+  uint64_t version;
+  GArray *routes;   /* route_entry_t, by host, then the longest prefix first */
+  GArray *shares;   /* route_share_t */
+  GArray *services; /* service_entry_t */
+  caller_limits_t limits;
+  GStringChunk *texts; /* owns all texts above */
+} directory_t;
+
+void directory_init (directory_t *self);
+void directory_finish (directory_t *self);
+
+/* Copies TEXT into the directory's own memory. */
+text_t directory_keep (directory_t *self, text_t text);
+
+/* The index of the service NAME, or -1. */
+int directory_find_service (const directory_t *self, text_t name);
+
+/* Puts the routes in the order that directory_match needs. */
+void directory_sort (directory_t *self);
+
+/* The index of the route with HOST and the longest prefix of PATH, or -1. */
+int directory_match (const directory_t *self, text_t host, text_t path);
+
+/* One process of a service. */
+typedef struct
+{
+  name_t id;
+  name_t service;
+  name_t data_centre;
+  name_t address; /* a.b.c.d:port */
+  uint64_t born;  /* start of the process, ms of the Unix epoch; tells its lives apart */
+  uint32_t slots; /* requests that it runs at a time */
+  bool leaving;
+  msec_t warm_up_left;
+} target_entry_t;
+
+/* Keys FIRST to LAST, both included, and the one target that owns them. */
+typedef struct
+{
+  uint32_t first, last;
+  uint64_t fence; /* 0: the keys have no owner */
+  name_t target;
+  name_t address; /* of the target, a.b.c.d:port */
+  uint64_t born;  /* the life of the target that the keys were given to */
+} key_run_t;
+
+/* The owners of one service's keys. */
+typedef struct
+{
+  name_t service;
+  uint64_t version; /* of the store, when it was committed */
+  GArray *runs;     /* key_run_t, without gaps, ascending */
+} key_table_t;
+
+void key_table_init (key_table_t *self, text_t service);
+void key_table_finish (key_table_t *self);
+void key_table_copy (key_table_t *self, const key_table_t *from);
+
+/* The run that holds KEY, NULL if there is none. */
+const key_run_t *key_table_find (const key_table_t *self, uint32_t key);
--- /dev/null
+++ b/packages/dispatch/dispatch.c
@@ -0,0 +1,613 @@
+#include "dispatch.h"
+
+#include "targets.h"
+
+#include <string.h>
+
+static dispatch_service_t *
+service_at (const dispatch_t *self, uint32_t i)
+{
+  return g_ptr_array_index (self->services, i);
+}
+
+static dispatch_target_t *
+target_at (const dispatch_t *self, uint32_t i)
+{
+  return g_ptr_array_index (self->targets, i);
+}
+
+static void
+emit (GArray *out, const dispatch_out_t *one)
+{
+  g_array_append_val (out, *one);
+}
+
+static void
+leave_queue (dispatch_t *self, dispatch_request_t *request)
+{
+  if (request->state == REQUEST_WAITING)
+    g_queue_unlink (&service_at (self, request->service)->waiting, &request->link);
+}
+
+static void
+leave_target (dispatch_t *self, dispatch_request_t *request)
+{
+  dispatch_target_t *target = target_at (self, (uint32_t)request->target);
+
+  g_assert (request->state == REQUEST_SENT && target->in_flight > 0);
+  target->in_flight--;
+  if (target->in_flight == 0 && !target->listed)
+    target->used = false;
+}
+
+/* When a caller may come back: spread over the time within which it still may. */
+static msec_t
+return_time (dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  msec_t most = MAX ((request->deadline - now) / 3, DISPATCH_RETRY_AFTER_MIN_MS);
+  msec_t least = MAX (most / 3, DISPATCH_RETRY_AFTER_MIN_MS);
+
+  return least + (msec_t)rng_below (&self->rng, (uint64_t)(most - least + 1));
+}
+
+static void
+end (dispatch_t *self,
+     dispatch_request_t *request,
+     dispatch_reason_t reason,
+     msec_t now,
+     GArray *out)
+{
+  dispatch_out_t over = { .kind = DISPATCH_END, .request = request, .reason = reason };
+
+  leave_queue (self, request);
+  request->state = REQUEST_ENDED;
+  request->due = MSEC_NEVER;
+  request->reason = reason;
+  if (reason == REASON_NO_ROUTE)
+    over.fate = FATE_NO_ROUTE;
+  else if (request->runs == 0)
+    {
+      over.fate = FATE_NOT_RUN;
+      over.retry_after = return_time (self, request, now);
+    }
+  else
+    over.fate = reason == REASON_TIME ? FATE_TIMED_OUT : FATE_UNKNOWN;
+  emit (out, &over);
+}
+
+static void
+wait_for (dispatch_t *self,
+          dispatch_request_t *request,
+          dispatch_reason_t reason,
+          msec_t until)
+{
+  if (request->state != REQUEST_WAITING)
+    {
+      request->link = (GList){ .data = request };
+      g_queue_push_tail_link (&service_at (self, request->service)->waiting,
+                              &request->link);
+      request->state = REQUEST_WAITING;
+    }
+  request->reason = reason;
+  request->due = until;
+}
+
+/* How long a lost answer is waited for before an idempotent request is sent again. */
+static msec_t
+silence_limit (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  const dispatch_target_t *target = target_at (self, (uint32_t)request->target);
+  msec_t patience = MAX (DISPATCH_SILENCE_FACTOR * target_expected (target, now),
+                         request->objective - request->arrived);
+
+  if (request->kind == KIND_MUTATING || request->runs >= request->runs_max)
+    return request->deadline + DISPATCH_LAST_ANSWER_MS;
+  return MIN (now + patience, request->deadline + DISPATCH_LAST_ANSWER_MS);
+}
+
+static void
+send (dispatch_t *self,
+      dispatch_request_t *request,
+      uint32_t target,
+      msec_t now,
+      GArray *out)
+{
+  dispatch_target_t *to = target_at (self, target);
+
+  leave_queue (self, request);
+  request->state = REQUEST_SENT;
+  request->target = (int32_t)target;
+  request->sends++;
+  request->runs++; /* taken back if the target says that it didn't run it */
+  request->sent_at = now;
+  to->in_flight++;
+  request->load_at_send = target_load (to, now);
+  request->due = silence_limit (self, request, now);
+  dispatch_out_t out_send = { .kind = DISPATCH_SEND,
+                              .request = request,
+                              .target = target,
+                              .wait = request->deadline - now };
+  emit (out, &out_send);
+}
+
+/* The latest time at which a request that waits for REASON is given up. */
+static msec_t
+patience (const dispatch_request_t *request, dispatch_reason_t reason)
+{
+  msec_t objective = request->objective - request->arrived;
+
+  if (reason == REASON_OVERLOAD)
+    return MIN (request->objective, request->deadline);
+  return MIN (request->arrived + objective * DISPATCH_OWNER_WAIT_PERCENT / 100,
+              request->deadline);
+}
+
+/* Whether the work on a request that begins now can't end by its deadline. */
+static bool
+is_hopeless (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  msec_t work = service_at (self, request->service)->work_ms;
+
+  return now + work / 2 >= request->deadline;
+}
+
+/* Sends the request, or leaves it waiting, or ends it. */
+static void
+proceed (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
+{
+  dispatch_reason_t reason = request->reason;
+
+  if (now >= request->deadline)
+    {
+      end (self, request, REASON_TIME, now, out);
+      return;
+    }
+  if (now < request->not_before)
+    {
+      wait_for (self, request, reason, MIN (request->not_before, request->deadline));
+      return;
+    }
+  int target = request->keyed ? targets_owner (self, request, now, &reason)
+                              : targets_pick (self, request, now, &reason);
+  if (target >= 0
+      && (request->sends == 0
+          || budget_spend (&service_at (self, request->service)->budget, now)))
+    send (self, request, (uint32_t)target, now, out);
+  else if (target >= 0)
+    end (self, request, REASON_NOT_TAKEN, now, out);
+  else if (now >= patience (request, reason) || is_hopeless (self, request, now))
+    end (self, request, reason, now, out);
+  else
+    wait_for (self,
+              request,
+              reason,
+              MIN (now + DISPATCH_POLL_MS, patience (request, reason)));
+}
+
+/* Looks again at the waiting requests of SERVICE, the most urgent first. */
+static void
+pump (dispatch_t *self, uint32_t service, msec_t now, GArray *out)
+{
+  GQueue *waiting = &service_at (self, service)->waiting;
+  uint32_t ranks = 0;
+
+  for (GList *link = waiting->head; link != NULL; link = link->next)
+    ranks |= 1u << MIN (((dispatch_request_t *)link->data)->rank, 31);
+  for (uint32_t rank = 0; ranks >> rank != 0 && rank < 32; rank++)
+    {
+      GList *next;
+      if ((ranks & 1u << rank) == 0)
+        continue;
+      for (GList *link = waiting->head; link != NULL; link = next)
+        {
+          dispatch_request_t *request = link->data;
+          next = link->next;
+          if (MIN (request->rank, 31) == rank)
+            proceed (self, request, now, out);
+        }
+    }
+}
+
+static void
+pump_all (dispatch_t *self, msec_t now, GArray *out)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    pump (self, i, now, out);
+}
+
+static dispatch_service_t *
+find_or_add_service (dispatch_t *self, const service_entry_t *entry, uint32_t *index)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    if (text_equal (name_text (&service_at (self, i)->name), entry->name))
+      {
+        *index = i;
+        return service_at (self, i);
+      }
+  dispatch_service_t *service = g_new0 (dispatch_service_t, 1);
+  name_set (&service->name, entry->name);
+  service->work_ms = DISPATCH_WORK_START_MS;
+  budget_init (&service->budget,
+               self->bounds.retry_window,
+               self->bounds.retry_percent,
+               self->bounds.retry_extra);
+  key_table_init (&service->keys, entry->name);
+  g_queue_init (&service->waiting);
+  service->key_loads = g_new0 (uint32_t, KEY_STEPS);
+  g_ptr_array_add (self->services, service);
+  *index = self->services->len - 1;
+  return service;
+}
+
+static void
+take_directory (dispatch_t *self, directory_t *directory)
+{
+  if (self->directory != NULL)
+    {
+      directory_finish (self->directory);
+      g_free (self->directory);
+    }
+  self->directory = directory;
+  g_array_set_size (self->service_of, directory->services->len);
+  g_array_set_size (self->credits, 0);
+  g_array_set_size (self->credits, directory->shares->len);
+  for (guint i = 0; i < directory->services->len; i++)
+    {
+      const service_entry_t *entry
+          = &g_array_index (directory->services, service_entry_t, i);
+      uint32_t index;
+      dispatch_service_t *service = find_or_add_service (self, entry, &index);
+      service->keyed = entry->keyed;
+      g_array_index (self->service_of, uint32_t, i) = index;
+    }
+}
+
+/* Owners may be told before the configuration that names their service. */
+static void
+take_keys (dispatch_t *self, const key_table_t *keys, msec_t now, GArray *out)
+{
+  const service_entry_t entry = { .name = name_text (&keys->service), .keyed = true };
+  uint32_t index;
+  dispatch_service_t *service = find_or_add_service (self, &entry, &index);
+
+  if (keys->version < service->keys.version)
+    return;
+  key_table_finish (&service->keys);
+  key_table_copy (&service->keys, keys);
+  pump (self, index, now, out);
+}
+
+/* Smooth weighted round robin: any run of requests keeps close to the weights. */
+static uint32_t
+choose_share (dispatch_t *self, const route_entry_t *route)
+{
+  uint32_t best = route->first_share;
+  double total = 0;
+
+  for (uint32_t i = route->first_share; i < route->first_share + route->n_shares; i++)
+    {
+      double *credit = &g_array_index (self->credits, double, i);
+      double weight = g_array_index (self->directory->shares, route_share_t, i).weight;
+      *credit += weight;
+      total += weight;
+      if (*credit > g_array_index (self->credits, double, best))
+        best = i;
+    }
+  g_array_index (self->credits, double, best) -= total;
+  uint32_t service = g_array_index (self->directory->shares, route_share_t, best).service;
+  return g_array_index (self->service_of, uint32_t, service);
+}
+
+static void
+arrive (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
+{
+  dispatch_request_t *request = msg->request;
+
+  request->arrived = now;
+  request->deadline = now + (msg->wait >= 0 ? msg->wait : 0);
+  if (self->directory == NULL)
+    {
+      end (self, request, REASON_NO_CONFIGURATION, now, out);
+      return;
+    }
+  request->directory_version = self->directory->version;
+  int i = directory_match (self->directory, msg->host, msg->path);
+  if (i < 0)
+    {
+      end (self, request, REASON_NO_ROUTE, now, out);
+      return;
+    }
+  const route_entry_t *route
+      = &g_array_index (self->directory->routes, route_entry_t, (guint)i);
+  msec_t wait = msg->wait >= 0 ? MIN (msg->wait, route->timeout) : route->timeout;
+  request->service = choose_share (self, route);
+  dispatch_service_t *service = service_at (self, request->service);
+  request->kind = route->kind;
+  request->rank = route->rank;
+  request->runs_max = MAX (route->targets, 1);
+  request->deadline = now + wait;
+  request->objective = now + MIN (route->objective, wait);
+  request->keyed = service->keyed && msg->has_key && msg->key <= KEY_LAST;
+  request->key = msg->key;
+  if (request->keyed)
+    service->key_loads[request->key / KEY_STEP]++;
+  budget_request (&service->budget, now);
+  proceed (self, request, now, out);
+}
+
+/* Sends the request once more where that is allowed and useful, or ends it. */
+static void
+send_again (dispatch_t *self,
+            dispatch_request_t *request,
+            dispatch_reason_t reason,
+            msec_t not_before,
+            msec_t now,
+            GArray *out)
+{
+  bool may_run_again
+      = (!request->caller_left && request->runs == 0)
+        || (request->kind != KIND_MUTATING && request->runs < request->runs_max);
+
+  request->last_failed = request->target;
+  request->reason = reason;
+  request->state = REQUEST_NEW;
+  request->not_before = not_before;
+  if (now >= request->deadline)
+    end (self, request, REASON_TIME, now, out);
+  else if (!may_run_again || request->sends >= DISPATCH_SENDS_MAX)
+    end (self, request, reason, now, out);
+  else
+    proceed (self, request, now, out);
+}
+
+static void
+deliver (dispatch_request_t *request, GArray *out)
+{
+  dispatch_out_t out_deliver
+      = { .kind = DISPATCH_DELIVER, .request = request, .reason = REASON_ANSWERED };
+
+  request->state = REQUEST_ENDED;
+  request->due = MSEC_NEVER;
+  request->reason = REASON_ANSWERED;
+  emit (out, &out_deliver);
+}
+
+/* A failure that another target may do better, while there is time and budget. */
+static bool
+is_worth_again (dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  dispatch_service_t *service = service_at (self, request->service);
+
+  return request->kind != KIND_MUTATING && !request->keyed
+         && request->runs < request->runs_max && request->sends < DISPATCH_SENDS_MAX
+         && now + service->work_ms < request->deadline
+         && budget_left (&service->budget, now) > 0;
+}
+
+static void
+answered (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
+{
+  dispatch_request_t *request = msg->request;
+  uint32_t service = request->service;
+  dispatch_target_t *target = target_at (self, (uint32_t)request->target);
+
+  leave_target (self, request);
+  target_answered (target, request, msg, now);
+  if (msg->answer == ANSWER_RUN)
+    {
+      dispatch_service_t *of = service_at (self, service);
+      of->work_ms = (of->work_ms * 15 + target->work_ms) / 16;
+      if (msg->status >= 500 && is_worth_again (self, request, now))
+        send_again (self, request, REASON_LOST, now, now, out);
+      else
+        deliver (request, out);
+    }
+  else
+    {
+      request->runs--;
+      send_again (self,
+                  request,
+                  msg->answer == ANSWER_FULL ? REASON_OVERLOAD : REASON_NO_OWNER,
+                  request->keyed ? now + DISPATCH_OWNER_RETRY_MS : now,
+                  now,
+                  out);
+    }
+  pump (self, service, now, out);
+}
+
+static void
+failed (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
+{
+  dispatch_request_t *request = msg->request;
+  uint32_t service = request->service;
+
+  leave_target (self, request);
+  target_failed (target_at (self, (uint32_t)request->target), msg->connected, now);
+  if (!msg->sent)
+    request->runs--;
+  send_again (self,
+              request,
+              msg->sent ? REASON_LOST : REASON_NO_TARGET,
+              request->keyed ? now + DISPATCH_OWNER_RETRY_MS : now,
+              now,
+              out);
+  pump (self, service, now, out);
+}
+
+static void
+cancel (dispatch_t *self, dispatch_request_t *request, GArray *out)
+{
+  dispatch_out_t out_cancel = { .kind = DISPATCH_CANCEL,
+                                .request = request,
+                                .target = (uint32_t)request->target };
+
+  leave_target (self, request);
+  emit (out, &out_cancel);
+}
+
+static void
+gone (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
+{
+  uint32_t service = request->service;
+  bool sent = request->state == REQUEST_SENT;
+
+  if (request->state == REQUEST_ENDED)
+    return;
+  if (sent && request->kind == KIND_MUTATING)
+    {
+      request->caller_left = true;
+      return;
+    }
+  if (sent)
+    cancel (self, request, out);
+  leave_queue (self, request);
+  request->state = REQUEST_ENDED;
+  request->due = MSEC_NEVER;
+  request->reason = REASON_CALLER_LEFT;
+  if (sent)
+    pump (self, service, now, out);
+}
+
+/* A waiting request looks again; one that was sent has waited long enough. */
+static void
+come_due (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
+{
+  if (request->state == REQUEST_WAITING)
+    proceed (self, request, now, out);
+  if (request->state != REQUEST_SENT || now < request->due)
+    return;
+  dispatch_target_t *target = target_at (self, (uint32_t)request->target);
+  bool again = now < request->deadline
+               && budget_left (&service_at (self, request->service)->budget, now) > 0;
+  if (!again && now < request->deadline)
+    {
+      request->due = request->deadline + DISPATCH_LAST_ANSWER_MS;
+      return;
+    }
+  cancel (self, request, out);
+  if (again)
+    {
+      target_failed (target, true, now);
+      send_again (self, request, REASON_LOST, now, now, out);
+    }
+  else
+    end (self, request, REASON_TIME, now, out);
+}
+
+void
+dispatch_handle (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
+{
+  switch (msg->kind)
+    {
+    case DISPATCH_DIRECTORY:
+      take_directory (self, msg->directory);
+      pump_all (self, now, out);
+      break;
+    case DISPATCH_TARGETS:
+      targets_update (self, msg->targets, now, out);
+      pump_all (self, now, out);
+      break;
+    case DISPATCH_KEYS:
+      take_keys (self, msg->keys, now, out);
+      break;
+    case DISPATCH_ARRIVE:
+      arrive (self, msg, now, out);
+      break;
+    case DISPATCH_ANSWERED:
+      answered (self, msg, now, out);
+      break;
+    case DISPATCH_FAILED:
+      failed (self, msg, now, out);
+      break;
+    case DISPATCH_GONE:
+      gone (self, msg->request, now, out);
+      break;
+    case DISPATCH_DUE:
+      come_due (self, msg->request, now, out);
+      break;
+    }
+}
+
+static void
+free_service (void *item)
+{
+  dispatch_service_t *service = item;
+
+  key_table_finish (&service->keys);
+  g_free (service->key_loads);
+  g_free (service);
+}
+
+void
+dispatch_init (dispatch_t *self,
+               text_t data_centre,
+               const dispatch_bounds_t *bounds,
+               uint64_t seed)
+{
+  *self = (dispatch_t){
+    .bounds = *bounds,
+    .service_of = g_array_new (FALSE, TRUE, sizeof (uint32_t)),
+    .credits = g_array_new (FALSE, TRUE, sizeof (double)),
+    .services = g_ptr_array_new_with_free_func (free_service),
+    .targets = g_ptr_array_new_with_free_func (g_free),
+  };
+  name_set (&self->data_centre, data_centre);
+  rng_init (&self->rng, seed);
+}
+
+void
+dispatch_finish (dispatch_t *self)
+{
+  if (self->directory != NULL)
+    {
+      directory_finish (self->directory);
+      g_free (self->directory);
+    }
+  g_array_unref (self->service_of);
+  g_array_unref (self->credits);
+  g_ptr_array_unref (self->services);
+  g_ptr_array_unref (self->targets);
+}
+
+bool
+dispatch_may_overlap (const dispatch_t *self, text_t host, text_t path)
+{
+  int i = self->directory == NULL ? -1 : directory_match (self->directory, host, path);
+
+  return i >= 0
+         && g_array_index (self->directory->routes, route_entry_t, (guint)i).kind
+                != KIND_MUTATING;
+}
+
+void
+dispatch_request_init (dispatch_request_t *self)
+{
+  *self = (dispatch_request_t){ .due = MSEC_NEVER, .target = -1, .last_failed = -1 };
+}
+
+const dispatch_target_t *
+dispatch_target (const dispatch_t *self, uint32_t target)
+{
+  return target_at (self, target);
+}
+
+const dispatch_service_t *
+dispatch_service (const dispatch_t *self, uint32_t service)
+{
+  return service_at (self, service);
+}
+
+const char *
+dispatch_reason_name (dispatch_reason_t reason)
+{
+  static const char *const names[] = {
+    [REASON_NONE] = "none",           [REASON_NO_CONFIGURATION] = "no-configuration",
+    [REASON_NO_ROUTE] = "no-route",   [REASON_NO_TARGET] = "no-target",
+    [REASON_NO_OWNER] = "no-owner",   [REASON_OVERLOAD] = "overload",
+    [REASON_NOT_TAKEN] = "not-taken", [REASON_LOST] = "answer-lost",
+    [REASON_TIME] = "time-over",      [REASON_CALLER_LEFT] = "caller-left",
+    [REASON_ANSWERED] = "answered",
+  };
+
+  return names[reason];
+}
--- a/packages/form/form.c
+++ b/packages/form/form.c
@@ -63,14 +63,15 @@
 take_value (const form_field_t *field, const toml_value_t *value, void *record)
 {
   static const toml_kind_t wanted[] = {
-    [FORM_NAME] = TOML_STRING,     [FORM_UINT] = TOML_INTEGER,
-    [FORM_BOOL] = TOML_BOOLEAN,    [FORM_CHOICE] = TOML_STRING,
-    [FORM_CHOICES] = TOML_STRINGS,
+    [FORM_NAME] = TOML_STRING,   [FORM_UINT] = TOML_INTEGER,
+    [FORM_REAL] = TOML_REAL,     [FORM_BOOL] = TOML_BOOLEAN,
+    [FORM_CHOICE] = TOML_STRING, [FORM_CHOICES] = TOML_STRINGS,
   };
   char *at = (char *)record + field->offset;
   text_t text = { value->string, value->string_len };
 
-  if (value->kind != wanted[field->kind])
+  bool whole_for_real = field->kind == FORM_REAL && value->kind == TOML_INTEGER;
+  if (value->kind != wanted[field->kind] && !whole_for_real)
     return FORM_WRONG_KIND;
   switch (field->kind)
     {
@@ -83,6 +84,11 @@
         return FORM_OUT_OF_RANGE;
       *(uint32_t *)at = (uint32_t)value->integer;
       break;
+    case FORM_REAL:
+      if (value->real < field->lo || value->real > field->hi)
+        return FORM_OUT_OF_RANGE;
+      *(double *)at = value->real;
+      break;
     case FORM_BOOL:
       *(bool *)at = value->integer != 0;
       break;
@@ -135,13 +141,14 @@
   g_array_append_val (self->faults, fault);
 }
 
-size_t
-form_fill (form_t *self,
-           const toml_doc_t *doc,
-           const char *table,
-           const form_field_t *fields,
-           size_t n_fields,
-           void *record)
+static size_t
+fill (form_t *self,
+      const toml_doc_t *doc,
+      const char *table,
+      const form_field_t *fields,
+      size_t n_fields,
+      void *record,
+      bool unknown_is_fault)
 {
   size_t taken = 0;
 
@@ -152,6 +159,8 @@
         continue;
       const form_field_t *field = find_field (fields, n_fields, value->key);
       taken++;
+      if (field == NULL && !unknown_is_fault)
+        continue;
       if (field == NULL)
         {
           add_field_fault (self,
@@ -172,6 +181,28 @@
   return taken;
 }
 
+size_t
+form_fill (form_t *self,
+           const toml_doc_t *doc,
+           const char *table,
+           const form_field_t *fields,
+           size_t n_fields,
+           void *record)
+{
+  return fill (self, doc, table, fields, n_fields, record, true);
+}
+
+size_t
+form_fill_known (form_t *self,
+                 const toml_doc_t *doc,
+                 const char *table,
+                 const form_field_t *fields,
+                 size_t n_fields,
+                 void *record)
+{
+  return fill (self, doc, table, fields, n_fields, record, false);
+}
+
 void
 form_check_tables (form_t *self, const toml_doc_t *doc, const char *const *tables)
 {
--- a/packages/form/form.h
+++ b/packages/form/form.h
@@ -15,6 +15,7 @@
 {
   FORM_NAME,    /* name_t */
   FORM_UINT,    /* uint32_t, from lo to hi */
+  FORM_REAL,    /* double, from lo to hi; whole numbers are taken too */
   FORM_BOOL,    /* bool */
   FORM_CHOICE,  /* uint32_t, the index of the word in choices */
   FORM_CHOICES, /* uint32_t, a bit for each word given */
@@ -75,6 +76,14 @@
                   size_t n_fields,
                   void *record);
 
+/* The same, but a value of a key that FIELDS doesn't list is passed over. */
+size_t form_fill_known (form_t *self,
+                        const toml_doc_t *doc,
+                        const char *table,
+                        const form_field_t *fields,
+                        size_t n_fields,
+                        void *record);
+
 /* Reports each value of DOC whose table is none of TABLES, nor an item of one. */
 void form_check_tables (form_t *self, const toml_doc_t *doc, const char *const *tables);
 
--- a/packages/form/toml_doc.cc
+++ b/packages/form/toml_doc.cc
@@ -101,6 +101,12 @@
         {
           value->kind = TOML_INTEGER;
           value->integer = i->get ();
+          value->real = static_cast<double> (i->get ());
+        }
+      else if (const auto *f = node.as_floating_point ())
+        {
+          value->kind = TOML_REAL;
+          value->real = f->get ();
         }
       else if (const auto *b = node.as_boolean ())
         {
--- a/packages/form/toml_doc.h
+++ b/packages/form/toml_doc.h
@@ -14,6 +14,7 @@
   TOML_STRING,
   TOML_INTEGER,
   TOML_BOOLEAN,
+  TOML_REAL,
   TOML_STRINGS,
   TOML_OTHER,
 } toml_kind_t;
@@ -27,6 +28,7 @@
   char *string; /* TOML_STRING; for TOML_STRINGS the items, each ended by a newline */
   size_t string_len;
   int64_t integer; /* TOML_INTEGER and TOML_BOOLEAN */
+  double real;     /* TOML_REAL and TOML_INTEGER */
 } toml_value_t;
 
 typedef struct
--- /dev/null
+++ b/packages/http/http_reader.c
@@ -0,0 +1,273 @@
+#include "http_reader.h"
+
+#include <string.h>
+
+static http_reader_t *
+of_parser (http_parser *parser)
+{
+  return parser->data;
+}
+
+/* Counts N more bytes of the head; false once it is too large. */
+static int
+head_fits (http_reader_t *self, size_t n)
+{
+  if (self->head.bytes->len + n <= self->head_max)
+    return 0;
+  self->too_large = true;
+  return 1;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  http_reader_t *self = of_parser (parser);
+
+  g_string_truncate (self->head.bytes, 0);
+  g_array_set_size (self->head.fields, 0);
+  self->head.start_len = 0;
+  self->head.status = 0;
+  self->head.length = UINT64_MAX;
+  self->value_last = false;
+  self->begun = true;
+  return 0;
+}
+
+static int
+on_start (http_parser *parser, const char *at, size_t len)
+{
+  http_reader_t *self = of_parser (parser);
+
+  if (head_fits (self, len) != 0)
+    return 1;
+  g_string_append_len (self->head.bytes, at, (gssize)len);
+  self->head.start_len += (uint32_t)len;
+  return 0;
+}
+
+static int
+on_name (http_parser *parser, const char *at, size_t len)
+{
+  http_reader_t *self = of_parser (parser);
+  GArray *fields = self->head.fields;
+
+  if (head_fits (self, len) != 0)
+    return 1;
+  if (fields->len == 0 || self->value_last)
+    {
+      http_field_t field = { .name_at = (uint32_t)self->head.bytes->len };
+      g_array_append_val (fields, field);
+      self->value_last = false;
+    }
+  g_array_index (fields, http_field_t, fields->len - 1).name_len += (uint32_t)len;
+  g_string_append_len (self->head.bytes, at, (gssize)len);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+  http_reader_t *self = of_parser (parser);
+  http_field_t *field
+      = &g_array_index (self->head.fields, http_field_t, self->head.fields->len - 1);
+
+  if (head_fits (self, len) != 0)
+    return 1;
+  if (!self->value_last)
+    {
+      field->value_at = (uint32_t)self->head.bytes->len;
+      self->value_last = true;
+    }
+  field->value_len += (uint32_t)len;
+  g_string_append_len (self->head.bytes, at, (gssize)len);
+  return 0;
+}
+
+static int
+on_head (http_parser *parser)
+{
+  http_reader_t *self = of_parser (parser);
+  http_head_t *head = &self->head;
+
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      http_field_t *field = &g_array_index (head->fields, http_field_t, i);
+      if (field->value_len == 0)
+        field->value_at = field->name_at;
+      while (
+          field->value_len > 0
+          && g_ascii_isspace (head->bytes->str[field->value_at + field->value_len - 1]))
+        field->value_len--;
+    }
+  head->method = parser->method;
+  head->status = parser->status_code;
+  head->old = parser->http_major == 1 && parser->http_minor == 0;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->length = parser->content_length;
+  head->framed = (parser->flags & F_CHUNKED) != 0 || parser->content_length != UINT64_MAX;
+  return self->ops->head (self->owner) ? 0 : 1;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+  http_reader_t *self = of_parser (parser);
+
+  self->ops->body (self->owner, (text_t){ at, len });
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  http_reader_t *self = of_parser (parser);
+
+  self->complete = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_begin,
+  .on_url = on_start,
+  .on_status = on_start,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+http_reader_init (http_reader_t *self,
+                  http_side_t side,
+                  uint32_t head_max,
+                  const http_reader_ops_t *ops,
+                  void *owner)
+{
+  *self = (http_reader_t){ .head_max = head_max, .ops = ops, .owner = owner };
+  http_parser_init (&self->parser, side == HTTP_REQUESTS ? HTTP_REQUEST : HTTP_RESPONSE);
+  self->parser.data = self;
+  self->head.bytes = g_string_sized_new (512);
+  self->head.fields = g_array_new (FALSE, TRUE, sizeof (http_field_t));
+}
+
+void
+http_reader_finish (http_reader_t *self)
+{
+  g_string_free (self->head.bytes, TRUE);
+  g_array_unref (self->head.fields);
+}
+
+static http_progress_t
+execute (http_reader_t *self, const char *at, size_t len, size_t *taken)
+{
+  *taken = http_parser_execute (&self->parser, &parser_settings, at, len);
+  enum http_errno error = HTTP_PARSER_ERRNO (&self->parser);
+
+  if (self->too_large)
+    return HTTP_TOO_LARGE;
+  if (self->complete)
+    {
+      self->complete = false;
+      self->begun = false;
+      http_parser_pause (&self->parser, 0);
+      return HTTP_COMPLETE;
+    }
+  return error == HPE_OK && self->parser.upgrade == 0 ? HTTP_MORE : HTTP_BROKEN;
+}
+
+http_progress_t
+http_reader_take (http_reader_t *self, struct evbuffer *in)
+{
+  http_progress_t progress = HTTP_MORE;
+
+  while (progress == HTTP_MORE && evbuffer_get_length (in) > 0)
+    {
+      struct evbuffer_iovec piece;
+      size_t taken = 0;
+      if (evbuffer_peek (in, -1, NULL, &piece, 1) < 1)
+        break;
+      progress = execute (self, piece.iov_base, piece.iov_len, &taken);
+      evbuffer_drain (in, taken);
+    }
+  return progress;
+}
+
+http_progress_t
+http_reader_end (http_reader_t *self)
+{
+  size_t taken = 0;
+
+  return execute (self, NULL, 0, &taken);
+}
+
+bool
+http_name_equal (text_t a, text_t b)
+{
+  return a.len == b.len && g_ascii_strncasecmp (a.at, b.at, a.len) == 0;
+}
+
+text_t
+http_head_name (const http_head_t *self, guint i)
+{
+  const http_field_t *field = &g_array_index (self->fields, http_field_t, i);
+
+  return (text_t){ self->bytes->str + field->name_at, field->name_len };
+}
+
+text_t
+http_head_value (const http_head_t *self, guint i)
+{
+  const http_field_t *field = &g_array_index (self->fields, http_field_t, i);
+
+  return (text_t){ self->bytes->str + field->value_at, field->value_len };
+}
+
+text_t
+http_head_get (const http_head_t *self, text_t name)
+{
+  for (guint i = 0; i < self->fields->len; i++)
+    if (http_name_equal (http_head_name (self, i), name))
+      return http_head_value (self, i);
+  return TEXT_NONE;
+}
+
+text_t
+http_head_start (const http_head_t *self)
+{
+  return (text_t){ self->bytes->str, self->start_len };
+}
+
+bool
+http_header_is_hop (text_t name)
+{
+  static const text_t hops[] = {
+    TEXT ("connection"),        TEXT ("keep-alive"),
+    TEXT ("proxy-connection"),  TEXT ("te"),
+    TEXT ("trailer"),           TEXT ("upgrade"),
+    TEXT ("transfer-encoding"), TEXT ("proxy-authorization"),
+    TEXT ("content-length"),    TEXT ("expect"),
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hops); i++)
+    if (http_name_equal (name, hops[i]))
+      return true;
+  return false;
+}
+
+bool
+http_list_has (text_t list, text_t word)
+{
+  while (list.len > 0)
+    {
+      text_t item = text_split (list, ',', &list);
+      while (item.len > 0 && g_ascii_isspace (item.at[0]))
+        item = (text_t){ item.at + 1, item.len - 1 };
+      while (item.len > 0 && g_ascii_isspace (item.at[item.len - 1]))
+        item.len--;
+      if (http_name_equal (item, word))
+        return true;
+    }
+  return false;
+}
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -1,5 +1,7 @@
 #include "httpc.h"
 
+#include "../http/sockets.h"
+
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -16,6 +18,7 @@
   bool head_seen;
   bool streaming;
   bool timed_out;
+  bool tuned; /* the socket's options were set */
   uint64_t body_seen;
   struct event *connect_timer;
 };
@@ -60,6 +63,14 @@
 
   (void)buffer;
   self->left += info->n_deleted;
+  if (!self->tuned && info->n_added > 0)
+    {
+      evutil_socket_t fd
+          = bufferevent_getfd (evhttp_connection_get_bufferevent (self->evcon));
+      if (fd >= 0)
+        socket_tune (fd, (unsigned)self->pool->timeout);
+      self->tuned = fd >= 0;
+    }
   if (info->n_added > 0)
     event_del (self->connect_timer);
 }
--- /dev/null
+++ b/packages/keys/keys.c
@@ -0,0 +1,413 @@
+#include "keys.h"
+
+#include "key_plan.h"
+
+/* Loads are halved at this many times a second of planning: the last 4 s count. */
+#define LOAD_KEEP 0.75
+
+static key_service_t *
+service_at (const keys_t *self, guint i)
+{
+  return g_ptr_array_index (self->services, i);
+}
+
+static key_span_t *
+span_at (const key_service_t *service, guint i)
+{
+  return &g_array_index (service->spans, key_span_t, i);
+}
+
+static key_service_t *
+find_service (const keys_t *self, const name_t *name)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    if (name_equal (&service_at (self, i)->name, name))
+      return service_at (self, i);
+  return NULL;
+}
+
+static msec_t
+on_slow_clock (msec_t hold)
+{
+  return hold * (100 + KEYS_SLOW_CLOCK_PERCENT) / 100 + KEYS_MARGIN_MS;
+}
+
+/* The owner is listed, in the life that the run was given to. */
+static const target_entry_t *
+owner_entry (const keys_t *self, const key_span_t *span)
+{
+  const target_entry_t *target = key_plan_find (self, &span->owner);
+
+  return target != NULL && target->born == span->born ? target : NULL;
+}
+
+static void
+emit_call (keys_out_kind_t kind,
+           const key_service_t *service,
+           key_span_t *span,
+           msec_t hold,
+           GArray *out)
+{
+  keys_out_t call = { .kind = kind,
+                      .service = service->name,
+                      .target = span->owner,
+                      .address = span->address,
+                      .first = span->first,
+                      .last = span->last,
+                      .fence = span->fence,
+                      .hold = hold,
+                      .handover = span->handover };
+
+  span->calling = true;
+  span->last_hold = hold;
+  g_array_append_val (out, call);
+}
+
+/* Renewals may be sent only while the role is held for certain. */
+static bool
+may_grant (const keys_t *self, msec_t now)
+{
+  return now < self->role_until - ROLE_MARGIN_MS;
+}
+
+static void
+renew (
+    keys_t *self, const key_service_t *service, key_span_t *span, msec_t now, GArray *out)
+{
+  const target_entry_t *target = owner_entry (self, span);
+  bool last_round = self->resigning || self->role_until - now < KEYS_LAST_ROUND_MS;
+  msec_t hold = last_round ? self->hold_max : MIN (KEYS_HOLD_MS, self->hold_max);
+  bool due = now >= span->call_after || (last_round && span->last_hold < hold);
+
+  if (target == NULL || target->leaving)
+    key_plan_take_back (span, NULL);
+  else if (due && !span->calling && may_grant (self, now))
+    {
+      span->call_after = now + KEYS_RENEW_MS;
+      span->held_until = MAX (span->held_until, now + on_slow_clock (hold));
+      emit_call (KEYS_GRANT, service, span, hold, out);
+    }
+}
+
+static void
+take_back (
+    keys_t *self, const key_service_t *service, key_span_t *span, msec_t now, GArray *out)
+{
+  const target_entry_t *same_id = key_plan_find (self, &span->owner);
+  bool started_anew = same_id != NULL && same_id->born > span->born;
+
+  if (span->calling)
+    return;
+  if (started_anew || now >= (span->released ? span->doubt_until : span->held_until))
+    {
+      span->state = RUN_FREE;
+      if (!span->released)
+        span->handover.len = 0;
+    }
+  else if (now >= span->call_after && !span->released && may_grant (self, now))
+    {
+      span->call_after = now + KEYS_RETRY_MS * (1 + MIN (span->tries, 4));
+      span->tries++;
+      if (same_id != NULL)
+        span->address = same_id->address;
+      emit_call (KEYS_RELEASE, service, span, 0, out);
+    }
+}
+
+/* Gives free runs to targets and asks for the commit. */
+static void
+commit_free (keys_t *self, key_service_t *service, GArray *out)
+{
+  bool any = false;
+
+  if (service->committing)
+    return;
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      key_span_t *span = span_at (service, i);
+      if (span->state != RUN_FREE)
+        continue;
+      const target_entry_t *next = key_plan_find (self, &span->next);
+      if (!key_plan_usable (next, service))
+        {
+          if (!key_plan_owner (self, service, &span->next))
+            return; /* no target is left */
+          next = key_plan_find (self, &span->next);
+        }
+      span->state = RUN_COMMITTING;
+      span->owner = span->next;
+      span->born = next->born;
+      span->address = next->address;
+      span->fence = self->next_fence++;
+      span->warm = false;
+      any = true;
+    }
+  if (!any)
+    return;
+  service->committing = true;
+  keys_out_t commit
+      = { .kind = KEYS_COMMIT, .service = service->name, .next_fence = self->next_fence };
+  key_table_init (&commit.table, name_text (&service->name));
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      const key_span_t *span = span_at (service, i);
+      key_run_t run = { .first = span->first,
+                        .last = span->last,
+                        .fence = span->fence,
+                        .target = span->owner,
+                        .address = span->address,
+                        .born = span->born };
+      g_array_append_val (commit.table.runs, run);
+    }
+  g_array_append_val (out, commit);
+}
+
+static void
+step_service (keys_t *self, key_service_t *service, msec_t now, GArray *out)
+{
+  if (!service->known)
+    return;
+  if (service->spans->len == 0 && now >= service->joined_at + KEYS_SETTLE_MS)
+    key_plan_first (self, service);
+  if (!self->resigning)
+    key_plan_moves (self, service, now);
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      key_span_t *span = span_at (service, i);
+      if (span->state == RUN_HELD)
+        renew (self, service, span, now, out);
+      if (span->state == RUN_LEAVING && !self->resigning)
+        take_back (self, service, span, now, out);
+    }
+  if (!self->resigning && may_grant (self, now))
+    commit_free (self, service, out);
+}
+
+static void
+step (keys_t *self, msec_t now, GArray *out)
+{
+  if (self->role_until == 0)
+    return;
+  for (guint i = 0; i < self->services->len; i++)
+    step_service (self, service_at (self, i), now, out);
+}
+
+static void
+take_services (keys_t *self, const GArray *names, msec_t now)
+{
+  for (guint i = 0; i < names->len; i++)
+    {
+      const name_t *name = &g_array_index (names, name_t, i);
+      if (find_service (self, name) != NULL)
+        continue;
+      key_service_t *service = g_new0 (key_service_t, 1);
+      service->name = *name;
+      service->spans = g_array_new (FALSE, TRUE, sizeof (key_span_t));
+      service->joined_at = now;
+      g_ptr_array_add (self->services, service);
+    }
+}
+
+static void
+take_targets (keys_t *self, const GArray *targets, msec_t now)
+{
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const target_entry_t *target = &g_array_index (targets, target_entry_t, i);
+      key_service_t *service = find_service (self, &target->service);
+      if (service != NULL && key_plan_find (self, &target->id) == NULL)
+        service->joined_at = now;
+    }
+  g_array_set_size (self->targets, 0);
+  g_array_append_vals (self->targets, targets->data, targets->len);
+}
+
+static void
+take_table (keys_t *self, const keys_msg_t *msg, msec_t now)
+{
+  key_service_t *service = find_service (self, &msg->service);
+
+  if (service == NULL)
+    return;
+  service->known = true;
+  service->committing = false;
+  g_array_set_size (service->spans, 0);
+  for (guint i = 0; msg->table != NULL && i < msg->table->runs->len; i++)
+    {
+      const key_run_t *run = &g_array_index (msg->table->runs, key_run_t, i);
+      key_span_t span = { .state = RUN_HELD,
+                          .first = run->first,
+                          .last = run->last,
+                          .fence = run->fence,
+                          .owner = run->target,
+                          .address = run->address,
+                          .born = run->born,
+                          .warm = true,
+                          .held_until = now + on_slow_clock (self->hold_max) };
+      g_array_append_val (service->spans, span);
+    }
+}
+
+static void
+committed (key_service_t *service)
+{
+  service->committing = false;
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      key_span_t *span = span_at (service, i);
+      if (span->state != RUN_COMMITTING)
+        continue;
+      span->state = RUN_HELD;
+      span->call_after = 0;
+      span->held_until = 0;
+      span->doubt_until = 0;
+      span->last_hold = 0;
+    }
+}
+
+static void
+call_ended (keys_t *self, const keys_msg_t *msg, msec_t now)
+{
+  key_service_t *service = find_service (self, &msg->service);
+
+  for (guint i = 0; service != NULL && i < service->spans->len; i++)
+    {
+      key_span_t *span = span_at (service, i);
+      if (span->first != msg->first || span->fence != msg->fence || !span->calling)
+        continue;
+      span->calling = false;
+      if (msg->kind == KEYS_GRANTED)
+        {
+          span->warm = true;
+          span->handover.len = 0;
+        }
+      else if (msg->kind == KEYS_RELEASED && span->state == RUN_LEAVING)
+        {
+          span->released = true;
+          span->handover = msg->handover;
+        }
+      else if (msg->kind == KEYS_REFUSED)
+        {
+          /* Its fence is old: only a new one, above all, helps. */
+          key_plan_take_back (span, NULL);
+          span->held_until = now;
+        }
+      else if (msg->kind == KEYS_FAILED && !msg->release)
+        {
+          span->call_after = MIN (span->call_after, now + KEYS_RETRY_MS);
+          if (msg->sent)
+            {
+              span->doubt_until = now + on_slow_clock (span->last_hold);
+              span->held_until = MAX (span->held_until, span->doubt_until);
+            }
+        }
+      return;
+    }
+}
+
+static void
+take_loads (key_service_t *service, const uint32_t *loads)
+{
+  service->samples *= LOAD_KEEP;
+  for (uint32_t i = 0; i < KEY_STEPS; i++)
+    {
+      service->loads[i] = service->loads[i] * LOAD_KEEP + loads[i];
+      service->samples += loads[i];
+    }
+}
+
+static void
+take_role (keys_t *self, msec_t until)
+{
+  if (until == 0 && self->role_until != 0)
+    for (guint i = 0; i < self->services->len; i++)
+      {
+        service_at (self, i)->known = false;
+        service_at (self, i)->committing = false;
+      }
+  self->role_until = until;
+}
+
+void
+keys_handle (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out)
+{
+  key_service_t *service = find_service (self, &msg->service);
+
+  switch (msg->kind)
+    {
+    case KEYS_ROLE:
+      take_role (self, msg->until);
+      break;
+    case KEYS_SERVICES:
+      take_services (self, msg->names, now);
+      break;
+    case KEYS_TARGETS:
+      take_targets (self, msg->targets, now);
+      break;
+    case KEYS_TABLE:
+      take_table (self, msg, now);
+      break;
+    case KEYS_COMMITTED:
+      if (service != NULL)
+        committed (service);
+      break;
+    case KEYS_GRANTED:
+    case KEYS_REFUSED:
+    case KEYS_RELEASED:
+    case KEYS_FAILED:
+      call_ended (self, msg, now);
+      break;
+    case KEYS_LOADS:
+      if (service != NULL)
+        take_loads (service, msg->loads);
+      break;
+    case KEYS_RESIGN:
+      self->resigning = true;
+      break;
+    case KEYS_TICK:
+      break;
+    }
+  step (self, now, out);
+}
+
+static void
+free_service (void *item)
+{
+  key_service_t *service = item;
+
+  g_array_unref (service->spans);
+  g_free (service);
+}
+
+void
+keys_init (keys_t *self, msec_t hold_max)
+{
+  *self = (keys_t){ .hold_max = hold_max,
+                    .next_fence = 1,
+                    .services = g_ptr_array_new_with_free_func (free_service),
+                    .targets = g_array_new (FALSE, TRUE, sizeof (target_entry_t)) };
+}
+
+void
+keys_finish (keys_t *self)
+{
+  g_ptr_array_unref (self->services);
+  g_array_unref (self->targets);
+}
+
+void
+keys_set_fence (keys_t *self, uint64_t next_fence)
+{
+  self->next_fence = MAX (self->next_fence, next_fence);
+}
+
+bool
+keys_settled (const keys_t *self)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    for (guint j = 0; j < service_at (self, i)->spans->len; j++)
+      if (span_at (service_at (self, i), j)->state != RUN_HELD
+          || !span_at (service_at (self, i), j)->warm)
+        return false;
+  return true;
+}
--- /dev/null
+++ b/packages/keys/keys.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "../core/limits.h"
+#include "../directory/directory.h"
+#include "../dispatch/dispatch.h"
+
+/*
+ * KEYS: assigns the keys of a service to its targets, one owner a key.
+ *
+ * Decision part of the host that holds the granter's role.  Takes typed
+ * messages and the time, appends what is to be done.
+ *
+ * Safety: a target gets a grant only for a run that is committed in the store
+ * under a fence higher than all before.  A run is committed for a new owner
+ * only after the old one has given it back, has started anew, or can't hold it
+ * any more: the last moment at which a grant of it can have arrived, plus the
+ * grant's length on a slow clock, is over.  A granter that takes over doesn't
+ * know its predecessor's last grants and takes the longest possible.
+ */
+
+typedef enum
+{
+  KEYS_ROLE,      /* the role is held until UNTIL; 0: it isn't */
+  KEYS_SERVICES,  /* NAMES: the services whose keys have owners */
+  KEYS_TARGETS,   /* all listed targets */
+  KEYS_TABLE,     /* what the store holds for one service, or that it has nothing */
+  KEYS_COMMITTED, /* the commit under way took effect */
+  KEYS_GRANTED,   /* the target took the grant */
+  KEYS_REFUSED,   /* the target saw a higher fence */
+  KEYS_RELEASED,  /* the target gave the keys back; HANDOVER may be empty */
+  KEYS_FAILED,    /* a grant or release got no answer */
+  KEYS_LOADS,
+  KEYS_RESIGN, /* the host is about to stop */
+  KEYS_TICK,
+} keys_msg_kind_t;
+
+typedef struct
+{
+  keys_msg_kind_t kind;
+  msec_t until;             /* ROLE */
+  const GArray *names;      /* SERVICES: name_t */
+  const GArray *targets;    /* TARGETS: target_entry_t */
+  const key_table_t *table; /* TABLE */
+  name_t service;           /* TABLE, and of GRANTED to FAILED */
+  uint32_t first;           /* GRANTED to FAILED: the run's first key */
+  uint64_t fence;           /* GRANTED to FAILED */
+  bool release;             /* FAILED: it was a release */
+  bool sent;                /* FAILED: a byte may have left */
+  name_t handover;          /* RELEASED */
+  const uint32_t *loads;    /* LOADS: KEY_STEPS counts of SERVICE */
+} keys_msg_t;
+
+typedef enum
+{
+  KEYS_GRANT,
+  KEYS_RELEASE,
+  KEYS_COMMIT, /* TABLE is the service's new assignment, to be freed by the receiver */
+} keys_out_kind_t;
+
+typedef struct
+{
+  keys_out_kind_t kind;
+  name_t service;
+  name_t target;
+  name_t address;
+  uint32_t first, last;
+  uint64_t fence;
+  msec_t hold;         /* GRANT */
+  name_t handover;     /* GRANT */
+  key_table_t table;   /* COMMIT */
+  uint64_t next_fence; /* COMMIT */
+} keys_out_t;
+
+typedef enum
+{
+  RUN_FREE,       /* nobody can hold it */
+  RUN_COMMITTING, /* given to `owner` by the commit under way */
+  RUN_HELD,
+  RUN_LEAVING, /* taken back from `owner`, for `next` if that is set */
+} run_state_t;
+
+typedef struct
+{
+  run_state_t state;
+  uint32_t first, last;
+  uint64_t fence;
+  name_t owner;
+  name_t address; /* of the owner, where it is called also when it isn't listed */
+  uint64_t born;
+  name_t next;        /* planned owner; empty: the least loaded */
+  name_t handover;    /* of the last owner, for the first grant */
+  bool warm;          /* the first grant was taken */
+  bool calling;       /* a grant or release is under way */
+  msec_t call_after;  /* not called before */
+  msec_t held_until;  /* no grant of it can run longer */
+  msec_t doubt_until; /* a grant that got no answer may still be carried out till then */
+  msec_t last_hold;   /* length of the grant under way */
+  bool released;      /* the owner gave it back */
+  uint32_t tries;     /* of the release */
+} key_span_t;
+
+typedef struct
+{
+  name_t name;
+  bool known; /* the store's table was read */
+  bool committing;
+  msec_t joined_at; /* the last target joined */
+  msec_t plan_at;
+  GArray *spans;           /* key_span_t, without gaps, ascending */
+  double loads[KEY_STEPS]; /* decayed counts of requests */
+  double samples;
+} key_service_t;
+
+typedef struct
+{
+  msec_t role_until; /* 0: not held */
+  msec_t hold_max;
+  bool resigning;
+  uint64_t next_fence;
+  GPtrArray *services; /* key_service_t */
+  GArray *targets;     /* target_entry_t */
+} keys_t;
+
+void keys_init (keys_t *self, msec_t hold_max);
+
+/* Takes MSG at time NOW and appends keys_out_t to OUT. */
+void keys_handle (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out);
+
+void keys_finish (keys_t *self);
+
+/* The store's fence counter, read with the role. */
+void keys_set_fence (keys_t *self, uint64_t next_fence);
+
+/* Whether every run of every service has an owner that took its grant. */
+bool keys_settled (const keys_t *self);
--- /dev/null
+++ b/packages/proxy/call.c
@@ -0,0 +1,427 @@
+#include "exchange.h"
+
+#include "../core/eventlog.h"
+
+#include <string.h>
+
+/* A connection to a target: one request at a time, or idle. */
+struct call
+{
+  proxy_t *proxy;
+  uint32_t target;
+  exchange_t *exchange; /* NULL: idle */
+  struct bufferevent *bev;
+  http_reader_t reader;
+  bool connected;
+  bool stray;           /* the message being read answers another request */
+  bool spoilt;          /* not to be used again */
+  size_t to_write;      /* bytes of the request that were queued */
+  answer_facts_t facts; /* its texts are only good while the head is read */
+  unsigned status;
+  bool alive; /* the target keeps the connection */
+  struct evbuffer *body;
+  msec_t idle_until;
+  msec_t idle_span;
+  struct event *timer; /* connecting, or idle */
+  TAILQ_ENTRY (call) link;
+};
+
+static struct call_list *
+idle_list (proxy_t *proxy, uint32_t target)
+{
+  while (proxy->idle->len <= target)
+    {
+      struct call_list *list = g_new0 (struct call_list, 1);
+      TAILQ_INIT (list);
+      g_ptr_array_add (proxy->idle, list);
+    }
+  return g_ptr_array_index (proxy->idle, target);
+}
+
+static void
+free_call (call_t *self)
+{
+  event_free (self->timer);
+  http_reader_finish (&self->reader);
+  evbuffer_free (self->body);
+  bufferevent_free (self->bev);
+  g_free (self);
+}
+
+static void
+close_idle (call_t *self)
+{
+  TAILQ_REMOVE (idle_list (self->proxy, self->target), self, link);
+  free_call (self);
+}
+
+/* Whether a byte of the request may have left. */
+static bool
+has_left (const call_t *self)
+{
+  struct evbuffer *out = bufferevent_get_output (self->bev);
+
+  return self->connected && evbuffer_get_length (out) < self->to_write;
+}
+
+/* Takes the exchange off this connection. */
+static exchange_t *
+detach (call_t *self)
+{
+  exchange_t *exchange = self->exchange;
+
+  self->exchange = NULL;
+  exchange->call = NULL;
+  return exchange;
+}
+
+static void
+fail (call_t *self, const char *why)
+{
+  proxy_t *proxy = self->proxy;
+  exchange_t *exchange = detach (self);
+  dispatch_msg_t msg = { .kind = DISPATCH_FAILED,
+                         .request = &exchange->request,
+                         .sent = has_left (self),
+                         .connected = self->connected };
+  const dispatch_target_t *target = dispatch_target (&proxy->dispatch, self->target);
+
+  eventlog_write (EVENT_TROUBLE,
+                  "proxy",
+                  "send_failed",
+                  "request=%.*s target=%.*s why=%s sent=%d send=%u after_ms=%lld",
+                  NAME_ARG (exchange->id),
+                  NAME_ARG (target->entry.id),
+                  why,
+                  msg.sent,
+                  exchange->request.sends,
+                  (long long)(msclock_now (&proxy->clock) - exchange->request.sent_at));
+  free_call (self);
+  proxy_decide (proxy, &msg);
+}
+
+static bool
+on_head (void *owner)
+{
+  call_t *self = owner;
+  const http_head_t *head = &self->reader.head;
+
+  self->proxy->dialect->read_answer (head, &self->facts);
+  self->status = head->status;
+  self->alive = head->keep_alive && head->framed;
+  self->stray = self->exchange == NULL
+                || !text_equal (self->facts.id, name_text (&self->exchange->id));
+  return self->exchange == NULL || !self->exchange->bodyless;
+}
+
+static void
+on_body (void *owner, text_t bytes)
+{
+  call_t *self = owner;
+
+  if (!self->stray)
+    evbuffer_add (self->body, bytes.at, bytes.len);
+}
+
+static const http_reader_ops_t reader_ops = { on_head, on_body };
+
+/* Prepares what the caller gets if dispatch wants this answer delivered. */
+static void
+prepare_answer (call_t *self, exchange_t *exchange)
+{
+  const http_head_t *head = &self->reader.head;
+  text_t connection = http_head_get (head, TEXT ("connection"));
+  text_t reason = http_head_start (head);
+  GString *text = g_string_sized_new (256);
+
+  g_string_append_printf (text, "HTTP/1.1 %u %.*s\r\n", head->status, TEXT_ARG (reason));
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      text_t name = http_head_name (head, i);
+      text_t value = http_head_value (head, i);
+      if (http_header_is_hop (name) || http_list_has (connection, name))
+        continue;
+      g_string_append_len (text, name.at, (gssize)name.len);
+      g_string_append (text, ": ");
+      g_string_append_len (text, value.at, (gssize)value.len);
+      g_string_append (text, "\r\n");
+    }
+  uint64_t length = exchange->bodyless && head->length != UINT64_MAX
+                        ? head->length
+                        : evbuffer_get_length (self->body);
+  if (head->status != 204 && head->status != 304)
+    g_string_append_printf (text, "Content-Length: %llu\r\n", (unsigned long long)length);
+  if (exchange->answer != NULL)
+    evbuffer_free (exchange->answer);
+  exchange->answer = evbuffer_new ();
+  evbuffer_add (exchange->answer, text->str, text->len);
+  if (exchange->close)
+    evbuffer_add_printf (exchange->answer, "Connection: close\r\n");
+  evbuffer_add (exchange->answer, "\r\n", 2);
+  evbuffer_add_buffer (exchange->answer, self->body);
+  exchange->status = head->status;
+  g_string_free (text, TRUE);
+}
+
+static void
+keep_or_close (call_t *self, bool extra)
+{
+  proxy_t *proxy = self->proxy;
+  struct call_list *list = idle_list (proxy, self->target);
+  const dispatch_target_t *target = dispatch_target (&proxy->dispatch, self->target);
+  uint32_t kept = 0;
+  call_t *other;
+
+  TAILQ_FOREACH (other, list, link)
+    kept++;
+  if (extra || self->spoilt || !self->alive || kept >= CALL_IDLE_MAX || proxy->draining
+      || !target->used || evbuffer_get_length (bufferevent_get_output (self->bev)) > 0)
+    {
+      free_call (self);
+      return;
+    }
+  msec_t span = self->facts.keep_alive >= 0 ? self->facts.keep_alive - CALL_IDLE_MARGIN_MS
+                                            : CALL_IDLE_MS;
+  if (span <= 0)
+    {
+      free_call (self);
+      return;
+    }
+  const struct timeval after = { span / 1000, span % 1000 * 1000 };
+  self->idle_span = span;
+  self->idle_until = msclock_now (&proxy->clock) + span;
+  TAILQ_INSERT_HEAD (list, self, link);
+  evtimer_add (self->timer, &after);
+}
+
+static dispatch_answer_t
+answer_kind (const call_t *self)
+{
+  if (self->status == 421)
+    return ANSWER_NOT_OWNER;
+  return self->facts.not_run ? ANSWER_FULL : ANSWER_RUN;
+}
+
+static void
+complete (call_t *self)
+{
+  proxy_t *proxy = self->proxy;
+  bool extra = evbuffer_get_length (bufferevent_get_input (self->bev)) > 0;
+  exchange_t *exchange = self->exchange;
+  dispatch_msg_t msg = { .kind = DISPATCH_ANSWERED,
+                         .request = &exchange->request,
+                         .answer = answer_kind (self),
+                         .status = self->status,
+                         .load = self->facts.load };
+
+  if (self->facts.encoded)
+    {
+      fail (self, "encoded");
+      return;
+    }
+  detach (self);
+  prepare_answer (self, exchange);
+  if (msg.answer == ANSWER_RUN && proxy->dialect->promises_not_run (self->status)
+      && exchange->request.kind == KIND_MUTATING)
+    {
+      /* The status would promise the caller what the target doesn't say. */
+      exchange_answer (exchange, 502, TEXT ("The target failed.\n"), 0);
+      exchange->answered = false;
+    }
+  keep_or_close (self, extra);
+  proxy_decide (proxy, &msg);
+}
+
+static void
+take_bytes (call_t *self)
+{
+  struct evbuffer *in = bufferevent_get_input (self->bev);
+
+  while (self->exchange != NULL && evbuffer_get_length (in) > 0)
+    {
+      http_progress_t progress = http_reader_take (&self->reader, in);
+      if (progress == HTTP_MORE)
+        {
+          if (evbuffer_get_length (self->body) > PROXY_ANSWER_MAX_BYTES)
+            fail (self, "answer_too_large");
+          return;
+        }
+      if (progress != HTTP_COMPLETE)
+        {
+          fail (self, "not_http");
+          return;
+        }
+      if (self->status >= 100 && self->status < 200)
+        continue;
+      if (!self->stray)
+        {
+          complete (self);
+          return;
+        }
+      /* A late second answer to an earlier request: ours is still to come. */
+      self->proxy->counts.strays++;
+      self->spoilt = true;
+      if (!self->alive)
+        {
+          fail (self, "stray_answer");
+          return;
+        }
+    }
+}
+
+static void
+on_read (struct bufferevent *bev, void *arg)
+{
+  call_t *self = arg;
+
+  (void)bev;
+  if (self->exchange == NULL)
+    close_idle (self); /* bytes that answer nothing */
+  else
+    take_bytes (self);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  call_t *self = arg;
+
+  (void)bev;
+  if (what & BEV_EVENT_CONNECTED)
+    {
+      self->connected = true;
+      self->proxy->counts.connections++;
+      evtimer_del (self->timer);
+      socket_tune (bufferevent_getfd (self->bev), CALL_SILENT_MS);
+      return;
+    }
+  if (self->exchange == NULL)
+    {
+      close_idle (self);
+      return;
+    }
+  if ((what & BEV_EVENT_EOF) && http_reader_end (&self->reader) == HTTP_COMPLETE
+      && !self->stray)
+    {
+      self->alive = false;
+      complete (self);
+      return;
+    }
+  fail (self,
+        what & BEV_EVENT_EOF ? "closed"
+        : self->connected    ? "reset"
+                             : "no_connection");
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  call_t *self = arg;
+
+  (void)fd;
+  (void)what;
+  if (self->exchange == NULL)
+    close_idle (self);
+  else if (!self->connected)
+    fail (self, "connect_timeout");
+}
+
+static call_t *
+connect_to (proxy_t *proxy, uint32_t target)
+{
+  const dispatch_target_t *to = dispatch_target (&proxy->dispatch, target);
+  const struct timeval patience
+      = { CALL_CONNECT_MS / 1000, CALL_CONNECT_MS % 1000 * 1000 };
+  call_t *self = g_new0 (call_t, 1);
+  struct sockaddr_in address;
+
+  self->proxy = proxy;
+  self->target = target;
+  self->bev = bufferevent_socket_new (proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  self->body = evbuffer_new ();
+  self->timer = evtimer_new (proxy->base, on_timer, self);
+  http_reader_init (&self->reader, HTTP_ANSWERS, PROXY_HEAD_MAX_BYTES, &reader_ops, self);
+  bufferevent_setcb (self->bev, on_read, NULL, on_event, self);
+  bufferevent_enable (self->bev, EV_READ | EV_WRITE);
+  evtimer_add (self->timer, &patience);
+  /* An address that can't be read, or a connect that fails at once, is noticed by the
+   * timer, so that no failure is told from within the send. */
+  if (!router_settings_endpoint (name_text (&to->entry.address), &address)
+      || bufferevent_socket_connect (self->bev,
+                                     (struct sockaddr *)&address,
+                                     sizeof address)
+             != 0)
+    eventlog_write (EVENT_BELIEF,
+                    "proxy",
+                    "connect_failed",
+                    "target=%.*s address=%.*s",
+                    NAME_ARG (to->entry.id),
+                    NAME_ARG (to->entry.address));
+  return self;
+}
+
+/* An idle connection; a mutating request wants one that was used a short while ago, since
+ * the target may be about to close an older one. */
+static call_t *
+take_idle (proxy_t *proxy, uint32_t target, request_kind_t kind)
+{
+  call_t *call = TAILQ_FIRST (idle_list (proxy, target));
+  msec_t now = msclock_now (&proxy->clock);
+
+  if (call == NULL
+      || (kind == KIND_MUTATING && call->idle_until - now < call->idle_span / 2))
+    return NULL;
+  TAILQ_REMOVE (idle_list (proxy, target), call, link);
+  evtimer_del (call->timer);
+  return call;
+}
+
+void
+call_send (proxy_t *proxy, exchange_t *exchange, uint32_t target, msec_t wait)
+{
+  const dispatch_target_t *to = dispatch_target (&proxy->dispatch, target);
+  call_t *call = take_idle (proxy, target, exchange->request.kind);
+  GString *head = g_string_new_len (exchange->head->str, (gssize)exchange->head->len);
+  size_t body = evbuffer_get_length (exchange->body);
+
+  if (call == NULL)
+    call = connect_to (proxy, target);
+  proxy->dialect->write_send (head, name_text (&to->entry.id), wait);
+  if (body > 0 || exchange->request.kind == KIND_MUTATING)
+    g_string_append_printf (head, "Content-Length: %zu\r\n", body);
+  g_string_append (head, "\r\n");
+  call->exchange = exchange;
+  exchange->call = call;
+  call->to_write = head->len + body;
+  evbuffer_drain (call->body, evbuffer_get_length (call->body));
+  bufferevent_write (call->bev, head->str, head->len);
+  if (body > 0)
+    evbuffer_add_buffer_reference (bufferevent_get_output (call->bev), exchange->body);
+  g_string_free (head, TRUE);
+  proxy->counts.sends++;
+  if (exchange->request.sends > 1)
+    proxy->counts.repeats++;
+}
+
+void
+call_cancel (call_t *self)
+{
+  detach (self);
+  free_call (self);
+}
+
+void
+call_forget (proxy_t *proxy, uint32_t target)
+{
+  call_t *call;
+
+  while ((call = TAILQ_FIRST (idle_list (proxy, target))) != NULL)
+    close_idle (call);
+}
+
+void
+call_close_all (proxy_t *proxy)
+{
+  for (guint i = 0; i < proxy->idle->len; i++)
+    call_forget (proxy, i);
+}
--- /dev/null
+++ b/packages/proxy/exchange.c
@@ -0,0 +1,161 @@
+#include "exchange.h"
+
+#include "../core/eventlog.h"
+
+static void
+on_due (evutil_socket_t fd, short what, void *arg)
+{
+  exchange_t *self = arg;
+  dispatch_msg_t msg = { .kind = DISPATCH_DUE, .request = &self->request };
+  msec_t left = self->request.due - msclock_now (&self->proxy->clock);
+
+  (void)fd;
+  (void)what;
+  if (self->request.due == MSEC_NEVER)
+    return;
+  if (left > 0)
+    {
+      const struct timeval again = { left / 1000, left % 1000 * 1000 };
+      evtimer_add (self->timer, &again);
+      return;
+    }
+  proxy_decide (self->proxy, &msg);
+}
+
+/* The text of the start line and headers that the target gets on each send. */
+static GString *
+forwarded_head (const proxy_t *proxy, const http_head_t *head)
+{
+  GString *text = g_string_sized_new (256);
+  text_t path = http_head_start (head);
+  text_t connection = http_head_get (head, TEXT ("connection"));
+
+  g_string_append (text, http_method_str ((enum http_method)head->method));
+  g_string_append_c (text, ' ');
+  g_string_append_len (text, path.at, (gssize)path.len);
+  g_string_append (text, " HTTP/1.1\r\n");
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      text_t name = http_head_name (head, i);
+      text_t value = http_head_value (head, i);
+      if (http_header_is_hop (name) || !proxy->dialect->passes (name)
+          || http_list_has (connection, name))
+        continue;
+      g_string_append_len (text, name.at, (gssize)name.len);
+      g_string_append (text, ": ");
+      g_string_append_len (text, value.at, (gssize)value.len);
+      g_string_append (text, "\r\n");
+    }
+  return text;
+}
+
+static text_t
+without_port (text_t host)
+{
+  text_t rest;
+
+  return text_split (host, ':', &rest);
+}
+
+exchange_t *
+exchange_new (caller_t *caller, const http_head_t *head)
+{
+  proxy_t *proxy = caller->proxy;
+  exchange_t *self = g_new0 (exchange_t, 1);
+  text_t host = without_port (http_head_get (head, TEXT ("host")));
+  text_t path = http_head_start (head);
+
+  dispatch_request_init (&self->request);
+  self->proxy = proxy;
+  self->caller = caller;
+  self->head_at = msclock_now (&proxy->clock);
+  self->host = g_memdup2 (host.at, host.len);
+  self->host_len = host.len;
+  self->path = g_memdup2 (path.at, path.len);
+  self->path_len = path.len;
+  self->bodyless = head->method == HTTP_HEAD;
+  self->close = !head->keep_alive;
+  proxy->dialect->read_request (head, &self->facts);
+  if (!name_set (&self->id, self->facts.id))
+    self->id.len = 0;
+  self->head = forwarded_head (proxy, head);
+  self->body = evbuffer_new ();
+  self->timer = evtimer_new (proxy->base, on_due, self);
+  return self;
+}
+
+void
+exchange_free (exchange_t *self)
+{
+  g_assert (self->call == NULL);
+  event_free (self->timer);
+  evbuffer_free (self->body);
+  if (self->answer != NULL)
+    evbuffer_free (self->answer);
+  g_string_free (self->head, TRUE);
+  g_free (self->host);
+  g_free (self->path);
+  g_free (self);
+}
+
+void
+exchange_begin (exchange_t *self)
+{
+  msec_t read_for = msclock_now (&self->proxy->clock) - self->head_at;
+  dispatch_msg_t msg
+      = { .kind = DISPATCH_ARRIVE,
+          .request = &self->request,
+          .host = { self->host, self->host_len },
+          .path = { self->path, self->path_len },
+          .has_key = self->facts.has_key,
+          .key = self->facts.key,
+          .wait = self->facts.wait < 0 ? -1 : MAX (self->facts.wait - read_for, 0) };
+
+  self->begun = true;
+  self->proxy->counts.requests++;
+  proxy_decide (self->proxy, &msg);
+}
+
+void
+exchange_leave (exchange_t *self)
+{
+  dispatch_msg_t msg = { .kind = DISPATCH_GONE, .request = &self->request };
+
+  self->caller = NULL;
+  if (self->begun && !self->answered)
+    {
+      proxy_decide (self->proxy, &msg);
+      if (self->request.state == REQUEST_SENT)
+        return; /* a mutating request runs on; it is freed when it has ended */
+      self->proxy->counts.callers_left++;
+    }
+  exchange_free (self);
+}
+
+void
+exchange_answer (exchange_t *self, unsigned status, text_t reason, msec_t retry_after)
+{
+  GString *head = g_string_sized_new (128);
+
+  g_string_append_printf (head,
+                          "HTTP/1.1 %u %s\r\n",
+                          status,
+                          http_status_str ((enum http_status)status));
+  if (retry_after > 0)
+    self->proxy->dialect->write_retry_after (head, retry_after);
+  g_string_append_printf (head,
+                          "Content-Type: text/plain\r\nContent-Length: %zu\r\n",
+                          reason.len);
+  if (self->answer != NULL)
+    evbuffer_free (self->answer);
+  self->answer = evbuffer_new ();
+  evbuffer_add (self->answer, head->str, head->len);
+  if (self->close)
+    evbuffer_add_printf (self->answer, "Connection: close\r\n");
+  evbuffer_add (self->answer, "\r\n", 2);
+  if (!self->bodyless)
+    evbuffer_add (self->answer, reason.at, reason.len);
+  g_string_free (head, TRUE);
+  self->status = status;
+  self->answered = true;
+}
--- /dev/null
+++ b/packages/proxy/exchange.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "proxy.h"
+
+#include "../http/sockets.h"
+
+#include <event2/bufferevent.h>
+#include <sys/queue.h>
+
+/*
+ * EXCHANGE: one request of a caller, from its head to the end of its answer.
+ * Private to the proxy's files.
+ */
+
+struct exchange
+{
+  dispatch_request_t request;
+  proxy_t *proxy;
+  caller_t *caller; /* NULL once it left */
+  call_t *call;     /* the send under way */
+  name_t id;
+  GString *head; /* for the target: start line and the headers that pass */
+  char *host;    /* both for dispatch; they don't end in a 0 byte that counts */
+  size_t host_len, path_len;
+  char *path;
+  struct evbuffer *body; /* of the request */
+  request_facts_t facts; /* id is empty: see above */
+  msec_t head_at;
+  bool bodyless;   /* the answer has no body: HEAD */
+  bool whole;      /* the request was read to its end */
+  bool begun;      /* dispatch knows it */
+  bool answered;   /* ANSWER is what the caller gets */
+  bool close;      /* its answer ends the connection */
+  unsigned status; /* of the answer */
+  struct evbuffer *answer;
+  struct event *timer;
+  TAILQ_ENTRY (exchange) link;
+};
+
+TAILQ_HEAD (exchange_list, exchange);
+
+struct caller
+{
+  proxy_t *proxy;
+  struct bufferevent *bev;
+  http_reader_t reader;
+  struct exchange_list line; /* unanswered, in order of arrival */
+  uint32_t n_line;
+  exchange_t *reading; /* its body is still to come */
+  bool last;           /* no further request is read */
+  bool closing;        /* all was written; waits for the caller's end */
+  bool busy;           /* caller_advance is under way */
+  struct event *timer;
+  TAILQ_ENTRY (caller) link;
+};
+
+/* caller.c */
+void caller_accept (proxy_t *proxy, evutil_socket_t fd);
+void caller_free (caller_t *self);
+
+/* Writes what is answered, in order, and reads on. */
+void caller_advance (caller_t *self);
+
+/* exchange.c */
+exchange_t *exchange_new (caller_t *caller, const http_head_t *head);
+void exchange_free (exchange_t *self);
+void exchange_begin (exchange_t *self);
+
+/* The caller left or its connection is to end. */
+void exchange_leave (exchange_t *self);
+
+/* An answer of our own. */
+void
+exchange_answer (exchange_t *self, unsigned status, text_t reason, msec_t retry_after);
+
+/* Gives MSG to dispatch and does what it wants. */
+void proxy_decide (proxy_t *self, const dispatch_msg_t *msg);
+
+/* call.c */
+
+/* Sends EXCHANGE to TARGET, which may work on it for WAIT. */
+void call_send (proxy_t *proxy, exchange_t *exchange, uint32_t target, msec_t wait);
+
+/* Ends the send under way: its connection is closed. */
+void call_cancel (call_t *self);
+void call_forget (proxy_t *proxy, uint32_t target);
+void call_close_all (proxy_t *proxy);
--- /dev/null
+++ b/packages/proxy/proxy.c
@@ -0,0 +1,441 @@
+#include "exchange.h"
+
+#include "../core/eventlog.h"
+
+#include <event2/buffer.h>
+#include <event2/thread.h>
+#include <string.h>
+
+static void
+log_end (const exchange_t *self, const dispatch_out_t *out)
+{
+  const dispatch_request_t *request = &self->request;
+  const proxy_t *proxy = self->proxy;
+  bool served = out->kind == DISPATCH_DELIVER && self->status < 400;
+  name_t none = { 0 };
+  const name_t *target
+      = request->target >= 0
+            ? &dispatch_target (&proxy->dispatch, (uint32_t)request->target)->entry.id
+            : &none;
+  const name_t *service
+      = proxy->dispatch.services->len > request->service
+            ? &dispatch_service (&proxy->dispatch, request->service)->name
+            : &none;
+
+  eventlog_write (
+      served && request->sends == 1 ? EVENT_ROUTINE : EVENT_TROUBLE,
+      "dispatch",
+      served ? "served" : "ended",
+      "request=%.*s status=%u reason=%s service=%.*s key=%d target=%.*s sends=%u runs=%u "
+      "ms=%lld wait_ms=%lld config=%llx keys=%llu retry_after_ms=%lld",
+      NAME_ARG (self->id),
+      self->status,
+      dispatch_reason_name (out->reason),
+      NAME_ARG (*service),
+      request->keyed ? (int)request->key : -1,
+      NAME_ARG (*target),
+      request->sends,
+      request->runs,
+      (long long)(msclock_now (&proxy->clock) - request->arrived),
+      (long long)(request->deadline - request->arrived),
+      (unsigned long long)request->directory_version,
+      (unsigned long long)request->key_version,
+      (long long)out->retry_after);
+}
+
+static void
+count_latency (proxy_t *self, msec_t spent)
+{
+  uint32_t bucket = 0;
+
+  while (bucket < METRICS_BUCKETS - 1 && spent > (msec_t)1 << bucket)
+    bucket++;
+  self->counts.latency[bucket]++;
+}
+
+static void
+answer_by_fate (exchange_t *self, const dispatch_out_t *out)
+{
+  proxy_counts_t *counts = &self->proxy->counts;
+
+  switch (out->fate)
+    {
+    case FATE_NOT_RUN:
+      counts->not_run++;
+      exchange_answer (self, 503, TEXT ("Not run; come back later.\n"), out->retry_after);
+      break;
+    case FATE_UNKNOWN:
+      counts->unknown++;
+      exchange_answer (self, 502, TEXT ("No whole answer from the service.\n"), 0);
+      break;
+    case FATE_TIMED_OUT:
+      counts->timed_out++;
+      exchange_answer (self, 504, TEXT ("No answer in time.\n"), 0);
+      break;
+    case FATE_NO_ROUTE:
+      counts->no_route++;
+      exchange_answer (self, 404, TEXT ("No route.\n"), 0);
+      break;
+    }
+}
+
+/* The request has ended; ANSWER is what its caller gets. */
+static void
+conclude (exchange_t *self, const dispatch_out_t *out)
+{
+  caller_t *caller = self->caller;
+
+  self->answered = true;
+  log_end (self, out);
+  if (caller == NULL)
+    {
+      exchange_free (self);
+      return;
+    }
+  if (self->proxy->draining && !self->close && TAILQ_NEXT (self, link) == NULL)
+    {
+      /* Tells the caller to go elsewhere; the answer was made without it. */
+      struct evbuffer_ptr at = evbuffer_search (self->answer, "\r\n", 2, NULL);
+      struct evbuffer *told = evbuffer_new ();
+      evbuffer_remove_buffer (self->answer, told, (size_t)at.pos + 2);
+      evbuffer_add_printf (told, "Connection: close\r\n");
+      evbuffer_add_buffer (told, self->answer);
+      evbuffer_free (self->answer);
+      self->answer = told;
+      self->close = true;
+      caller->last = true;
+    }
+  caller_advance (caller);
+}
+
+static void
+act (proxy_t *self, const dispatch_out_t *out)
+{
+  exchange_t *exchange = (exchange_t *)out->request;
+
+  switch (out->kind)
+    {
+    case DISPATCH_SEND:
+      call_send (self, exchange, out->target, out->wait);
+      break;
+    case DISPATCH_CANCEL:
+      if (exchange->call != NULL)
+        call_cancel (exchange->call);
+      break;
+    case DISPATCH_DELIVER:
+      self->counts.answered++;
+      count_latency (self, msclock_now (&self->clock) - exchange->request.arrived);
+      conclude (exchange, out);
+      break;
+    case DISPATCH_END:
+      answer_by_fate (exchange, out);
+      conclude (exchange, out);
+      break;
+    case DISPATCH_FORGET:
+      call_forget (self, out->target);
+      break;
+    }
+}
+
+static void
+arm (exchange_t *exchange, msec_t now)
+{
+  msec_t due = exchange->request.due;
+  msec_t wait = MAX (due - now, 0);
+  const struct timeval after = { wait / 1000, wait % 1000 * 1000 };
+
+  if (due != MSEC_NEVER)
+    evtimer_add (exchange->timer, &after);
+}
+
+void
+proxy_decide (proxy_t *self, const dispatch_msg_t *msg)
+{
+  bool outermost = self->out->len == 0;
+  msec_t now = msclock_now (&self->clock);
+
+  dispatch_handle (&self->dispatch, msg, now, self->out);
+  if (msg->request != NULL)
+    arm ((exchange_t *)msg->request, now);
+  if (!outermost)
+    return; /* the call that is acting takes these up in their turn */
+  for (guint i = 0; i < self->out->len; i++)
+    {
+      dispatch_out_t out = g_array_index (self->out, dispatch_out_t, i);
+      if (out.kind == DISPATCH_SEND)
+        arm ((exchange_t *)out.request, now);
+      act (self, &out);
+    }
+  g_array_set_size (self->out, 0);
+}
+
+static void
+check_keys (proxy_t *self)
+{
+  self->keys_missing = false;
+  for (guint i = 0; i < self->dispatch.services->len; i++)
+    {
+      const dispatch_service_t *service = dispatch_service (&self->dispatch, i);
+      if (service->keyed && service->keys.runs->len == 0)
+        self->keys_missing = true;
+    }
+}
+
+static void
+start_draining (proxy_t *self)
+{
+  if (self->draining)
+    return;
+  self->draining = true;
+  msec_t grace = (msec_t)(self->settings->bounds.grace_s * 1000);
+  self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
+  eventlog_write (EVENT_BELIEF,
+                  "proxy",
+                  "draining",
+                  "callers=%u within_ms=%lld",
+                  self->n_callers,
+                  (long long)(grace - PROXY_GRACE_MARGIN_MS));
+}
+
+void
+proxy_msg_free (void *item)
+{
+  proxy_msg_t *msg = item;
+
+  if (msg->directory != NULL)
+    {
+      directory_finish (msg->directory);
+      g_free (msg->directory);
+    }
+  if (msg->targets != NULL)
+    g_array_unref (msg->targets);
+  if (msg->keys.runs != NULL)
+    key_table_finish (&msg->keys);
+  g_free (msg);
+}
+
+static void
+on_message (void *owner, void *item)
+{
+  proxy_t *self = owner;
+  proxy_msg_t *msg = item;
+  dispatch_msg_t decide = { 0 };
+
+  switch (msg->kind)
+    {
+    case PROXY_DIRECTORY:
+      self->limits = msg->directory->limits;
+      decide.kind = DISPATCH_DIRECTORY;
+      decide.directory = g_steal_pointer (&msg->directory);
+      proxy_decide (self, &decide);
+      break;
+    case PROXY_TARGETS:
+      self->targets_known = true;
+      decide.kind = DISPATCH_TARGETS;
+      decide.targets = msg->targets;
+      proxy_decide (self, &decide);
+      break;
+    case PROXY_KEYS:
+      decide.kind = DISPATCH_KEYS;
+      decide.keys = &msg->keys;
+      proxy_decide (self, &decide);
+      break;
+    case PROXY_LOADS_WANTED:
+      self->loads_wanted = msg->wanted;
+      break;
+    case PROXY_DRAIN:
+      start_draining (self);
+      break;
+    }
+  check_keys (self);
+  proxy_msg_free (msg);
+}
+
+/* Tells the coordinator what keys were asked for, and starts counting anew. */
+static void
+tell_loads (proxy_t *self)
+{
+  for (guint i = 0; i < self->dispatch.services->len; i++)
+    {
+      const dispatch_service_t *service = dispatch_service (&self->dispatch, i);
+      if (!service->keyed)
+        continue;
+      if (self->loads_wanted && self->coordinator != NULL)
+        {
+          proxy_report_t *loads = g_new0 (proxy_report_t, 1);
+          loads->service = service->name;
+          memcpy (loads->loads, service->key_loads, sizeof loads->loads);
+          if (!mailbox_post (self->coordinator, loads))
+            {
+              eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
+              g_free (loads);
+              continue;
+            }
+        }
+      memset (service->key_loads, 0, KEY_STEPS * sizeof *service->key_loads);
+    }
+}
+
+/* Ends connections without a request once callers had time to hear of it. */
+static void
+drain_step (proxy_t *self, msec_t now)
+{
+  msec_t grace = (msec_t)(self->settings->bounds.grace_s * 1000);
+  bool over = now >= self->drain_until;
+  bool idle_too = now >= self->drain_until - grace / 3;
+  caller_t *caller = TAILQ_FIRST (&self->callers);
+
+  while (caller != NULL)
+    {
+      caller_t *next = TAILQ_NEXT (caller, link);
+      if (over || (idle_too && TAILQ_EMPTY (&caller->line) && !caller->reader.begun))
+        caller_free (caller);
+      caller = next;
+    }
+  if (over || (idle_too && TAILQ_EMPTY (&self->callers)))
+    event_base_loopbreak (self->base);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  proxy_t *self = arg;
+  msec_t now = msclock_now (&self->clock);
+
+  (void)fd;
+  (void)what;
+  tell_loads (self);
+  if (self->draining)
+    drain_step (self, now);
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int len,
+           void *arg)
+{
+  (void)listener;
+  (void)address;
+  (void)len;
+  caller_accept (arg, fd);
+}
+
+static void
+on_ready (struct evhttp_request *request, void *arg)
+{
+  proxy_t *self = arg;
+  text_t path = text_from_c (evhttp_request_get_uri (request));
+  bool ready = !self->draining && self->dispatch.directory != NULL && self->targets_known
+               && !self->keys_missing;
+
+  if (!text_equal (path, self->dialect->ready_path))
+    evhttp_send_reply (request, 404, "Not Found", NULL);
+  else
+    evhttp_send_reply (request, ready ? 200 : 503, ready ? "OK" : "Not Ready", NULL);
+}
+
+static status_t
+open_listeners (proxy_t *self, fault_t *fault)
+{
+  const router_settings_t *settings = self->settings;
+  char *ready_host = text_dup_c ((text_t){
+      settings->ready.at,
+      (size_t)((const char *)memchr (settings->ready.at, ':', settings->ready.len)
+               - settings->ready.at) });
+
+  self->listener
+      = evconnlistener_new_bind (self->base,
+                                 on_accept,
+                                 self,
+                                 LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                 PROXY_LISTEN_BACKLOG,
+                                 (const struct sockaddr *)&settings->callers_address,
+                                 sizeof settings->callers_address);
+  self->ready = evhttp_new (self->base);
+  evhttp_set_gencb (self->ready, on_ready, self);
+  int bound = evhttp_bind_socket (self->ready,
+                                  ready_host,
+                                  ntohs (settings->ready_address.sin_port));
+  g_free (ready_host);
+  if (self->listener == NULL || bound != 0)
+    return fault_raise (fault,
+                        STATUS_IO,
+                        "%.*s or %.*s can't be had",
+                        NAME_ARG (settings->callers),
+                        NAME_ARG (settings->ready));
+  return STATUS_OK;
+}
+
+status_t
+proxy_init (proxy_t *self,
+            const router_settings_t *settings,
+            const dialect_ops_t *dialect,
+            mailbox_t *coordinator,
+            fault_t *fault)
+{
+  const router_bounds_t *bounds = &settings->bounds;
+  dispatch_bounds_t rules
+      = { .retry_window = bounds->retry_window_s * 1000,
+          .retry_percent = (uint32_t)(bounds->retry_ratio * BUDGET_SAFETY_PERCENT),
+          .retry_extra = bounds->retry_extra / BUDGET_HOSTS,
+          .drain = bounds->drain_ms };
+
+  *self = (proxy_t){ .settings = settings,
+                     .dialect = dialect,
+                     .coordinator = coordinator,
+                     .base = event_base_new (),
+                     .out = g_array_new (FALSE, TRUE, sizeof (dispatch_out_t)),
+                     .idle = g_ptr_array_new_with_free_func (g_free) };
+  msclock_init_real (&self->clock);
+  TAILQ_INIT (&self->callers);
+  dispatch_init (&self->dispatch,
+                 name_text (&settings->data_centre),
+                 &rules,
+                 text_hash (name_text (&settings->host)));
+  if (!mailbox_init (&self->inbox,
+                     self->base,
+                     PROXY_MAILBOX,
+                     on_message,
+                     proxy_msg_free,
+                     self))
+    return fault_raise (fault, STATUS_IO, "no eventfd");
+  return open_listeners (self, fault);
+}
+
+void *
+proxy_run (void *arg)
+{
+  proxy_t *self = arg;
+  const struct timeval beat = { PROXY_LOADS_MS / 1000, PROXY_LOADS_MS % 1000 * 1000 };
+
+  self->tick = event_new (self->base, -1, EV_PERSIST, on_tick, self);
+  event_add (self->tick, &beat);
+  event_base_dispatch (self->base);
+  proxy_report_t *ended = g_new0 (proxy_report_t, 1);
+  ended->ended = true;
+  if (self->coordinator == NULL || !mailbox_post (self->coordinator, ended))
+    g_free (ended);
+  return NULL;
+}
+
+void
+proxy_finish (proxy_t *self)
+{
+  caller_t *caller;
+
+  while ((caller = TAILQ_FIRST (&self->callers)) != NULL)
+    caller_free (caller);
+  call_close_all (self);
+  if (self->tick != NULL)
+    event_free (self->tick);
+  if (self->listener != NULL)
+    evconnlistener_free (self->listener);
+  evhttp_free (self->ready);
+  mailbox_finish (&self->inbox);
+  dispatch_finish (&self->dispatch);
+  g_array_unref (self->out);
+  g_ptr_array_unref (self->idle);
+  event_base_free (self->base);
+}
--- /dev/null
+++ b/packages/proxy/proxy.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "../core/mailbox.h"
+#include "../core/metrics.h"
+#include "../settings/router_settings.h"
+#include "dialect.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <sys/queue.h>
+
+/*
+ * PROXY: the task that serves callers.
+ *
+ * Owns the callers' and the targets' connections and the dispatch state, and
+ * turns bytes into dispatch's messages and back.  Learns of configurations,
+ * targets and owners by messages from the coordinator.
+ */
+
+typedef enum
+{
+  PROXY_DIRECTORY,    /* DIRECTORY passes on */
+  PROXY_TARGETS,      /* TARGETS passes on */
+  PROXY_KEYS,         /* KEYS passes on */
+  PROXY_LOADS_WANTED, /* WANTED: whether loads of keys are told to the coordinator */
+  PROXY_DRAIN,        /* take nothing new, end what is there */
+} proxy_msg_kind_t;
+
+typedef struct
+{
+  proxy_msg_kind_t kind;
+  directory_t *directory;
+  GArray *targets; /* target_entry_t */
+  key_table_t keys;
+  bool wanted;
+} proxy_msg_t;
+
+/* To the coordinator. */
+typedef struct
+{
+  bool ended; /* the proxy has drained; nothing else is told */
+  name_t service;
+  uint32_t loads[KEY_STEPS]; /* requests of each KEY_STEP keys since the last report */
+} proxy_report_t;
+
+typedef struct caller caller_t;
+typedef struct exchange exchange_t;
+typedef struct call call_t;
+
+TAILQ_HEAD (caller_list, caller);
+TAILQ_HEAD (call_list, call);
+
+/* Counters that the status page shows. */
+typedef struct
+{
+  uint64_t requests, answered, not_run, unknown, timed_out, no_route, callers_left;
+  uint64_t sends, repeats, connections, bad_requests, strays;
+  uint64_t latency[METRICS_BUCKETS];
+} proxy_counts_t;
+
+typedef struct
+{
+  const router_settings_t *settings;
+  const dialect_ops_t *dialect;
+  struct event_base *base;
+  struct evconnlistener *listener;
+  struct evhttp *ready;
+  struct event *tick;
+  mailbox_t inbox;
+  mailbox_t *coordinator; /* takes proxy_report_t */
+  msclock_t clock;
+  dispatch_t dispatch;
+  GArray *out; /* dispatch_out_t */
+  caller_limits_t limits;
+  struct caller_list callers;
+  uint32_t n_callers;
+  GPtrArray *idle; /* by target: call_list of idle connections, the latest first */
+  bool targets_known, draining, loads_wanted;
+  msec_t drain_until;
+  bool keys_missing; /* a keyed service has no table yet */
+  proxy_counts_t counts;
+} proxy_t;
+
+/* Opens the listeners.  COORDINATOR may be NULL. */
+status_t proxy_init (proxy_t *self,
+                     const router_settings_t *settings,
+                     const dialect_ops_t *dialect,
+                     mailbox_t *coordinator,
+                     fault_t *fault);
+
+/* Serves until it has drained; a thread's function. */
+void *proxy_run (void *self);
+
+void proxy_finish (proxy_t *self);
+
+/* Frees a message that wasn't delivered. */
+void proxy_msg_free (void *msg);
--- /dev/null
+++ b/packages/settings/router_settings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "../core/text.h"
+#include "../form/form.h"
+
+#include <netinet/in.h>
+
+/*
+ * ROUTER_SETTINGS: what one router process is told at its start.
+ *
+ * Fields and tables that this version doesn't know are passed over, so that a
+ * newer deployment can still start it.
+ */
+
+/* The promises' figures.  Times are in milliseconds. */
+typedef struct
+{
+  uint32_t drain_ms;        /* a leaving target gets nothing new later than this */
+  uint32_t config_apply_ms; /* a new configuration is in force within this */
+  double grace_s;           /* SIGTERM to SIGKILL */
+  uint32_t hold_max_ms;     /* the longest grant that a target accepts */
+  double retry_ratio;       /* repeats for each request, over all hosts */
+  uint32_t retry_window_s;  /* the span over which both are counted */
+  uint32_t retry_extra;     /* repeats allowed beside the ratio, over all hosts */
+  uint32_t heartbeat_ms;    /* how often a target renews its entry */
+} router_bounds_t;
+
+typedef struct
+{
+  name_t host;
+  name_t data_centre;
+  name_t callers; /* address:port */
+  name_t ready;   /* address:port */
+  name_t store;   /* address:port */
+  struct sockaddr_in callers_address;
+  struct sockaddr_in ready_address;
+  struct sockaddr_in store_address;
+  uint32_t memory_mb;
+  uint32_t descriptors;
+  router_bounds_t bounds;
+} router_settings_t;
+
+/*
+ * Reads FILE.  All its faults are left in FORM, which the caller prints and
+ * finishes.  STATUS_IO or STATUS_DECODE if the file can't be read as TOML,
+ * STATUS_SETTINGS if FORM has faults.
+ */
+status_t router_settings_load (router_settings_t *self,
+                               const char *file,
+                               form_t *form,
+                               fault_t *fault);
+
+/* Reads "a.b.c.d:port".  False on anything else. */
+bool router_settings_endpoint (text_t text, struct sockaddr_in *address);
