--- a/packages/coordinator/deployment.h
+++ b/packages/coordinator/deployment.h
@@ -13,6 +13,7 @@
 {
   ORDER_TAKEN,
   ORDER_SUPERSEDED, /* the target saw a higher fence */
+  ORDER_STRANGER,   /* another target has the address: the one that was meant is over */
   ORDER_FAILED,     /* no answer, or one that says nothing */
 } order_outcome_t;
 
@@ -20,6 +21,7 @@
 typedef struct
 {
   bool release;
+  name_t target;
   uint32_t first, last;
   uint64_t fence;
   msec_t hold;     /* of a grant, from its arrival */
--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -82,6 +82,9 @@
     case ORDER_SUPERSEDED:
       msg.kind = KEYS_REFUSED;
       break;
+    case ORDER_STRANGER:
+      msg.kind = KEYS_OVER;
+      break;
     case ORDER_FAILED:
       msg.kind = KEYS_FAILED;
       break;
@@ -90,6 +93,7 @@
     log_order (order,
                outcome == ORDER_TAKEN        ? "released"
                : outcome == ORDER_SUPERSEDED ? "superseded"
+               : outcome == ORDER_STRANGER   ? "target_over"
                : sent                        ? "order_unanswered"
                                              : "order_not_sent",
                EVENT_BELIEF,
@@ -104,6 +108,7 @@
   order_t *order = g_new (order_t, 1);
   msec_t now = msclock_now (&self->clock);
   key_order_t call = { .release = what->kind == KEYS_RELEASE,
+                       .target = what->target,
                        .first = what->first,
                        .last = what->last,
                        .fence = what->fence,
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -212,11 +212,14 @@
   role->write = (role_write_t){ 0 };
   role->version = version;
   role->row = done.row;
-  role->until = done.started + ROLE_LEASE_MS - ROLE_MARGIN_MS;
   role->next_write = done.started + ROLE_RENEW_MS;
-  if (role->state == ROLE_TAKING)
-    won (self, now);
-  tell_role (self, role->until);
+  if (done.row.until != 0)
+    {
+      role->until = done.started + ROLE_LEASE_MS - ROLE_MARGIN_MS;
+      if (role->state == ROLE_TAKING)
+        won (self, now);
+      tell_role (self, role->until);
+    }
   if (done.has_table)
     {
       keys_msg_t msg = { .kind = KEYS_COMMITTED, .service = done.table.service };
@@ -293,7 +296,18 @@
   take_clock (role, reply);
   if (!role->write.under_way)
     return;
-  if (reply->outcome == STORE_DONE)
+  if (self->stopping && role->write.row.until != 0)
+    {
+      /* The host resigned while this was on its way: the row has to say so too. */
+      role->write.under_way = false;
+      if (reply->outcome == STORE_DONE)
+        {
+          role->version = reply->version;
+          role->row = role->write.row;
+          write_role (self, now);
+        }
+    }
+  else if (reply->outcome == STORE_DONE)
     settle_write (self, reply->version, now);
   else if (role->state == ROLE_TAKING && reply->outcome != STORE_UNKNOWN)
     lose (self, store_outcome_name (reply->outcome), now);
@@ -389,6 +403,7 @@
 
   *queued = *table;
   g_queue_push_tail (&self->role.tables, queued);
+  role_step (self, msclock_now (&self->clock));
 }
 
 void
@@ -396,13 +411,17 @@
 {
   role_t *role = &self->role;
 
-  if (role->state != ROLE_HELD || role->write.under_way)
+  if (role->state != ROLE_HELD)
     return;
   eventlog_write (EVENT_BELIEF,
                   "role",
                   "resigned",
                   "row_version=%llu",
                   (unsigned long long)role->version);
-  write_role (self, now);
+  /* Nothing is granted from here on: who reads the row may move keys at once. */
   role->state = ROLE_ELSEWHERE;
+  role->until = 0;
+  tell_role (self, 0);
+  if (!role->write.under_way)
+    write_role (self, now);
 }
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -133,9 +133,8 @@
   12                          /* targets of the first users queue 12 beside their slots */
 #define DISPATCH_AVOID_MS 100 /* first pause after a failed connection; doubles */
 #define DISPATCH_AVOID_MAX_MS 2000
-#define DISPATCH_MISDIRECTED_MS 2000 /* somebody else has the address: the entry is old  \
-                                      */
-#define DISPATCH_OWNER_RETRY_MS 40   /* a grant takes one or two round trips to arrive */
+#define DISPATCH_OWNER_RETRY_MS 150 /* a move is committed and told within this */
+#define DISPATCH_GRANT_MS 10 /* a new owner's grant arrives so long after its table */
 #define DISPATCH_POLL_MS 25          /* how often a waiting request looks again */
 #define DISPATCH_SENDS_MAX 4         /* of one request, those that weren't run included */
 #define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
@@ -172,7 +171,9 @@
 #define CALL_SILENT_MS 1500     /* unacknowledged bytes: the peer is gone */
 #define PROXY_MAILBOX 256
 #define PROXY_LOADS_MS 1000       /* how often loads of keys are told */
-#define PROXY_GRACE_MARGIN_MS 700 /* from the last connection's end to SIGKILL */
+#define PROXY_GRACE_MARGIN_MS 500 /* from the last connection's end to SIGKILL */
+#define PROXY_LEAVE_MS 2600 /* two missed readiness questions, a second apart, and a margin */
+#define PROXY_DRAIN_TICK_MS 100
 
 /* Owners of keys. */
 #define KEYS_HOLD_MS                                                                     \
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -92,17 +92,18 @@
   request->due = until;
 }
 
-/* How long a lost answer is waited for before an idempotent request is sent again. */
+/* When a request that was sent is looked at again, in case its answer was lost. */
 static msec_t
 silence_limit (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
 {
   const dispatch_target_t *target = target_at (self, (uint32_t)request->target);
+  msec_t last = request->deadline + DISPATCH_LAST_ANSWER_MS;
   msec_t patience = MAX (DISPATCH_SILENCE_FACTOR * target_expected (target, now),
                          request->objective - request->arrived);
 
   if (request->kind == KIND_MUTATING || request->runs >= request->runs_max)
-    return request->deadline + DISPATCH_LAST_ANSWER_MS;
-  return MIN (now + patience, request->deadline + DISPATCH_LAST_ANSWER_MS);
+    return last;
+  return MIN (MAX (request->sent_at + patience, now + DISPATCH_POLL_MS), last);
 }
 
 static void
@@ -274,6 +275,11 @@
     return;
   key_table_finish (&service->keys);
   key_table_copy (&service->keys, keys);
+  for (GList *link = service->waiting.head; link != NULL; link = link->next)
+    {
+      dispatch_request_t *request = link->data;
+      request->not_before = MIN (request->not_before, now + DISPATCH_GRANT_MS);
+    }
   pump (self, index, now, out);
 }
 
@@ -384,6 +390,15 @@
          && budget_left (&service->budget, now) > 0;
 }
 
+/* A newer table than the one that named the owner is tried at once, or when it comes. */
+static msec_t
+owner_pause (const dispatch_t *self, const dispatch_request_t *request)
+{
+  uint64_t newest = service_at (self, request->service)->keys.version;
+
+  return newest > request->key_version ? DISPATCH_GRANT_MS : DISPATCH_OWNER_RETRY_MS;
+}
+
 static void
 answered (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
 {
@@ -408,7 +423,7 @@
       send_again (self,
                   request,
                   msg->answer == ANSWER_FULL ? REASON_OVERLOAD : REASON_NO_OWNER,
-                  request->keyed ? now + DISPATCH_OWNER_RETRY_MS : now,
+                  request->keyed ? now + owner_pause (self, request) : now,
                   now,
                   out);
     }
@@ -428,7 +443,7 @@
   send_again (self,
               request,
               msg->sent ? REASON_LOST : REASON_NO_TARGET,
-              request->keyed ? now + DISPATCH_OWNER_RETRY_MS : now,
+              request->keyed ? now + owner_pause (self, request) : now,
               now,
               out);
   pump (self, service, now, out);
@@ -468,30 +483,46 @@
     pump (self, service, now, out);
 }
 
+/* Whether the answer is taken for lost, and a send to another target promises more. */
+static bool
+is_silent (dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  dispatch_reason_t reason;
+  dispatch_request_t probe = *request;
+
+  if (self->draining || request->keyed || now < silence_limit (self, request, now))
+    return false;
+  probe.last_failed = request->target;
+  int other = targets_pick (self, &probe, now, &reason);
+  return other >= 0 && other != request->target
+         && now + target_expected (target_at (self, (uint32_t)other), now)
+                < request->deadline
+         && budget_left (&service_at (self, request->service)->budget, now) > 0;
+}
+
 /* A waiting request looks again; one that was sent has waited long enough. */
 static void
 come_due (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
 {
+  msec_t last = request->deadline + DISPATCH_LAST_ANSWER_MS;
+
   if (request->state == REQUEST_WAITING)
     proceed (self, request, now, out);
   if (request->state != REQUEST_SENT || now < request->due)
     return;
-  dispatch_target_t *target = target_at (self, (uint32_t)request->target);
-  bool again = now < request->deadline
-               && budget_left (&service_at (self, request->service)->budget, now) > 0;
-  if (!again && now < request->deadline)
+  if (now >= last)
     {
-      request->due = request->deadline + DISPATCH_LAST_ANSWER_MS;
-      return;
+      cancel (self, request, out);
+      end (self, request, REASON_TIME, now, out);
     }
-  cancel (self, request, out);
-  if (again)
+  else if (is_silent (self, request, now))
     {
-      target_failed (target, true, now);
+      target_failed (target_at (self, (uint32_t)request->target), true, now);
+      cancel (self, request, out);
       send_again (self, request, REASON_LOST, now, now, out);
     }
   else
-    end (self, request, REASON_TIME, now, out);
+    request->due = MIN (MAX (silence_limit (self, request, now), now + DISPATCH_POLL_MS), last);
 }
 
 void
@@ -525,6 +556,9 @@
     case DISPATCH_DUE:
       come_due (self, msg->request, now, out);
       break;
+    case DISPATCH_DRAIN:
+      self->draining = true;
+      break;
     }
 }
 
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -29,13 +29,15 @@
   DISPATCH_FAILED,   /* the send ended without a whole answer */
   DISPATCH_GONE,     /* the caller left */
   DISPATCH_DUE,      /* the request's time `due` has come */
+  DISPATCH_DRAIN,    /* the process leaves: what was sent isn't given up any more */
 } dispatch_msg_kind_t;
 
 typedef enum
 {
   ANSWER_RUN,       /* the target ran the request; its status counts */
   ANSWER_FULL,      /* not run: no room, or the deadline passed in its queue */
-  ANSWER_NOT_OWNER, /* not run: it isn't that target, or doesn't hold the key */
+  ANSWER_NOT_OWNER, /* not run: the target doesn't hold the key */
+  ANSWER_STRANGER,  /* not run: another target has the address now */
 } dispatch_answer_t;
 
 /* What a target's answer says about its load. */
@@ -154,6 +156,7 @@
   uint32_t work_ms; /* moving average of its work on one request */
   uint32_t failures;
   msec_t avoid_until;
+  bool replaced; /* another target has its address; it is over */
   uint32_t errors_permille; /* moving average of failures among its answers */
   msec_t warm_at;
   msec_t leaving_at; /* it was first seen to leave; MSEC_NEVER: it isn't leaving */
@@ -190,6 +193,7 @@
   GPtrArray *services;    /* dispatch_service_t */
   GPtrArray *targets;     /* dispatch_target_t, never moved; unused ones are used again */
   rng_t rng;
+  bool draining;
 } dispatch_t;
 
 /* Loads are counted for runs of this many keys. */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -85,8 +85,8 @@
       uint32_t turns = MAX (request->load_at_send, slots);
       average (&self->work_ms, (uint32_t)MAX (spent * slots / turns, 1));
     }
-  if (msg->answer == ANSWER_NOT_OWNER && !request->keyed)
-    self->avoid_until = now + DISPATCH_MISDIRECTED_MS;
+  if (msg->answer == ANSWER_STRANGER)
+    self->replaced = true;
   average (&self->errors_permille,
            (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
 }
@@ -165,6 +165,8 @@
       int known = find (self, name_text (&entry->id), entry->born);
       dispatch_target_t *target = known >= 0 ? at (self, (uint32_t)known)
                                              : add (self, entry, (uint32_t)service, now);
+      if (!name_equal (&target->entry.address, &entry->address))
+        target->replaced = false;
       target->entry = *entry;
       target->listed = true;
       if (!entry->leaving)
@@ -186,7 +188,7 @@
 static bool
 usable (const dispatch_target_t *target)
 {
-  return target->used && target->listed && !target->entry.leaving;
+  return target->used && target->listed && !target->entry.leaving && !target->replaced;
 }
 
 static msec_t
@@ -265,7 +267,7 @@
   if (run == NULL || run->fence == 0)
     return -1;
   int i = find (self, name_text (&run->target), run->born);
-  if (i < 0 || !at (self, (uint32_t)i)->listed)
+  if (i < 0 || !at (self, (uint32_t)i)->listed || at (self, (uint32_t)i)->replaced)
     return -1;
   const dispatch_target_t *target = at (self, (uint32_t)i);
   if (now < target->avoid_until
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -286,9 +286,9 @@
           span->released = true;
           span->handover = msg->handover;
         }
-      else if (msg->kind == KEYS_REFUSED)
+      else if (msg->kind == KEYS_REFUSED || msg->kind == KEYS_OVER)
         {
-          /* Its fence is old: only a new one, above all, helps. */
+          /* An old fence, of which only a new one above all helps, or no owner at all. */
           key_plan_take_back (span, NULL);
           span->held_until = now;
         }
@@ -354,6 +354,7 @@
     case KEYS_GRANTED:
     case KEYS_REFUSED:
     case KEYS_RELEASED:
+    case KEYS_OVER:
     case KEYS_FAILED:
       call_ended (self, msg, now);
       break;
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -28,6 +28,7 @@
   KEYS_GRANTED,   /* the target took the grant */
   KEYS_REFUSED,   /* the target saw a higher fence */
   KEYS_RELEASED,  /* the target gave the keys back; HANDOVER may be empty */
+  KEYS_OVER,      /* another target has the address: the owner is over */
   KEYS_FAILED,    /* a grant or release got no answer */
   KEYS_LOADS,
   KEYS_RESIGN, /* the host is about to stop */
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -16,7 +16,7 @@
   bool stray;           /* the message being read answers another request */
   bool spoilt;          /* not to be used again */
   size_t to_write;      /* bytes of the request that were queued */
-  answer_facts_t facts; /* its texts are only good while the head is read */
+  answer_facts_t facts; /* its texts point into the reader's head */
   unsigned status;
   bool alive; /* the target keeps the connection */
   struct evbuffer *body;
@@ -197,6 +197,11 @@
 static dispatch_answer_t
 answer_kind (const call_t *self)
 {
+  const dispatch_target_t *target = dispatch_target (&self->proxy->dispatch, self->target);
+  text_t who = self->facts.target;
+
+  if (self->status == 421 && who.len > 0 && !text_equal (who, name_text (&target->entry.id)))
+    return ANSWER_STRANGER;
   if (self->status == 421)
     return ANSWER_NOT_OWNER;
   return self->facts.not_run ? ANSWER_FULL : ANSWER_RUN;
--- a/packages/proxy/dialect.h
+++ b/packages/proxy/dialect.h
@@ -21,6 +21,7 @@
 typedef struct
 {
   text_t id;    /* of the request that it answers */
+  text_t target; /* that gave the answer; empty: not told */
   bool not_run; /* the target says that it didn't run the request */
   bool encoded; /* the body isn't the target's plain bytes */
   load_report_t load;
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -186,7 +186,12 @@
 {
   if (self->draining)
     return;
+  const struct timeval beat = { PROXY_DRAIN_TICK_MS / 1000, PROXY_DRAIN_TICK_MS % 1000 * 1000 };
+  const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN };
   self->draining = true;
+  proxy_decide (self, &drain);
+  event_add (self->tick, &beat);
+  self->leave_at = msclock_now (&self->clock) + PROXY_LEAVE_MS;
   msec_t grace = (msec_t)(self->settings->bounds.grace_s * 1000);
   self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
   eventlog_write (EVENT_BELIEF,
@@ -276,23 +281,28 @@
     }
 }
 
-/* Ends connections without a request once callers had time to hear of it. */
+/* Ends connections without a request once the platform had time to hear of the leaving,
+ * and all that is left shortly before the process would be killed. */
 static void
 drain_step (proxy_t *self, msec_t now)
 {
-  msec_t grace = (msec_t)(self->settings->bounds.grace_s * 1000);
   bool over = now >= self->drain_until;
-  bool idle_too = now >= self->drain_until - grace / 3;
+  bool quiet = now >= self->leave_at;
   caller_t *caller = TAILQ_FIRST (&self->callers);
 
+  if (quiet && self->listener != NULL)
+    {
+      evconnlistener_free (self->listener);
+      self->listener = NULL;
+    }
   while (caller != NULL)
     {
       caller_t *next = TAILQ_NEXT (caller, link);
-      if (over || (idle_too && TAILQ_EMPTY (&caller->line) && !caller->reader.begun))
+      if (over || (quiet && TAILQ_EMPTY (&caller->line) && !caller->reader.begun))
         caller_free (caller);
       caller = next;
     }
-  if (over || (idle_too && TAILQ_EMPTY (&self->callers)))
+  if (over || (quiet && TAILQ_EMPTY (&self->callers)))
     event_base_loopbreak (self->base);
 }
 
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -77,7 +77,8 @@
   uint32_t n_callers;
   GPtrArray *idle; /* by target: call_list of idle connections, the latest first */
   bool targets_known, draining, loads_wanted;
-  msec_t drain_until;
+  msec_t leave_at;    /* draining: idle connections end then */
+  msec_t drain_until; /* and all others then */
   bool keys_missing; /* a keyed service has no table yet */
   proxy_counts_t counts;
 } proxy_t;
