Hosts report loads of keys to the granter; keys move by measured use

Cause: the granter saw its own callers only, an eighth of the load, and moved keys only off targets at 2.5 times the mean; every host asked the store for each table of owners and for the role. Change: a link between hosts (ZeroMQ, MessagePack); loads of 4 keys at a time; targets' speeds; the granter answers reports with tables, its role's end and the number of hosts. The drain no longer drops a caller whose answer is being written.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -13,12 +13,8 @@
   if (report->ended)
     event_base_loopbreak (self->base);
   else
-    {
-      keys_msg_t msg
-          = { .kind = KEYS_LOADS, .service = report->service, .loads = report->loads };
-      grants_tell (self, &msg);
-    }
-  g_free (report);
+    peers_report (self, report);
+  proxy_report_free (report);
 }
 
 static void
@@ -100,7 +96,7 @@
                      g_free,
                      self))
     return fault_raise (fault, STATUS_IO, "no eventfd");
-  return STATUS_OK;
+  return peers_init (self, fault);
 }
 
 void
@@ -127,6 +123,8 @@
 coordinator_finish (coordinator_t *self)
 {
   grants_finish (self);
+  peers_finish (self);
+  owners_finish (self);
   self->store->ops->close (self->store);
   news_finish (self);
   event_free (self->tick);
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -5,6 +5,7 @@
 #include "../proxy/proxy.h"
 #include "deployment.h"
 #include "feed.h"
+#include "../link/link.h"
 
 /*
  * COORDINATOR: the task that keeps a host in step with the deployment.
@@ -83,7 +84,14 @@
   keys_t keys;
   GArray *out; /* keys_out_t */
   role_t role;
-  GHashTable *pools; /* address to httpc_pool_t */
+  GHashTable *pools;      /* address to httpc_pool_t */
+
+  GPtrArray *tables;      /* key_table_t, the newest known of each service */
+  link_t link;
+  name_t granter;         /* the link's address of the granter; empty: not known */
+  msec_t news_until;      /* its news count until then */
+  GHashTable *reporters;  /* host's name to reporter_t */
+  uint32_t hosts;         /* that share the budget of repeats; 0: not known */
 } coordinator_t;
 
 /* Opens the loop.  The store and the proxy come by coordinator_attach. */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -25,6 +25,29 @@
 /* Queues a table of owners to be committed; TABLE passes on. */
 void role_commit_table (coordinator_t *self, key_table_t *table);
 
+/* The role is held elsewhere until UNTIL, says its holder. */
+void role_heard (coordinator_t *self, msec_t until);
+
+/* owners.c: who owns which keys, as far as this host knows. */
+const key_table_t *owners_table (const coordinator_t *self, const name_t *service);
+
+/* Takes TABLE over if it is newer, and tells the proxy. */
+void owners_take (coordinator_t *self, const key_table_t *table);
+void owners_finish (coordinator_t *self);
+
+/* peers.c: what hosts tell one another. */
+status_t peers_init (coordinator_t *self, fault_t *fault);
+void peers_finish (coordinator_t *self);
+
+/* Passes the proxy's report on to the granter, which may be this host. */
+void peers_report (coordinator_t *self, const proxy_report_t *report);
+
+/* Tells all hosts that report to this one of a new table. */
+void peers_tell_table (coordinator_t *self, const key_table_t *table);
+
+/* Whether the granter was heard lately, or is this host. */
+bool peers_have_news (const coordinator_t *self);
+
 /* grants.c: what the granter decides. */
 void grants_tell (coordinator_t *self, const keys_msg_t *msg);
 void grants_finish (coordinator_t *self);
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -26,12 +26,24 @@
                self);
 }
 
+static void call_later (feed_t *self, msec_t wait);
+
+/* Watches once it is wanted.  Changes that come close together are told in one answer. */
+static void
+go_on (feed_t *self)
+{
+  if (self->watching && self->ops->wanted != NULL && !self->ops->wanted (self->owner))
+    call_later (self, FEED_REST_MS);
+  else
+    call (self);
+}
+
 static void
 on_retry (evutil_socket_t fd, short what, void *arg)
 {
   (void)fd;
   (void)what;
-  call (arg);
+  go_on (arg);
 }
 
 static void
@@ -130,7 +142,10 @@
     }
   else
     read_page (self, reply);
-  call (self);
+  if (self->watching && reply->rows->len > 0)
+    call_later (self, FEED_GATHER_MS);
+  else
+    go_on (self);
 }
 
 void
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -18,6 +18,8 @@
   void (*row) (void *owner, const store_row_t *row);
   /* All rows of an answer were told; WHOLE: they end a whole read. */
   void (*settled) (void *owner, bool whole);
+  /* Whether a watch should begin now; NULL: always. */
+  bool (*wanted) (void *owner);
 } feed_ops_t;
 
 typedef struct
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -257,38 +257,26 @@
 owners_row (void *owner, const store_row_t *row)
 {
   coordinator_t *self = owner;
-  proxy_msg_t *msg;
+  key_table_t table;
   fault_t fault;
 
   if (row->removed)
     return;
-  msg = g_new0 (proxy_msg_t, 1);
-  msg->kind = PROXY_KEYS;
-  key_table_init (&msg->keys, (text_t){ row->key->str, row->key->len });
-  msg->keys.version = row->version;
-  if (key_rows_read_table (&msg->keys,
-                           (text_t){ row->value->str, row->value->len },
-                           &fault)
-      != STATUS_OK)
-    {
-      eventlog_write (EVENT_BELIEF,
-                      "keys",
-                      "table_rejected",
-                      "service=%s row_version=%llu why=\"%.*s\"",
-                      row->key->str,
-                      (unsigned long long)row->version,
-                      TEXT_ARG (fault_text (&fault)));
-      proxy_msg_free (msg);
-      return;
-    }
-  eventlog_write (EVENT_BELIEF,
-                  "keys",
-                  "table",
-                  "service=%s version=%llu runs=%u",
-                  row->key->str,
-                  (unsigned long long)row->version,
-                  msg->keys.runs->len);
-  news_post (self, msg);
+  key_table_init (&table, (text_t){ row->key->str, row->key->len });
+  table.version = row->version;
+  if (key_rows_read_table (
+          &table, (text_t){ row->value->str, row->value->len }, &fault)
+      == STATUS_OK)
+    owners_take (self, &table);
+  else
+    eventlog_write (EVENT_BELIEF,
+                    "keys",
+                    "table_rejected",
+                    "service=%s row_version=%llu why=\"%.*s\"",
+                    row->key->str,
+                    (unsigned long long)row->version,
+                    TEXT_ARG (fault_text (&fault)));
+  key_table_finish (&table);
 }
 
 static void
@@ -298,10 +286,18 @@
   (void)whole;
 }
 
+/* While the granter tells of owners, the store isn't asked for them. */
+static bool
+owners_wanted (void *owner)
+{
+  return !peers_have_news (owner);
+}
+
 static const feed_ops_t configuration_ops
-    = { configuration_begin, configuration_row, configuration_settled };
-static const feed_ops_t targets_ops = { targets_begin, targets_row, targets_settled };
-static const feed_ops_t owners_ops = { owners_begin, owners_row, owners_settled };
+    = { configuration_begin, configuration_row, configuration_settled, NULL };
+static const feed_ops_t targets_ops = { targets_begin, targets_row, targets_settled, NULL };
+static const feed_ops_t owners_ops 
+    = { owners_begin, owners_row, owners_settled, owners_wanted };
 
 void
 news_step (coordinator_t *self, msec_t now)
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -36,16 +36,6 @@
   grants_tell (self, &msg);
 }
 
-static void
-want_loads (coordinator_t *self, bool wanted)
-{
-  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
-
-  msg->kind = PROXY_LOADS_WANTED;
-  msg->wanted = wanted;
-  news_post (self, msg);
-}
-
 static void
 drop_write (role_t *role)
 {
@@ -75,7 +65,6 @@
                       why,
                       (unsigned long long)role->version,
                       NAME_ARG (role->row.host));
-      want_loads (self, false);
     }
   role->state = ROLE_ELSEWHERE;
   role->until = 0;
@@ -100,6 +89,7 @@
   write->started = now;
   write->row = (role_row_t){
     .host = self->settings->host,
+    .address = self->settings->peers,
     .life = self->life,
     .beat = role->row.beat + 1,
     .next_fence = MAX (self->keys.next_fence, role->row.next_fence),
@@ -153,7 +143,11 @@
                                (text_t){ row->value->str, row->value->len },
                                &fault)
           == STATUS_OK)
-        msg.table = &table;
+        {
+          table.version = row->version;
+          msg.table = &table;
+          owners_take (self, &table);
+        }
       else
         eventlog_write (EVENT_BELIEF,
                         "role",
@@ -197,7 +191,6 @@
                   (unsigned long long)role->row.next_fence,
                   ROLE_LEASE_MS);
   keys_set_fence (&self->keys, role->row.next_fence);
-  want_loads (self, true);
   read_tables (self);
   role->next_write = now + ROLE_RENEW_MS;
 }
@@ -223,6 +216,9 @@
   if (done.has_table)
     {
       keys_msg_t msg = { .kind = KEYS_COMMITTED, .service = done.table.service };
+      done.table.version = version;
+      owners_take (self, &done.table);
+      peers_tell_table (self, &done.table);
       grants_tell (self, &msg);
       key_table_finish (&done.table);
     }
@@ -334,7 +330,11 @@
     return;
   read_row (role, reply);
   if (role->version != 0 && reply->clock <= role->row.until)
-    return;
+    {
+      self->granter = role->row.address;
+      role->next_look = MIN (role->next_look, now + role->row.until - reply->clock + ROLE_SPREAD_MS);
+      return;
+    }
   eventlog_write (EVENT_BELIEF,
                   "role",
                   "lapsed",
@@ -396,6 +396,13 @@
     write_role (self, now);
 }
 
+void
+role_heard (coordinator_t *self, msec_t until)
+{
+  self->role.next_look = MAX (
+      self->role.next_look, until + (msec_t)rng_below (&self->rng, ROLE_SPREAD_MS));
+}
+
 void
 role_commit_table (coordinator_t *self, key_table_t *table)
 {
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -127,10 +127,10 @@
 
 /* Dispatch: the fate of one request. */
 #define DISPATCH_WORK_START_MS 100 /* a target's work on a request, before any answer */
-#define DISPATCH_REPORT_KEEP_MS                                                          \
-  1000 /* a target's report of its load is worth nothing later */
-#define DISPATCH_TARGET_LOAD_MAX                                                         \
-  12                          /* targets of the first users queue 12 beside their slots */
+/* a target's report of its load is worth nothing later */
+#define DISPATCH_REPORT_KEEP_MS 1000
+/* targets of the first users queue 12 beside their slots */
+#define DISPATCH_TARGET_LOAD_MAX 12
 #define DISPATCH_AVOID_MS 100 /* first pause after a failed connection; doubles */
 #define DISPATCH_AVOID_MAX_MS 2000
 #define DISPATCH_OWNER_RETRY_MS 150 /* a move is committed and told within this */
@@ -176,23 +176,33 @@
 #define PROXY_DRAIN_TICK_MS 100
 
 /* Owners of keys. */
-#define KEYS_HOLD_MS                                                                     \
-  4000 /* a grant's length in calm: a crashed owner's keys rest so long */
+/* A grant's length in calm.  A crashed owner's keys rest so long; a granter's end and the
+ * next one's start have to fit in. */
+#define KEYS_HOLD_MS 4000
 #define KEYS_RENEW_MS 1000        /* three renewals may be lost before a grant runs out */
 #define KEYS_SLOW_CLOCK_PERCENT 2 /* a target's clock may run so much slow */
 #define KEYS_MARGIN_MS 100        /* a grant's bytes on the way */
 #define KEYS_SETTLE_MS 1200       /* first split: no target joined for so long */
 #define KEYS_RETRY_MS 150         /* between tries of a call that failed */
-#define KEYS_PLAN_MS 1000         /* how often loads are weighed */
-#define KEYS_LAST_ROUND_MS 900 /* before the role ends, the longest holds are granted */
-#define KEYS_MOVE_LOAD_PERCENT 250 /* of the mean load: its keys are shared out */
-#define KEYS_MOVE_SAMPLES 20       /* fewer requests in the average say nothing */
-#define KEYS_JOIN_KEYS_MIN 64      /* a joining target's share isn't cut finer */
+/* Before the role ends the longest holds are granted, to outlast a store that is away. */
+#define KEYS_LAST_ROUND_MS 900
+
+/* Moving keys by load. */
+#define KEYS_PLAN_MS 500          /* how often loads are weighed */
+#define KEYS_LOAD_KEEP 0.85       /* of the loads from one plan to the next: some 3 s count */
+#define KEYS_MOVE_SAMPLES 100     /* fewer requests say too little */
+#define KEYS_MOVE_USE_PERCENT 130 /* of the mean use: such a target gives keys away */
+#define KEYS_MOVE_GAP_PERCENT 50  /* of the mean use, between giver and taker */
+#define KEYS_MOVES_MAX 6          /* under way at a time: requests for them wait */
+#define KEYS_RUNS_MAX 8           /* a target, on average; each is granted on its own */
+#define KEYS_JOIN_KEYS_MIN 64     /* a joining target's share isn't cut finer */
 
 /* The granter's role. */
 #define ROLE_LEASE_MS 2500
 #define ROLE_RENEW_MS 800
 #define ROLE_WATCH_MS 4000 /* between one host's looks; the hosts' looks are spread */
+/* Hosts' looks after a lapse are spread over this. */
+#define ROLE_SPREAD_MS 300
 #define ROLE_MARGIN_MS 100 /* from the check to the grant's last byte */
 
 /* The store's client. */
@@ -204,3 +214,20 @@
 #define COORDINATOR_TICK_MS 100
 #define COORDINATOR_MAILBOX 64
 #define ORDER_CALL_MS 1200 /* a release is answered when the work under way has ended */
+
+/* Messages between hosts. */
+/* A full queue means that the host is away; what it misses comes anew. */
+#define LINK_QUEUE_MAX 32
+#define LINK_MESSAGE_MAX_BYTES (256 * 1024)
+#define LINK_SILENT_MS 2000 /* unacknowledged bytes: the connection is made anew */
+#define LINK_RECONNECT_MS 200
+#define LINK_RECONNECT_MAX_MS 2000
+#define LINK_FORGET_MS 30000
+/* A host reports to the granter once a second, and believes news three times as long. */
+#define REPORT_MS 1000
+#define NEWS_KEEP_MS 3000
+#define REPORT_FORGET_MS 5000 /* a host that doesn't report isn't counted any more */
+
+/* Feeds of the store's tables. */
+#define FEED_GATHER_MS 150 /* changes close together are told in one answer */
+#define FEED_REST_MS 500   /* between looks whether a resting feed is wanted again */
--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -106,6 +106,24 @@
   uint64_t born;  /* the life of the target that the keys were given to */
 } key_run_t;
 
+/* Loads are counted for this many neighbouring keys at a time. */
+#define KEY_STEP 4
+#define KEY_STEPS ((KEY_LAST + 1) / KEY_STEP)
+
+/* Requests for the KEY_STEP keys from STEP * KEY_STEP on, in a span of time. */
+typedef struct
+{
+  uint16_t step;
+  uint32_t count;
+} key_load_t;
+
+/* What a target was seen to take for one request. */
+typedef struct
+{
+  name_t target;
+  uint32_t work_ms;
+} target_speed_t;
+
 /* The owners of one service's keys. */
 typedef struct
 {
--- a/packages/dispatch/budget.c
+++ b/packages/dispatch/budget.c
@@ -29,6 +29,13 @@
                       .extra = extra };
 }
 
+void
+budget_set (budget_t *self, uint32_t percent, uint32_t extra)
+{
+  self->percent = percent;
+  self->extra = extra;
+}
+
 void
 budget_request (budget_t *self, msec_t now)
 {
--- a/packages/dispatch/budget.h
+++ b/packages/dispatch/budget.h
@@ -27,6 +27,9 @@
 
 void budget_init (budget_t *self, msec_t window, uint32_t percent, uint32_t extra);
 
+/* Changes what is allowed and keeps the counts. */
+void budget_set (budget_t *self, uint32_t percent, uint32_t extra);
+
 /* A request for the service arrived. */
 void budget_request (budget_t *self, msec_t now);
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -556,6 +556,13 @@
     case DISPATCH_DUE:
       come_due (self, msg->request, now, out);
       break;
+    case DISPATCH_BOUNDS:
+      self->bounds = msg->bounds;
+      for (guint i = 0; i < self->services->len; i++)
+        budget_set (&service_at (self, i)->budget,
+                    msg->bounds.retry_percent,
+                    msg->bounds.retry_extra);
+      break;
     case DISPATCH_DRAIN:
       self->draining = true;
       break;
@@ -575,11 +582,9 @@
 void
 dispatch_init (dispatch_t *self,
                text_t data_centre,
-               const dispatch_bounds_t *bounds,
                uint64_t seed)
 {
   *self = (dispatch_t){
-    .bounds = *bounds,
     .service_of = g_array_new (FALSE, TRUE, sizeof (uint32_t)),
     .credits = g_array_new (FALSE, TRUE, sizeof (double)),
     .services = g_ptr_array_new_with_free_func (free_service),
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -29,6 +29,7 @@
   DISPATCH_FAILED,   /* the send ended without a whole answer */
   DISPATCH_GONE,     /* the caller left */
   DISPATCH_DUE,      /* the request's time `due` has come */
+  DISPATCH_BOUNDS,   /* BOUNDS are in force */
   DISPATCH_DRAIN,    /* the process leaves: what was sent isn't given up any more */
 } dispatch_msg_kind_t;
 
@@ -47,6 +48,15 @@
   uint32_t running, waiting, slots;
 } load_report_t;
 
+/* Bounds of the deployment. */
+typedef struct
+{
+  msec_t retry_window;
+  uint32_t retry_percent; /* sends beyond the first, for 100 requests */
+  uint32_t retry_extra;   /* such sends besides, in a window */
+  msec_t drain;           /* a leaving target gets nothing after this */
+} dispatch_bounds_t;
+
 typedef struct
 {
   dispatch_msg_kind_t kind;
@@ -61,6 +71,7 @@
   dispatch_answer_t answer;    /* ANSWERED */
   unsigned status;             /* ANSWERED */
   load_report_t load;          /* ANSWERED */
+  dispatch_bounds_t bounds;    /* BOUNDS */
   bool sent;                   /* FAILED: a byte may have left */
   bool connected;              /* FAILED: there was a connection */
 } dispatch_msg_t;
@@ -174,15 +185,6 @@
   uint32_t *key_loads; /* requests of each KEY_STEP keys since the last reset */
 } dispatch_service_t;
 
-/* Bounds of the deployment. */
-typedef struct
-{
-  msec_t retry_window;
-  uint32_t retry_percent; /* sends beyond the first, for 100 requests */
-  uint32_t retry_extra;   /* such sends besides, in a window */
-  msec_t drain;           /* a leaving target gets nothing after this */
-} dispatch_bounds_t;
-
 typedef struct
 {
   name_t data_centre;
@@ -196,13 +198,8 @@
   bool draining;
 } dispatch_t;
 
-/* Loads are counted for runs of this many keys. */
-#define KEY_STEP 16
-#define KEY_STEPS ((KEY_LAST + 1) / KEY_STEP)
-
 void dispatch_init (dispatch_t *self,
                     text_t data_centre,
-                    const dispatch_bounds_t *bounds,
                     uint64_t seed);
 
 /* Takes MSG at time NOW and appends dispatch_out_t to OUT. */
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -1,12 +1,14 @@
 #include "key_plan.h"
 
-/* A key without requests still counts, so that idle keys are spread too. */
-#define IDLE_LOAD_SHARE 0.25
+/* Keys without requests count too, all together this much of the load. */
+#define IDLE_LOAD 0.25
 
+/* One target that may own keys.  Loads are shares: all keys bear 1 + IDLE_LOAD. */
 typedef struct
 {
   const target_entry_t *target;
   double load;
+  double work;  /* for one request, times the mean target's */
   uint32_t keys;
 } key_bearer_t;
 
@@ -42,53 +44,91 @@
   g_array_set_size (self->spans, 0);
   for (guint i = 0; i < usable->len; i++)
     {
-      key_span_t span
-          = { .state = RUN_FREE,
-              .first = (uint32_t)((uint64_t)(KEY_LAST + 1) * i / usable->len),
-              .last = (uint32_t)((uint64_t)(KEY_LAST + 1) * (i + 1) / usable->len) - 1,
-              .next = g_array_index (usable, name_t, i) };
+      uint64_t all = KEY_LAST + 1;
+      key_span_t span = { .state = RUN_FREE,
+                          .first = (uint32_t)(all * i / usable->len),
+                          .last = (uint32_t)(all * (i + 1) / usable->len) - 1,
+                          .next = g_array_index (usable, name_t, i) };
       g_array_append_val (self->spans, span);
     }
   g_array_unref (usable);
 }
 
-static double
-total_load (const key_service_t *self)
+static void
+sum_loads (key_service_t *self)
 {
-  double total = 0;
-
+  self->sums[0] = 0;
   for (uint32_t i = 0; i < KEY_STEPS; i++)
-    total += self->loads[i];
-  return total;
+    self->sums[i + 1] = self->sums[i] + self->loads[i];
 }
 
-/* The load of keys FIRST to LAST, idle keys included; all keys have 1 + IDLE_LOAD_SHARE.
- */
 static double
-load_of (const key_service_t *self, double total, uint32_t first, uint32_t last)
+total_of (const key_service_t *self)
 {
-  double load = 0;
+  return self->sums[KEY_STEPS];
+}
 
-  for (uint32_t step = first / KEY_STEP; step <= last / KEY_STEP; step++)
-    {
-      uint32_t from = MAX (first, step * KEY_STEP);
-      uint32_t to = MIN (last, step * KEY_STEP + KEY_STEP - 1);
-      load += self->loads[step] * (to - from + 1) / KEY_STEP;
-    }
+/* Requests for the keys below KEY. */
+static double
+load_below (const key_service_t *self, uint32_t key)
+{
+  uint32_t step = key / KEY_STEP;
+  double part = key % KEY_STEP == 0 ? 0 : self->loads[step] * (key % KEY_STEP) / KEY_STEP;
+
+  return self->sums[step] + part;
+}
+
+static double
+load_of (const key_service_t *self, uint32_t first, uint32_t last)
+{
+  double requests = load_below (self, last + 1) - load_below (self, first);
   double keys = (double)(last - first + 1) / (KEY_LAST + 1);
-  return (total > 0 ? load / total : 0) + keys * IDLE_LOAD_SHARE;
+  double total = total_of (self);
+
+  return (total > 0 ? requests / total : 0) + keys * IDLE_LOAD;
 }
 
+/* Who bears a run, or will once the move under way has ended. */
 static const name_t *
 bearer_of (const key_span_t *span)
 {
-  return span->state == RUN_LEAVING || span->state == RUN_FREE ? &span->next
-                                                               : &span->owner;
+  return span->state == RUN_LEAVING || span->state == RUN_FREE ? &span->next : &span->owner;
+}
+
+static uint32_t
+work_ms (const key_service_t *self, const name_t *id)
+{
+  char *key = text_dup_c (name_text (id));
+  uint32_t work = GPOINTER_TO_UINT (g_hash_table_lookup (self->work_ms, key));
+
+  g_free (key);
+  return work;
+}
+
+/* Sets each target's work in units of the mean; one that is unknown counts as the mean. */
+static void
+weigh_work (const key_service_t *self, GArray *bearers)
+{
+  double sum = 0;
+  guint known = 0;
+
+  for (guint i = 0; i < bearers->len; i++)
+    {
+      uint32_t work
+          = work_ms (self, &g_array_index (bearers, key_bearer_t, i).target->id);
+      sum += work;
+      known += work > 0 ? 1 : 0;
+    }
+  for (guint i = 0; i < bearers->len; i++)
+    {
+      key_bearer_t *bearer = &g_array_index (bearers, key_bearer_t, i);
+      uint32_t work = work_ms (self, &bearer->target->id);
+      bearer->work = work > 0 ? work * known / sum : 1;
+    }
 }
 
-/* The usable targets with what they bear, moves under way counted as done. */
 static GArray *
-list_bearers (const keys_t *keys, const key_service_t *self, double total)
+list_bearers (const keys_t *keys, const key_service_t *self)
 {
   GArray *bearers = g_array_new (FALSE, FALSE, sizeof (key_bearer_t));
 
@@ -103,24 +143,31 @@
           const key_span_t *span = &g_array_index (self->spans, key_span_t, j);
           if (!name_equal (bearer_of (span), &target->id))
             continue;
-          bearer.load += load_of (self, total, span->first, span->last);
+          bearer.load += load_of (self, span->first, span->last);
           bearer.keys += span->last - span->first + 1;
         }
       g_array_append_val (bearers, bearer);
     }
+  weigh_work (self, bearers);
   return bearers;
 }
 
+static double
+use_of (const key_bearer_t *bearer)
+{
+  return bearer->load * bearer->work;
+}
+
 bool
 key_plan_owner (const keys_t *keys, const key_service_t *self, name_t *owner)
 {
-  GArray *bearers = list_bearers (keys, self, total_load (self));
+  GArray *bearers = list_bearers (keys, self);
   const key_bearer_t *least = NULL;
 
   for (guint i = 0; i < bearers->len; i++)
     {
       const key_bearer_t *bearer = &g_array_index (bearers, key_bearer_t, i);
-      if (least == NULL || bearer->load < least->load)
+      if (least == NULL || use_of (bearer) < use_of (least))
         least = bearer;
     }
   if (least != NULL)
@@ -159,109 +206,131 @@
   span->call_after = 0;
 }
 
-/* The key of span I above which WANTED of the load lies, or its first key. */
+/* The key of the span from which on WANTED of the load lies, by halving. */
 static uint32_t
-cut_point (const key_service_t *self, double total, const key_span_t *span, double wanted)
+cut_point (const key_service_t *self, const key_span_t *span, double wanted)
 {
-  double above = 0;
-  uint32_t key = span->last;
+  uint32_t low = span->first, high = span->last + 1;
 
-  while (key > span->first)
+  while (low < high)
     {
-      uint32_t from = MAX (key / KEY_STEP * KEY_STEP, span->first);
-      double piece = load_of (self, total, from, key);
-      if (above + piece > wanted && above > 0)
-        return key + 1;
-      if (above + piece > wanted)
-        {
-          /* One step outweighs it all: cut inside, as far as single keys. */
-          uint32_t keys = key - from + 1;
-          uint32_t part = (uint32_t)(keys * wanted / piece);
-          return keys > 1 ? key + 1 - CLAMP (part, 1, keys - 1) : span->first;
-        }
-      above += piece;
-      if (from == 0)
-        break;
-      key = from - 1;
+      uint32_t middle = low + (high - low) / 2;
+      if (middle <= span->last && load_of (self, middle, span->last) > wanted)
+        low = middle + 1;
+      else
+        high = middle;
     }
-  return span->first;
+  return low;
 }
 
-/* Moves about WANTED load of FROM's heaviest run to TO. */
-static void
-move_load (key_service_t *self,
-           double total,
-           const name_t *from,
-           const name_t *to,
-           double wanted)
+static int
+heaviest_span (const key_service_t *self, const name_t *owner)
 {
-  guint heaviest = 0;
-  double most = -1;
+  int heaviest = -1;
+  double most = 0;
 
   for (guint i = 0; i < self->spans->len; i++)
     {
       const key_span_t *span = &g_array_index (self->spans, key_span_t, i);
-      double load = load_of (self, total, span->first, span->last);
-      if (is_movable (span) && name_equal (&span->owner, from) && load > most)
+      double load = load_of (self, span->first, span->last);
+      if (is_movable (span) && name_equal (&span->owner, owner) && load > most)
         {
-          heaviest = i;
+          heaviest = (int)i;
           most = load;
         }
     }
-  if (most < 0)
-    return;
-  const key_span_t *span = &g_array_index (self->spans, key_span_t, heaviest);
-  uint32_t at = cut_point (self, total, span, wanted);
+  return heaviest;
+}
+
+/* Moves about WANTED load from FROM's heaviest run to TO.  Returns what it moved. */
+static double
+move_load (key_service_t *self, const name_t *from, const name_t *to, double wanted)
+{
+  int heaviest = heaviest_span (self, from);
+  guint i = (guint)heaviest;
+
+  if (heaviest < 0)
+    return 0;
+  const key_span_t *span = &g_array_index (self->spans, key_span_t, i);
+  uint32_t at = cut_point (self, span, wanted);
+  /* A key that alone is more than wanted may still be worth it; the rest of its run,
+   * which is below it, then moves instead. */
+  if (at > span->last)
+    at = span->last;
+  double moved = load_of (self, at, span->last);
+  if (moved > 2 * wanted)
+    {
+      double below = at > span->first ? load_of (self, span->first, at - 1) : 0;
+      if (below <= 0 || below > 2 * wanted)
+        return 0;
+      cut (self, i, at);
+      key_plan_take_back (&g_array_index (self->spans, key_span_t, i), to);
+      return below;
+    }
   if (at > span->first)
-    cut (self, heaviest++, at);
-  else if (most > wanted * 2)
-    return; /* moving it whole would only change who is overloaded */
-  key_plan_take_back (&g_array_index (self->spans, key_span_t, heaviest), to);
+    cut (self, i++, at);
+  key_plan_take_back (&g_array_index (self->spans, key_span_t, i), to);
+  return moved;
 }
 
 static int
-by_load (const void *left, const void *right)
+by_use (const void *left, const void *right)
 {
-  const key_bearer_t *a = left, *b = right;
+  double a = use_of (left), b = use_of (right);
 
-  return a->load < b->load ? -1 : a->load > b->load;
+  return a < b ? -1 : a > b;
 }
 
-static bool
+static guint
 moves_under_way (const key_service_t *self)
 {
+  guint n = 0;
+
   for (guint i = 0; i < self->spans->len; i++)
-    if (g_array_index (self->spans, key_span_t, i).state != RUN_HELD)
-      return true;
-  return false;
+    n += g_array_index (self->spans, key_span_t, i).state != RUN_HELD;
+  return n;
+}
+
+/* Whether MOST bears so much more than LEAST that a move is worth its price. */
+static bool
+is_worth_moving (const key_service_t *self,
+                 const key_bearer_t *least,
+                 const key_bearer_t *most,
+                 double mean)
+{
+  if (least->keys == 0 && most->keys >= 2 * KEYS_JOIN_KEYS_MIN)
+    return true;
+  return total_of (self) >= KEYS_MOVE_SAMPLES
+         && use_of (most) > mean * KEYS_MOVE_USE_PERCENT / 100
+         && use_of (most) - use_of (least) > mean * KEYS_MOVE_GAP_PERCENT / 100;
 }
 
 void
 key_plan_moves (const keys_t *keys, key_service_t *self, msec_t now)
 {
-  double total = total_load (self);
-
-  if (now < self->plan_at || moves_under_way (self))
+  if (now < self->plan_at)
     return;
   self->plan_at = now + KEYS_PLAN_MS;
-  GArray *bearers = list_bearers (keys, self, total);
-  g_array_sort (bearers, by_load);
-  double mean = (1 + IDLE_LOAD_SHARE) / MAX (bearers->len, 1);
-  guint low = 0, high = bearers->len;
-  while (high > low + 1)
+  sum_loads (self);
+  GArray *bearers = list_bearers (keys, self);
+  guint n = bearers->len;
+  double mean = 0;
+  for (guint i = 0; i < n; i++)
+    mean += use_of (&g_array_index (bearers, key_bearer_t, i)) / n;
+  g_array_sort (bearers, by_use);
+  for (guint i = 0; i < n / 2 && moves_under_way (self) < KEYS_MOVES_MAX
+                    && self->spans->len < n * KEYS_RUNS_MAX;
+       i++)
     {
-      const key_bearer_t *least = &g_array_index (bearers, key_bearer_t, low++);
-      const key_bearer_t *most = &g_array_index (bearers, key_bearer_t, --high);
-      bool joins = least->keys == 0 && most->keys >= 2 * KEYS_JOIN_KEYS_MIN;
-      bool hot = self->samples >= KEYS_MOVE_SAMPLES
-                 && most->load > mean * KEYS_MOVE_LOAD_PERCENT / 100;
-      if (!joins && !hot)
+      const key_bearer_t *least = &g_array_index (bearers, key_bearer_t, i);
+      const key_bearer_t *most = &g_array_index (bearers, key_bearer_t, n - 1 - i);
+      if (!is_worth_moving (self, least, most, mean))
         break;
-      move_load (self,
-                 total,
-                 &most->target->id,
-                 &least->target->id,
-                 (most->load - least->load) / 2);
+      /* So much that both bear the same use afterwards. */
+      double wanted = (use_of (most) - use_of (least)) / (most->work + least->work);
+      move_load (self, &most->target->id, &least->target->id, wanted);
     }
   g_array_unref (bearers);
+  for (uint32_t i = 0; i < KEY_STEPS; i++)
+    self->loads[i] *= KEYS_LOAD_KEEP;
 }
--- a/packages/keys/key_rows.c
+++ b/packages/keys/key_rows.c
@@ -91,9 +91,11 @@
 GString *
 key_rows_write_role (const role_row_t *role)
 {
-  return dump (json_pack ("{s:o,s:I,s:I,s:I,s:I}",
+  return dump (json_pack ("{s:o,s:o,s:I,s:I,s:I,s:I}",
                           "host",
                           json_from_name (&role->host),
+                          "address",
+                          json_from_name (&role->address),
                           "life",
                           (json_int_t)role->life,
                           "beat",
@@ -111,6 +113,7 @@
   json_t *root = json_loadb (bytes.at, bytes.len, 0, &error);
   uint64_t until = 0;
   bool ok = json_get_name (root, "host", &role->host)
+            && json_get_name (root, "address", &role->address)
             && json_get_u64 (root, "life", INT64_MAX, &role->life)
             && json_get_u64 (root, "beat", INT64_MAX, &role->beat)
             && json_get_u64 (root, "next_fence", INT64_MAX, &role->next_fence)
--- a/packages/keys/key_rows.h
+++ b/packages/keys/key_rows.h
@@ -9,6 +9,7 @@
 typedef struct
 {
   name_t host;
+  name_t address;      /* of its link, a.b.c.d:port */
   uint64_t life;       /* tells the host's processes apart */
   uint64_t beat;       /* grows with each write */
   uint64_t next_fence; /* above all fences that were ever committed */
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -2,9 +2,6 @@
 
 #include "key_plan.h"
 
-/* Loads are halved at this many times a second of planning: the last 4 s count. */
-#define LOAD_KEEP 0.75
-
 static key_service_t *
 service_at (const keys_t *self, guint i)
 {
@@ -203,6 +200,7 @@
       key_service_t *service = g_new0 (key_service_t, 1);
       service->name = *name;
       service->spans = g_array_new (FALSE, TRUE, sizeof (key_span_t));
+      service->work_ms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       service->joined_at = now;
       g_ptr_array_add (self->services, service);
     }
@@ -306,13 +304,25 @@
 }
 
 static void
-take_loads (key_service_t *service, const uint32_t *loads)
+take_loads (key_service_t *service, const GArray *loads)
 {
-  service->samples *= LOAD_KEEP;
-  for (uint32_t i = 0; i < KEY_STEPS; i++)
+  for (guint i = 0; i < loads->len; i++)
     {
-      service->loads[i] = service->loads[i] * LOAD_KEEP + loads[i];
-      service->samples += loads[i];
+      const key_load_t *load = &g_array_index (loads, key_load_t, i);
+      if (load->step < KEY_STEPS)
+        service->loads[load->step] += load->count;
+    }
+}
+
+static void
+take_speeds (key_service_t *service, const GArray *speeds)
+{
+  for (guint i = 0; i < speeds->len; i++)
+    {
+      const target_speed_t *speed = &g_array_index (speeds, target_speed_t, i);
+      g_hash_table_insert (service->work_ms,
+                           text_dup_c (name_text (&speed->target)),
+                           GUINT_TO_POINTER (MAX (speed->work_ms, 1)));
     }
 }
 
@@ -362,6 +372,10 @@
       if (service != NULL)
         take_loads (service, msg->loads);
       break;
+    case KEYS_SPEEDS:
+      if (service != NULL)
+        take_speeds (service, msg->speeds);
+      break;
     case KEYS_RESIGN:
       self->resigning = true;
       break;
@@ -377,6 +391,7 @@
   key_service_t *service = item;
 
   g_array_unref (service->spans);
+  g_hash_table_unref (service->work_ms);
   g_free (service);
 }
 
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -31,6 +31,7 @@
   KEYS_OVER,      /* another target has the address: the owner is over */
   KEYS_FAILED,    /* a grant or release got no answer */
   KEYS_LOADS,
+  KEYS_SPEEDS, /* what this host saw the targets take for one request */
   KEYS_RESIGN, /* the host is about to stop */
   KEYS_TICK,
 } keys_msg_kind_t;
@@ -48,7 +49,8 @@
   bool release;             /* FAILED: it was a release */
   bool sent;                /* FAILED: a byte may have left */
   name_t handover;          /* RELEASED */
-  const uint32_t *loads;    /* LOADS: KEY_STEPS counts of SERVICE */
+  const GArray *loads;      /* LOADS: key_load_t of SERVICE, of one host's last second */
+  const GArray *speeds;     /* SPEEDS: target_speed_t */
 } keys_msg_t;
 
 typedef enum
@@ -108,8 +110,9 @@
   msec_t joined_at; /* the last target joined */
   msec_t plan_at;
   GArray *spans;           /* key_span_t, without gaps, ascending */
-  double loads[KEY_STEPS]; /* decayed counts of requests */
-  double samples;
+  double loads[KEY_STEPS];    /* decayed counts of requests */
+  double sums[KEY_STEPS + 1]; /* of the loads below a step, as of the last plan */
+  GHashTable *work_ms;        /* target's id to what it takes for one request */
 } key_service_t;
 
 typedef struct
--- /dev/null
+++ b/packages/link/link_codec.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "../core/fault.h"
+#include "../directory/directory.h"
+
+/*
+ * LINK_CODEC: what hosts tell one another, in MessagePack.
+ *
+ * A host reports to the granter; the granter answers with its news, and sends
+ * them unasked when a table of owners changes.
+ */
+
+typedef struct
+{
+  name_t host;
+  name_t address; /* of its link */
+  uint64_t life;
+  name_t service; /* a keyed one */
+  uint64_t table_version;
+  GArray *loads; /* key_load_t */
+} link_report_t;
+
+typedef struct
+{
+  name_t host; /* the granter */
+  name_t address;
+  uint64_t life;
+  msec_t role_left; /* its role lasts at least so much longer */
+  uint32_t hosts;   /* that it hears of, itself included */
+  bool has_table;
+  key_table_t table;
+} link_news_t;
+
+typedef enum
+{
+  LINK_REPORT,
+  LINK_NEWS,
+} link_kind_t;
+
+typedef struct
+{
+  link_kind_t kind;
+  link_report_t report;
+  link_news_t news;
+} link_msg_t;
+
+/* Both make a GByteArray to be freed by the caller. */
+GByteArray *link_write_report (const link_report_t *report);
+GByteArray *link_write_news (const link_news_t *news);
+
+/* On STATUS_OK the message is to be freed by link_msg_finish. */
+status_t link_read (link_msg_t *msg, text_t bytes, fault_t *fault);
+void link_msg_finish (link_msg_t *self);
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -284,3 +284,10 @@
   bufferevent_free (self->bev);
   g_free (self);
 }
+
+bool
+caller_is_idle (const caller_t *self)
+{
+  return TAILQ_EMPTY (&self->line) && !self->reader.begun && !self->closing
+         && evbuffer_get_length (bufferevent_get_output (self->bev)) == 0;
+}
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -58,6 +58,9 @@
 void caller_accept (proxy_t *proxy, evutil_socket_t fd);
 void caller_free (caller_t *self);
 
+/* Whether nothing is under way on it, not even an answer's last bytes. */
+bool caller_is_idle (const caller_t *self);
+
 /* Writes what is answered, in order, and reads on. */
 void caller_advance (caller_t *self);
 
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -192,7 +192,7 @@
   proxy_decide (self, &drain);
   event_add (self->tick, &beat);
   self->leave_at = msclock_now (&self->clock) + PROXY_LEAVE_MS;
-  msec_t grace = (msec_t)(self->settings->bounds.grace_s * 1000);
+  msec_t grace = (msec_t)(self->bounds.grace_s * 1000);
   self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
   eventlog_write (EVENT_BELIEF,
                   "proxy",
@@ -219,6 +219,21 @@
   g_free (msg);
 }
 
+/* This host's share of what all hosts may send again. */
+static void
+share_budget (proxy_t *self)
+{
+  dispatch_msg_t msg = { .kind = DISPATCH_BOUNDS };
+
+  msg.bounds = (dispatch_bounds_t){
+    .retry_window = self->bounds.retry_window_s * 1000,
+    .retry_percent = (uint32_t)(self->bounds.retry_ratio * BUDGET_SAFETY_PERCENT),
+    .retry_extra = self->bounds.retry_extra / MAX (self->hosts, 1) / 2,
+    .drain = self->bounds.drain_ms,
+  };
+  proxy_decide (self, &msg);
+}
+
 static void
 on_message (void *owner, void *item)
 {
@@ -245,8 +260,13 @@
       decide.keys = &msg->keys;
       proxy_decide (self, &decide);
       break;
-    case PROXY_LOADS_WANTED:
-      self->loads_wanted = msg->wanted;
+    case PROXY_HOSTS:
+      self->hosts = msg->hosts;
+      share_budget (self);
+      break;
+    case PROXY_BOUNDS:
+      self->bounds = msg->bounds;
+      share_budget (self);
       break;
     case PROXY_DRAIN:
       start_draining (self);
@@ -256,6 +276,48 @@
   proxy_msg_free (msg);
 }
 
+static GArray *
+take_loads (const dispatch_service_t *service)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (key_load_t));
+
+  for (uint32_t step = 0; step < KEY_STEPS; step++)
+    if (service->key_loads[step] > 0)
+      {
+        key_load_t load = { (uint16_t)step, service->key_loads[step] };
+        g_array_append_val (loads, load);
+        service->key_loads[step] = 0;
+      }
+  return loads;
+}
+
+static GArray *
+list_speeds (const proxy_t *self, uint32_t service)
+{
+  GArray *speeds = g_array_new (FALSE, FALSE, sizeof (target_speed_t));
+
+  for (guint i = 0; i < self->dispatch.targets->len; i++)
+    {
+      const dispatch_target_t *target = dispatch_target (&self->dispatch, i);
+      target_speed_t speed = { target->entry.id, target->work_ms };
+      if (target->used && target->listed && target->service == service)
+        g_array_append_val (speeds, speed);
+    }
+  return speeds;
+}
+
+void
+proxy_report_free (void *item)
+{
+  proxy_report_t *report = item;
+
+  if (report->loads != NULL)
+    g_array_unref (report->loads);
+  if (report->speeds != NULL)
+    g_array_unref (report->speeds);
+  g_free (report);
+}
+
 /* Tells the coordinator what keys were asked for, and starts counting anew. */
 static void
 tell_loads (proxy_t *self)
@@ -265,19 +327,14 @@
       const dispatch_service_t *service = dispatch_service (&self->dispatch, i);
       if (!service->keyed)
         continue;
-      if (self->loads_wanted && self->coordinator != NULL)
-        {
-          proxy_report_t *loads = g_new0 (proxy_report_t, 1);
-          loads->service = service->name;
-          memcpy (loads->loads, service->key_loads, sizeof loads->loads);
-          if (!mailbox_post (self->coordinator, loads))
-            {
-              eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
-              g_free (loads);
-              continue;
-            }
-        }
-      memset (service->key_loads, 0, KEY_STEPS * sizeof *service->key_loads);
+      proxy_report_t *report = g_new0 (proxy_report_t, 1);
+      report->service = service->name;
+      report->loads = take_loads (service);
+      report->speeds = list_speeds (self, i);
+      if (self->coordinator != NULL && mailbox_post (self->coordinator, report))
+        continue;
+      eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
+      proxy_report_free (report);
     }
 }
 
@@ -298,7 +355,7 @@
   while (caller != NULL)
     {
       caller_t *next = TAILQ_NEXT (caller, link);
-      if (over || (quiet && TAILQ_EMPTY (&caller->line) && !caller->reader.begun))
+      if (over || (quiet && caller_is_idle (caller)))
         caller_free (caller);
       caller = next;
     }
@@ -385,16 +442,13 @@
             mailbox_t *coordinator,
             fault_t *fault)
 {
-  const router_bounds_t *bounds = &settings->bounds;
-  dispatch_bounds_t rules
-      = { .retry_window = bounds->retry_window_s * 1000,
-          .retry_percent = (uint32_t)(bounds->retry_ratio * BUDGET_SAFETY_PERCENT),
-          .retry_extra = bounds->retry_extra / BUDGET_HOSTS,
-          .drain = bounds->drain_ms };
+  
 
   *self = (proxy_t){ .settings = settings,
                      .dialect = dialect,
                      .coordinator = coordinator,
+                     .hosts = BUDGET_HOSTS,
+                     .bounds = settings->bounds,
                      .base = event_base_new (),
                      .out = g_array_new (FALSE, TRUE, sizeof (dispatch_out_t)),
                      .idle = g_ptr_array_new_with_free_func (g_free) };
@@ -402,8 +456,8 @@
   TAILQ_INIT (&self->callers);
   dispatch_init (&self->dispatch,
                  name_text (&settings->data_centre),
-                 &rules,
                  text_hash (name_text (&settings->host)));
+  share_budget (self);
   if (!mailbox_init (&self->inbox,
                      self->base,
                      PROXY_MAILBOX,
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -23,7 +23,8 @@
   PROXY_DIRECTORY,    /* DIRECTORY passes on */
   PROXY_TARGETS,      /* TARGETS passes on */
   PROXY_KEYS,         /* KEYS passes on */
-  PROXY_LOADS_WANTED, /* WANTED: whether loads of keys are told to the coordinator */
+  PROXY_HOSTS,   /* HOSTS share the budget of repeats */
+  PROXY_BOUNDS,  /* BOUNDS changed */
   PROXY_DRAIN,        /* take nothing new, end what is there */
 } proxy_msg_kind_t;
 
@@ -33,7 +34,8 @@
   directory_t *directory;
   GArray *targets; /* target_entry_t */
   key_table_t keys;
-  bool wanted;
+  uint32_t hosts;
+  router_bounds_t bounds;
 } proxy_msg_t;
 
 /* To the coordinator. */
@@ -41,7 +43,8 @@
 {
   bool ended; /* the proxy has drained; nothing else is told */
   name_t service;
-  uint32_t loads[KEY_STEPS]; /* requests of each KEY_STEP keys since the last report */
+  GArray *loads;  /* key_load_t since the last report; passes on */
+  GArray *speeds; /* target_speed_t; passes on */
 } proxy_report_t;
 
 typedef struct caller caller_t;
@@ -76,7 +79,9 @@
   struct caller_list callers;
   uint32_t n_callers;
   GPtrArray *idle; /* by target: call_list of idle connections, the latest first */
-  bool targets_known, draining, loads_wanted;
+  bool targets_known, draining;
+  uint32_t hosts;
+  router_bounds_t bounds;
   msec_t leave_at;    /* draining: idle connections end then */
   msec_t drain_until; /* and all others then */
   bool keys_missing; /* a keyed service has no table yet */
@@ -95,5 +100,6 @@
 
 void proxy_finish (proxy_t *self);
 
-/* Frees a message that wasn't delivered. */
+/* Free a message that wasn't delivered. */
 void proxy_msg_free (void *msg);
+void proxy_report_free (void *report);
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -15,6 +15,7 @@
   FIELD ("data_centre", FORM_NAME, data_centre, true, 0, 0, "its data centre's name"),
   FIELD ("callers", FORM_NAME, callers, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("ready", FORM_NAME, ready, true, 0, 0, ENDPOINT_EXPECTED),
+  FIELD ("peers", FORM_NAME, peers, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("memory_mb", FORM_UINT, memory_mb, false, 16, 1000000, "megabytes, 16 or more"),
   FIELD ("descriptors", FORM_UINT, descriptors, false, 64, 10000000, "64 or more"),
 };
@@ -125,6 +126,7 @@
                       &self->callers,
                       &self->callers_address);
       check_endpoint (form, &doc, "host", "ready", &self->ready, &self->ready_address);
+      check_endpoint (form, &doc, "host", "peers", &self->peers, &self->peers_address);
       check_endpoint (form, &doc, "store", "address", &self->store, &self->store_address);
       if (!form_ok (form))
         status = fault_raise (fault,
--- a/packages/settings/router_settings.h
+++ b/packages/settings/router_settings.h
@@ -31,9 +31,11 @@
   name_t data_centre;
   name_t callers; /* address:port */
   name_t ready;   /* address:port */
+  name_t peers;   /* address:port, for other hosts */
   name_t store;   /* address:port */
   struct sockaddr_in callers_address;
   struct sockaddr_in ready_address;
+  struct sockaddr_in peers_address;
   struct sockaddr_in store_address;
   uint32_t memory_mb;
   uint32_t descriptors;
