--- a/bin/router.c
+++ b/bin/router.c
@@ -19,7 +19,7 @@
 };
 
 static int
-serve (const router_settings_t *settings)
+serve (const router_settings_t *settings, const char *file)
 {
   coordinator_t *coordinator = g_new0 (coordinator_t, 1);
   proxy_t *proxy = g_new0 (proxy_t, 1);
@@ -28,7 +28,8 @@
 
   fault_clear (&fault);
   status_t status
-      = coordinator_init (coordinator, settings, &platform_deployment, &fault);
+      = coordinator_init (
+      coordinator, settings, file, &platform_deployment, &fault);
   if (status == STATUS_OK)
     status = proxy_init (proxy, settings, &platform_dialect, &coordinator->inbox, &fault);
   if (status != STATUS_OK)
@@ -81,5 +82,6 @@
   signal (SIGPIPE, SIG_IGN);
   evthread_use_pthreads ();
   eventlog_open (STDOUT_FILENO);
-  return serve (&settings);
+  signal (SIGHUP, SIG_IGN); /* until the coordinator listens to it */
+  return serve (&settings, settings_file);
 }
--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -28,6 +28,7 @@
   (void)what;
   news_step (self, g_get_monotonic_time () / 1000);
   role_step (self, now);
+  reload_step (self, now);
   if (self->role.state != ROLE_HELD)
     return;
   grants_tell (self, &msg);
@@ -62,6 +63,14 @@
   news_post (self, msg);
 }
 
+static void
+on_reload (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  reload_settings (arg);
+}
+
 static struct event *
 every (coordinator_t *self, msec_t period, event_callback_fn callback)
 {
@@ -75,10 +84,12 @@
 status_t
 coordinator_init (coordinator_t *self,
                   const router_settings_t *settings,
+                  const char *settings_file,
                   const deployment_ops_t *deployment,
                   fault_t *fault)
 {
   *self = (coordinator_t){ .settings = settings,
+                           .settings_file = settings_file,
                            .deployment = deployment,
                            .base = event_base_new (),
                            .life = (uint64_t)g_get_real_time (),
@@ -87,6 +98,7 @@
   rng_init (&self->rng, text_hash (name_text (&settings->host)) ^ self->life);
   keys_init (&self->keys, settings->bounds.hold_max_ms);
   news_init (self);
+  reload_init (self);
   g_queue_init (&self->role.tables);
   self->role.next_look = msclock_now (&self->clock) + (msec_t)rng_below (&self->rng, 300);
   if (!mailbox_init (&self->inbox,
@@ -115,6 +127,8 @@
   self->on_int = evsignal_new (self->base, SIGINT, on_stop, self);
   event_add (self->on_term, NULL);
   event_add (self->on_int, NULL);
+  self->on_hup = evsignal_new (self->base, SIGHUP, on_reload, self);
+  event_add (self->on_hup, NULL);
   news_start (self);
   event_base_dispatch (self->base);
 }
@@ -131,6 +145,7 @@
   event_free (self->flush);
   event_free (self->on_term);
   event_free (self->on_int);
+  event_free (self->on_hup);
   mailbox_finish (&self->inbox);
   keys_finish (&self->keys);
   g_array_unref (self->out);
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -68,7 +68,10 @@
   proxy_t *proxy;
   mailbox_t inbox; /* proxy_report_t */
   msclock_t clock; /* counts while the machine is suspended */
-  struct event *tick, *flush, *on_term, *on_int;
+  struct event *tick, *flush, *on_term, *on_int, *on_hup;
+  const char *settings_file;
+  struct timespec settings_seen; /* the file's time when it was read */
+  msec_t settings_look;
   rng_t rng;
   uint64_t life;
   bool stopping;
@@ -94,9 +97,10 @@
   uint32_t hosts;         /* that share the budget of repeats; 0: not known */
 } coordinator_t;
 
-/* Opens the loop.  The store and the proxy come by coordinator_attach. */
+/* Opens the loop.  SETTINGS_FILE is looked at for changes.  The store and the proxy come by coordinator_attach. */
 status_t coordinator_init (coordinator_t *self,
                            const router_settings_t *settings,
+                           const char *settings_file,
                            const deployment_ops_t *deployment,
                            fault_t *fault);
 void coordinator_attach (coordinator_t *self, store_t *store, proxy_t *proxy);
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -48,6 +48,13 @@
 /* Whether the granter was heard lately, or is this host. */
 bool peers_have_news (const coordinator_t *self);
 
+/* reload.c: the settings file changes. */
+void reload_init (coordinator_t *self);
+void reload_settings (coordinator_t *self);
+
+/* The file may change without a signal. */
+void reload_step (coordinator_t *self, msec_t now);
+
 /* grants.c: what the granter decides. */
 void grants_tell (coordinator_t *self, const keys_msg_t *msg);
 void grants_finish (coordinator_t *self);
--- /dev/null
+++ b/packages/coordinator/reload.c
@@ -0,0 +1,82 @@
+#include "coordinator_parts.h"
+
+#include "../core/eventlog.h"
+
+#include <sys/stat.h>
+
+/* Tells one change of the file from another; its time has no finer grain than it needs. */
+static bool
+has_changed (coordinator_t *self)
+{
+  struct stat now;
+
+  if (stat (self->settings_file, &now) != 0)
+    return false; /* it is being replaced; the next look finds it */
+  bool changed = now.st_mtim.tv_sec != self->settings_seen.tv_sec
+                 || now.st_mtim.tv_nsec != self->settings_seen.tv_nsec;
+  self->settings_seen = now.st_mtim;
+  return changed;
+}
+
+static bool
+same_addresses (const router_settings_t *a, const router_settings_t *b)
+{
+  return name_equal (&a->callers, &b->callers) && name_equal (&a->ready, &b->ready)
+         && name_equal (&a->peers, &b->peers) && name_equal (&a->store, &b->store)
+         && name_equal (&a->host, &b->host)
+         && name_equal (&a->data_centre, &b->data_centre);
+}
+
+void
+reload_settings (coordinator_t *self)
+{
+  router_settings_t fresh;
+  fault_t fault;
+  form_t form;
+  proxy_msg_t *msg;
+
+  fault_clear (&fault);
+  status_t status = router_settings_load (&fresh, self->settings_file, &form, &fault);
+  for (guint i = 0; status == STATUS_SETTINGS && i < form.faults->len; i++)
+    {
+      const form_fault_t *at = &g_array_index (form.faults, form_fault_t, i);
+      eventlog_write (EVENT_BELIEF,
+                      "process",
+                      "settings_fault",
+                      "line=%d field=%s expected=\"%s\"",
+                      at->line,
+                      at->field,
+                      at->expected);
+    }
+  form_finish (&form);
+  eventlog_write (EVENT_BELIEF,
+                  "process",
+                  status == STATUS_OK ? "reloaded" : "reload_rejected",
+                  "file=%s restart_needed=%d why=\"%.*s\"",
+                  self->settings_file,
+                  status == STATUS_OK && !same_addresses (&fresh, self->settings),
+                  TEXT_ARG (fault_text (&fault)));
+  if (status != STATUS_OK)
+    return;
+  self->keys.hold_max = fresh.bounds.hold_max_ms;
+  msg = g_new0 (proxy_msg_t, 1);
+  msg->kind = PROXY_BOUNDS;
+  msg->bounds = fresh.bounds;
+  news_post (self, msg);
+}
+
+void
+reload_step (coordinator_t *self, msec_t now)
+{
+  if (now < self->settings_look)
+    return;
+  self->settings_look = now + SETTINGS_LOOK_MS;
+  if (has_changed (self))
+    reload_settings (self);
+}
+
+void
+reload_init (coordinator_t *self)
+{
+  has_changed (self);
+}
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -168,6 +168,8 @@
 #define CALL_IDLE_MS 8000       /* a target that tells no Keep-Alive time */
 #define CALL_IDLE_MARGIN_MS 700 /* before the time that the target told */
 #define CALL_IDLE_MAX 6         /* connections kept for one target */
+/* Of the connections that a target accepts, over all hosts. */
+#define CALL_IDLE_PERCENT 60
 #define CALL_SILENT_MS 1500     /* unacknowledged bytes: the peer is gone */
 #define PROXY_MAILBOX 256
 #define PROXY_LOADS_MS 1000       /* how often loads of keys are told */
@@ -231,3 +233,5 @@
 /* Feeds of the store's tables. */
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
 #define FEED_REST_MS 500   /* between looks whether a resting feed is wanted again */
+
+#define SETTINGS_LOOK_MS 2000 /* between looks at the settings file */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -259,6 +259,7 @@
       uint32_t index;
       dispatch_service_t *service = find_or_add_service (self, entry, &index);
       service->keyed = entry->keyed;
+      service->connections = entry->connections;
       g_array_index (self->service_of, uint32_t, i) = index;
     }
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -178,6 +178,7 @@
   name_t name;
   bool configured;
   bool keyed;
+  uint32_t connections; /* that a target accepts from all hosts; 0: not told */
   budget_t budget;
   key_table_t keys;
   GQueue waiting; /* dispatch_request_t, in order of arrival */
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -163,6 +163,17 @@
   g_string_free (text, TRUE);
 }
 
+/* Idle connections to one target: this host's share of those that it accepts, less those
+ * that are in use. */
+static uint32_t
+idle_limit (const proxy_t *proxy, const dispatch_target_t *target)
+{
+  uint32_t all = dispatch_service (&proxy->dispatch, target->service)->connections;
+  uint32_t share = all * CALL_IDLE_PERCENT / 100 / MAX (proxy->hosts, 1);
+
+  return all == 0 ? CALL_IDLE_MAX : CLAMP (share, 1, CALL_IDLE_MAX);
+}
+
 static void
 keep_or_close (call_t *self, bool extra)
 {
@@ -174,7 +185,7 @@
 
   TAILQ_FOREACH (other, list, link)
     kept++;
-  if (extra || self->spoilt || !self->alive || kept >= CALL_IDLE_MAX || proxy->draining
+  if (extra || self->spoilt || !self->alive || kept >= idle_limit (proxy, target) || proxy->draining
       || !target->used || evbuffer_get_length (bufferevent_get_output (self->bev)) > 0)
     {
       free_call (self);
