--- a/bin/router.c
+++ b/bin/router.c
@@ -28,8 +28,7 @@
 
   fault_clear (&fault);
   status_t status
-      = coordinator_init (
-      coordinator, settings, file, &platform_deployment, &fault);
+      = coordinator_init (coordinator, settings, file, &platform_deployment, &fault);
   if (status == STATUS_OK)
     status = proxy_init (proxy, settings, &platform_dialect, &coordinator->inbox, &fault);
   if (status != STATUS_OK)
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -65,6 +65,7 @@
   const deployment_ops_t *deployment;
   struct event_base *base;
   store_t *store;
+  bool store_away; /* the last call about the role got no answer */
   proxy_t *proxy;
   mailbox_t inbox; /* proxy_report_t */
   msclock_t clock; /* counts while the machine is suspended */
@@ -87,17 +88,18 @@
   keys_t keys;
   GArray *out; /* keys_out_t */
   role_t role;
-  GHashTable *pools;      /* address to httpc_pool_t */
+  GHashTable *pools; /* address to httpc_pool_t */
 
-  GPtrArray *tables;      /* key_table_t, the newest known of each service */
+  GPtrArray *tables; /* key_table_t, the newest known of each service */
   link_t link;
-  name_t granter;         /* the link's address of the granter; empty: not known */
-  msec_t news_until;      /* its news count until then */
-  GHashTable *reporters;  /* host's name to reporter_t */
-  uint32_t hosts;         /* that share the budget of repeats; 0: not known */
+  name_t granter;        /* the link's address of the granter; empty: not known */
+  msec_t news_until;     /* its news count until then */
+  GHashTable *reporters; /* host's name to reporter_t */
+  uint32_t hosts;        /* that share the budget of repeats; 0: not known */
 } coordinator_t;
 
-/* Opens the loop.  SETTINGS_FILE is looked at for changes.  The store and the proxy come by coordinator_attach. */
+/* Opens the loop.  SETTINGS_FILE is looked at for changes.  The store and the proxy come
+ * by coordinator_attach. */
 status_t coordinator_init (coordinator_t *self,
                            const router_settings_t *settings,
                            const char *settings_file,
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -12,6 +12,12 @@
 /* Lets targets go whose rows have been missing long enough, and tells of changes. */
 void news_step (coordinator_t *self, msec_t now);
 
+/* The granter knows rows up to these versions: a feed that stays behind asks anew. */
+void news_compare (coordinator_t *self, uint64_t configuration_row, uint64_t targets_row);
+
+/* The store answers again: whatever was asked while it was away is asked anew. */
+void news_ask_anew (coordinator_t *self);
+
 /* Whether all that the granter needs was read. */
 bool news_complete (const coordinator_t *self);
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -9,6 +9,13 @@
   return g_get_monotonic_time () / 1000;
 }
 
+/* One call to the store.  A feed that asked anew doesn't listen to the call before. */
+typedef struct feed_call
+{
+  feed_t *feed; /* NULL: nobody listens */
+  msec_t began;
+} feed_call_t;
+
 static void on_reply (void *owner, const store_reply_t *reply);
 
 static void
@@ -16,14 +23,22 @@
 {
   const store_ops_t *ops = self->store->ops;
 
+  self->call = g_new (feed_call_t, 1);
+  *self->call = (feed_call_t){ self, now_ms () };
+
   if (self->watching)
-    ops->watch (self->store, self->table, self->version, STORE_WATCH_MS, on_reply, self);
+    ops->watch (self->store,
+                self->table,
+                self->version,
+                STORE_WATCH_MS,
+                on_reply,
+                self->call);
   else
     ops->read (self->store,
                self->table,
                (text_t){ self->after->str, self->after->len },
                on_reply,
-               self);
+               self->call);
 }
 
 static void call_later (feed_t *self, msec_t wait);
@@ -87,6 +102,13 @@
                   (unsigned long long)reply->version);
 }
 
+static void
+tell_row (feed_t *self, const store_row_t *row)
+{
+  self->newest = MAX (self->newest, row->version);
+  self->ops->row (self->owner, row);
+}
+
 static void
 read_page (feed_t *self, const store_reply_t *reply)
 {
@@ -99,7 +121,7 @@
   for (guint i = 0; i < reply->rows->len; i++)
     {
       const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
-      self->ops->row (self->owner, row);
+      tell_row (self, row);
       g_string_assign (self->after, row->key->str);
     }
   if (reply->more && reply->rows->len > 0)
@@ -110,10 +132,8 @@
 }
 
 static void
-on_reply (void *owner, const store_reply_t *reply)
+take_reply (feed_t *self, const store_reply_t *reply)
 {
-  feed_t *self = owner;
-
   if (reply->outcome == STORE_HISTORY_GONE && self->watching)
     {
       eventlog_write (EVENT_BELIEF,
@@ -135,7 +155,7 @@
   if (self->watching)
     {
       for (guint i = 0; i < reply->rows->len; i++)
-        self->ops->row (self->owner, &g_array_index (reply->rows, store_row_t, i));
+        tell_row (self, &g_array_index (reply->rows, store_row_t, i));
       self->version = MAX (self->version, reply->version);
       if (reply->rows->len > 0)
         self->ops->settled (self->owner, false);
@@ -148,6 +168,35 @@
     go_on (self);
 }
 
+static void
+on_reply (void *owner, const store_reply_t *reply)
+{
+  feed_call_t *call = owner;
+  feed_t *self = call->feed;
+
+  g_free (call);
+  if (self == NULL)
+    return;
+  self->call = NULL;
+  take_reply (self, reply);
+}
+
+void
+feed_ask_anew (feed_t *self, msec_t since)
+{
+  if (self->call == NULL || self->call->began >= since)
+    return;
+  eventlog_write (EVENT_BELIEF,
+                  "store",
+                  "asked_anew",
+                  "feed=%s version=%llu after_ms=%lld",
+                  self->name,
+                  (unsigned long long)self->version,
+                  (long long)(now_ms () - self->call->began));
+  self->call->feed = NULL;
+  call (self);
+}
+
 void
 feed_init (feed_t *self,
            store_t *store,
@@ -176,6 +225,8 @@
 void
 feed_finish (feed_t *self)
 {
+  if (self->call != NULL)
+    self->call->feed = NULL;
   event_free (self->retry);
   g_string_free (self->after, TRUE);
 }
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -30,9 +30,11 @@
   const feed_ops_t *ops;
   void *owner;
   struct event *retry;
+  struct feed_call *call; /* under way; NULL: none, or one that isn't listened to */
   rng_t rng;
   bool watching;    /* else a whole read is due or under way */
   uint64_t version; /* all changes up to this were told */
+  uint64_t newest;  /* version of the newest row that was told */
   GString *after;   /* last key of the page before */
   msec_t pause;     /* before the next try; 0: the last call went well */
   msec_t last_good; /* the last answer came */
@@ -49,5 +51,11 @@
 void feed_start (feed_t *self);
 void feed_finish (feed_t *self);
 
+/*
+ * Asks anew if a call is under way that began before SINCE (ms, monotonic).  A store that
+ * was away may never answer it, though it answers others again.
+ */
+void feed_ask_anew (feed_t *self, msec_t since);
+
 /* The store hasn't failed since, and a whole read was told. */
 bool feed_is_current (const feed_t *self);
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -264,8 +264,7 @@
     return;
   key_table_init (&table, (text_t){ row->key->str, row->key->len });
   table.version = row->version;
-  if (key_rows_read_table (
-          &table, (text_t){ row->value->str, row->value->len }, &fault)
+  if (key_rows_read_table (&table, (text_t){ row->value->str, row->value->len }, &fault)
       == STATUS_OK)
     owners_take (self, &table);
   else
@@ -295,8 +294,9 @@
 
 static const feed_ops_t configuration_ops
     = { configuration_begin, configuration_row, configuration_settled, NULL };
-static const feed_ops_t targets_ops = { targets_begin, targets_row, targets_settled, NULL };
-static const feed_ops_t owners_ops 
+static const feed_ops_t targets_ops
+    = { targets_begin, targets_row, targets_settled, NULL };
+static const feed_ops_t owners_ops
     = { owners_begin, owners_row, owners_settled, owners_wanted };
 
 void
@@ -317,6 +317,33 @@
     tell_targets (self);
 }
 
+static void
+compare (feed_t *feed, uint64_t newest)
+{
+  msec_t now = g_get_monotonic_time () / 1000;
+
+  /* A change takes a moment to arrive everywhere. */
+  if (newest > feed->newest)
+    feed_ask_anew (feed, now - FEED_BEHIND_MS);
+}
+
+void
+news_compare (coordinator_t *self, uint64_t configuration_row, uint64_t targets_row)
+{
+  compare (&self->configuration, configuration_row);
+  compare (&self->targets, targets_row);
+}
+
+void
+news_ask_anew (coordinator_t *self)
+{
+  msec_t now = g_get_monotonic_time () / 1000;
+
+  feed_ask_anew (&self->configuration, now);
+  feed_ask_anew (&self->targets, now);
+  feed_ask_anew (&self->owners, now);
+}
+
 bool
 news_complete (const coordinator_t *self)
 {
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -37,13 +37,14 @@
 static void
 send_news (coordinator_t *self, const name_t *address, const key_table_t *table)
 {
-  link_news_t news
-      = { .host = self->settings->host,
-          .address = self->settings->peers,
-          .life = self->life,
-          .role_left = self->role.until - msclock_now (&self->clock),
-          .hosts = self->hosts,
-          .has_table = table != NULL };
+  link_news_t news = { .host = self->settings->host,
+                       .address = self->settings->peers,
+                       .life = self->life,
+                       .role_left = self->role.until - msclock_now (&self->clock),
+                       .hosts = self->hosts,
+                       .configuration_row = self->configuration.newest,
+                       .targets_row = self->targets.newest,
+                       .has_table = table != NULL };
 
   if (table != NULL)
     news.table = *table;
@@ -105,6 +106,7 @@
   self->news_until = now + MIN (news->role_left, NEWS_KEEP_MS);
   role_heard (self, now + news->role_left);
   post_hosts (self, news->hosts);
+  news_compare (self, news->configuration_row, news->targets_row);
   if (news->has_table)
     owners_take (self, &news->table);
 }
@@ -135,8 +137,7 @@
 bool
 peers_have_news (const coordinator_t *self)
 {
-  return self->role.state == ROLE_HELD
-         || msclock_now (&self->clock) < self->news_until;
+  return self->role.state == ROLE_HELD || msclock_now (&self->clock) < self->news_until;
 }
 
 void
@@ -186,8 +187,10 @@
                  on_message,
                  self))
     return STATUS_OK;
-  return fault_raise (
-      fault, STATUS_IO, "%.*s can't be had", NAME_ARG (self->settings->peers));
+  return fault_raise (fault,
+                      STATUS_IO,
+                      "%.*s can't be had",
+                      NAME_ARG (self->settings->peers));
 }
 
 void
--- a/packages/coordinator/reload.c
+++ b/packages/coordinator/reload.c
@@ -4,7 +4,8 @@
 
 #include <sys/stat.h>
 
-/* Tells one change of the file from another; its time has no finer grain than it needs. */
+/* Tells one change of the file from another; its time has no finer grain than it needs.
+ */
 static bool
 has_changed (coordinator_t *self)
 {
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -13,9 +13,35 @@
   return role->clock + (now - role->clock_asked_at);
 }
 
+/* Takes over the store's clock, and notices when it answers again. */
 static void
-take_clock (role_t *role, const store_reply_t *reply)
+take_reply (coordinator_t *self, const store_reply_t *reply)
 {
+  role_t *role = &self->role;
+
+  if (reply->outcome == STORE_REFUSED || reply->outcome == STORE_UNKNOWN)
+    {
+      if (!self->store_away)
+        eventlog_write (EVENT_BELIEF,
+                        "store",
+                        "lost",
+                        "feed=role outcome=%s why=%s version=%llu",
+                        store_outcome_name (reply->outcome),
+                        reply->why,
+                        (unsigned long long)role->version);
+      self->store_away = true;
+    }
+  else if (self->store_away)
+    {
+      eventlog_write (EVENT_BELIEF,
+                      "store",
+                      "regained",
+                      "feed=role version=%llu newest=%llu",
+                      (unsigned long long)role->version,
+                      (unsigned long long)reply->version);
+      self->store_away = false;
+      news_ask_anew (self);
+    }
   if (reply->outcome != STORE_DONE)
     return;
   role->clock = reply->clock;
@@ -70,7 +96,7 @@
   role->until = 0;
   role->tables_read = false;
   role->next_look
-      = now + ROLE_WATCH_MS / 2 + (msec_t)rng_below (&self->rng, ROLE_WATCH_MS);
+      = now + STORE_RETRY_MS + (msec_t)rng_below (&self->rng, STORE_RETRY_MAX_MS);
   drop_write (role);
   tell_role (self, 0);
 }
@@ -256,7 +282,7 @@
   role_t *role = &self->role;
   msec_t now = msclock_now (&self->clock);
 
-  take_clock (role, reply);
+  take_reply (self, reply);
   if (!role->write.under_way)
     return;
   role->write.reading_back = false;
@@ -289,7 +315,7 @@
   role_t *role = &self->role;
   msec_t now = msclock_now (&self->clock);
 
-  take_clock (role, reply);
+  take_reply (self, reply);
   if (!role->write.under_way)
     return;
   if (self->stopping && role->write.row.until != 0)
@@ -325,14 +351,22 @@
   msec_t now = msclock_now (&self->clock);
 
   role->looking = false;
-  take_clock (role, reply);
-  if (role->state != ROLE_ELSEWHERE || reply->outcome != STORE_DONE || self->stopping)
+  take_reply (self, reply);
+  if (role->state != ROLE_ELSEWHERE || self->stopping)
     return;
+  if (reply->outcome != STORE_DONE)
+    {
+      /* Soon again: its return has to be noticed within what a configuration may take. */
+      role->next_look
+          = now + STORE_RETRY_MS + (msec_t)rng_below (&self->rng, STORE_RETRY_MAX_MS);
+      return;
+    }
   read_row (role, reply);
   if (role->version != 0 && reply->clock <= role->row.until)
     {
       self->granter = role->row.address;
-      role->next_look = MIN (role->next_look, now + role->row.until - reply->clock + ROLE_SPREAD_MS);
+      role->next_look
+          = MIN (role->next_look, now + role->row.until - reply->clock + ROLE_SPREAD_MS);
       return;
     }
   eventlog_write (EVENT_BELIEF,
@@ -399,8 +433,8 @@
 void
 role_heard (coordinator_t *self, msec_t until)
 {
-  self->role.next_look = MAX (
-      self->role.next_look, until + (msec_t)rng_below (&self->rng, ROLE_SPREAD_MS));
+  self->role.next_look = MAX (self->role.next_look,
+                              until + (msec_t)rng_below (&self->rng, ROLE_SPREAD_MS));
 }
 
 void
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -119,8 +119,9 @@
 #define DRAIN_MS 30000
 
 /* The structured log. */
-#define EVENTLOG_BUFFER_BYTES (64 * 1024) /* some 300 lines: more than a burst's second  \
-                                           */
+#define EVENTLOG_BUFFER_BYTES                                                            \
+  (64 * 1024) /* some 300 lines: more than a burst's second                              \
+               */
 #define EVENTLOG_LINE_BYTES 768
 #define EVENTLOG_ROUTINE_PER_S 20 /* a sample of served requests, 5 KB/s at most */
 #define EVENTLOG_FLUSH_MS 500
@@ -135,8 +136,8 @@
 #define DISPATCH_AVOID_MAX_MS 2000
 #define DISPATCH_OWNER_RETRY_MS 150 /* a move is committed and told within this */
 #define DISPATCH_GRANT_MS 10 /* a new owner's grant arrives so long after its table */
-#define DISPATCH_POLL_MS 25          /* how often a waiting request looks again */
-#define DISPATCH_SENDS_MAX 4         /* of one request, those that weren't run included */
+#define DISPATCH_POLL_MS 25  /* how often a waiting request looks again */
+#define DISPATCH_SENDS_MAX 4 /* of one request, those that weren't run included */
 #define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
 #define DISPATCH_SILENCE_FACTOR 4 /* an answer this many times late is taken for lost */
 #define DISPATCH_RETRY_AFTER_MIN_MS 100
@@ -170,11 +171,12 @@
 #define CALL_IDLE_MAX 6         /* connections kept for one target */
 /* Of the connections that a target accepts, over all hosts. */
 #define CALL_IDLE_PERCENT 60
-#define CALL_SILENT_MS 1500     /* unacknowledged bytes: the peer is gone */
+#define CALL_SILENT_MS 1500 /* unacknowledged bytes: the peer is gone */
 #define PROXY_MAILBOX 256
 #define PROXY_LOADS_MS 1000       /* how often loads of keys are told */
 #define PROXY_GRACE_MARGIN_MS 500 /* from the last connection's end to SIGKILL */
-#define PROXY_LEAVE_MS 2600 /* two missed readiness questions, a second apart, and a margin */
+#define PROXY_LEAVE_MS                                                                   \
+  2600 /* two missed readiness questions, a second apart, and a margin */
 #define PROXY_DRAIN_TICK_MS 100
 
 /* Owners of keys. */
@@ -190,9 +192,9 @@
 #define KEYS_LAST_ROUND_MS 900
 
 /* Moving keys by load. */
-#define KEYS_PLAN_MS 500          /* how often loads are weighed */
-#define KEYS_LOAD_KEEP 0.85       /* of the loads from one plan to the next: some 3 s count */
-#define KEYS_MOVE_SAMPLES 100     /* fewer requests say too little */
+#define KEYS_PLAN_MS 500      /* how often loads are weighed */
+#define KEYS_LOAD_KEEP 0.85   /* of the loads from one plan to the next: some 3 s count */
+#define KEYS_MOVE_SAMPLES 100 /* fewer requests say too little */
 #define KEYS_MOVE_USE_PERCENT 130 /* of the mean use: such a target gives keys away */
 #define KEYS_MOVE_GAP_PERCENT 50  /* of the mean use, between giver and taker */
 #define KEYS_MOVES_MAX 6          /* under way at a time: requests for them wait */
@@ -208,8 +210,8 @@
 #define ROLE_MARGIN_MS 100 /* from the check to the grant's last byte */
 
 /* The store's client. */
-#define STORE_CALL_MS 1200 /* the slowest answers of a working store come after 0.4 s */
-#define STORE_WATCH_MS 20000
+#define STORE_CALL_MS 1200   /* the slowest answers of a working store come after 0.4 s */
+#define STORE_WATCH_MS 10000 /* the longest that a change may stay untold unnoticed */
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MAX_MS 1000
 #define STORE_LAPSE_MS 2500 /* entries that lapsed in an outage are back 2 s after it */
@@ -232,6 +234,7 @@
 
 /* Feeds of the store's tables. */
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
+#define FEED_BEHIND_MS 700 /* a watch that missed a change for so long is stale */
 #define FEED_REST_MS 500   /* between looks whether a resting feed is wanted again */
 
 #define SETTINGS_LOOK_MS 2000 /* between looks at the settings file */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -92,18 +92,33 @@
   request->due = until;
 }
 
-/* When a request that was sent is looked at again, in case its answer was lost. */
+/* An answer that doesn't come until then is taken for lost, if another target is free. */
 static msec_t
-silence_limit (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
+silent_from (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
 {
   const dispatch_target_t *target = target_at (self, (uint32_t)request->target);
-  msec_t last = request->deadline + DISPATCH_LAST_ANSWER_MS;
-  msec_t patience = MAX (DISPATCH_SILENCE_FACTOR * target_expected (target, now),
-                         request->objective - request->arrived);
 
-  if (request->kind == KIND_MUTATING || request->runs >= request->runs_max)
-    return last;
-  return MIN (MAX (request->sent_at + patience, now + DISPATCH_POLL_MS), last);
+  return request->sent_at
+         + MAX (DISPATCH_SILENCE_FACTOR * target_expected (target, now),
+                request->objective - request->arrived);
+}
+
+/* The last moment at which an answer is waited for. */
+static msec_t
+last_answer (const dispatch_request_t *request)
+{
+  return request->deadline + DISPATCH_LAST_ANSWER_MS;
+}
+
+/* When a request that was sent is looked at again. */
+static msec_t
+next_look (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  if (request->kind == KIND_MUTATING || request->keyed
+      || request->runs >= request->runs_max)
+    return last_answer (request);
+  return MIN (MAX (silent_from (self, request, now), now + DISPATCH_POLL_MS),
+              last_answer (request));
 }
 
 static void
@@ -123,7 +138,7 @@
   request->sent_at = now;
   to->in_flight++;
   request->load_at_send = target_load (to, now);
-  request->due = silence_limit (self, request, now);
+  request->due = next_look (self, request, now);
   dispatch_out_t out_send = { .kind = DISPATCH_SEND,
                               .request = request,
                               .target = target,
@@ -491,7 +506,8 @@
   dispatch_reason_t reason;
   dispatch_request_t probe = *request;
 
-  if (self->draining || request->keyed || now < silence_limit (self, request, now))
+  if (self->draining || request->kind == KIND_MUTATING || request->keyed
+      || request->runs >= request->runs_max || now < silent_from (self, request, now))
     return false;
   probe.last_failed = request->target;
   int other = targets_pick (self, &probe, now, &reason);
@@ -505,13 +521,11 @@
 static void
 come_due (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
 {
-  msec_t last = request->deadline + DISPATCH_LAST_ANSWER_MS;
-
   if (request->state == REQUEST_WAITING)
     proceed (self, request, now, out);
   if (request->state != REQUEST_SENT || now < request->due)
     return;
-  if (now >= last)
+  if (now >= last_answer (request))
     {
       cancel (self, request, out);
       end (self, request, REASON_TIME, now, out);
@@ -523,7 +537,7 @@
       send_again (self, request, REASON_LOST, now, now, out);
     }
   else
-    request->due = MIN (MAX (silence_limit (self, request, now), now + DISPATCH_POLL_MS), last);
+    request->due = next_look (self, request, now);
 }
 
 void
@@ -581,9 +595,7 @@
 }
 
 void
-dispatch_init (dispatch_t *self,
-               text_t data_centre,
-               uint64_t seed)
+dispatch_init (dispatch_t *self, text_t data_centre, uint64_t seed)
 {
   *self = (dispatch_t){
     .service_of = g_array_new (FALSE, TRUE, sizeof (uint32_t)),
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -167,7 +167,7 @@
   uint32_t work_ms; /* moving average of its work on one request */
   uint32_t failures;
   msec_t avoid_until;
-  bool replaced; /* another target has its address; it is over */
+  bool replaced;            /* another target has its address; it is over */
   uint32_t errors_permille; /* moving average of failures among its answers */
   msec_t warm_at;
   msec_t leaving_at; /* it was first seen to leave; MSEC_NEVER: it isn't leaving */
@@ -199,9 +199,7 @@
   bool draining;
 } dispatch_t;
 
-void dispatch_init (dispatch_t *self,
-                    text_t data_centre,
-                    uint64_t seed);
+void dispatch_init (dispatch_t *self, text_t data_centre, uint64_t seed);
 
 /* Takes MSG at time NOW and appends dispatch_out_t to OUT. */
 void
--- a/packages/http/http_reader.c
+++ b/packages/http/http_reader.c
@@ -83,6 +83,19 @@
   return 0;
 }
 
+/* The library lets spaces in names pass, which others read as another header. */
+static bool
+has_spaced_name (const http_head_t *head)
+{
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      text_t name = http_head_name (head, i);
+      if (memchr (name.at, ' ', name.len) != NULL)
+        return true;
+    }
+  return false;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -99,6 +112,8 @@
           && g_ascii_isspace (head->bytes->str[field->value_at + field->value_len - 1]))
         field->value_len--;
     }
+  if (has_spaced_name (head))
+    return -1;
   head->method = parser->method;
   head->status = parser->status_code;
   head->old = parser->http_major == 1 && parser->http_minor == 0;
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -8,7 +8,7 @@
 {
   const target_entry_t *target;
   double load;
-  double work;  /* for one request, times the mean target's */
+  double work; /* for one request, times the mean target's */
   uint32_t keys;
 } key_bearer_t;
 
@@ -92,7 +92,8 @@
 static const name_t *
 bearer_of (const key_span_t *span)
 {
-  return span->state == RUN_LEAVING || span->state == RUN_FREE ? &span->next : &span->owner;
+  return span->state == RUN_LEAVING || span->state == RUN_FREE ? &span->next
+                                                               : &span->owner;
 }
 
 static uint32_t
@@ -105,7 +106,8 @@
   return work;
 }
 
-/* Sets each target's work in units of the mean; one that is unknown counts as the mean. */
+/* Sets each target's work in units of the mean; one that is unknown counts as the mean.
+ */
 static void
 weigh_work (const key_service_t *self, GArray *bearers)
 {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -109,7 +109,7 @@
   bool committing;
   msec_t joined_at; /* the last target joined */
   msec_t plan_at;
-  GArray *spans;           /* key_span_t, without gaps, ascending */
+  GArray *spans;              /* key_span_t, without gaps, ascending */
   double loads[KEY_STEPS];    /* decayed counts of requests */
   double sums[KEY_STEPS + 1]; /* of the loads below a step, as of the last plan */
   GHashTable *work_ms;        /* target's id to what it takes for one request */
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -3,7 +3,7 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define CODEC_VERSION 1
+#define CODEC_VERSION 2
 #define LOADS_MAX 4096
 #define RUNS_MAX 4096
 
@@ -76,12 +76,14 @@
   GByteArray *bytes = g_byte_array_new ();
   msgpack_packer packer;
 
-  pack_start (&packer, bytes, LINK_NEWS, 6);
+  pack_start (&packer, bytes, LINK_NEWS, 8);
   pack_name (&packer, &news->host);
   pack_name (&packer, &news->address);
   msgpack_pack_uint64 (&packer, news->life);
   msgpack_pack_uint64 (&packer, (uint64_t)MAX (news->role_left, 0));
   msgpack_pack_uint32 (&packer, news->hosts);
+  msgpack_pack_uint64 (&packer, news->configuration_row);
+  msgpack_pack_uint64 (&packer, news->targets_row);
   if (news->has_table)
     pack_table (&packer, &news->table);
   else
@@ -188,6 +190,8 @@
   news->life = take_number (fields, UINT64_MAX);
   news->role_left = (msec_t)take_number (fields, 1000 * 1000);
   news->hosts = (uint32_t)take_number (fields, UINT32_MAX);
+  news->configuration_row = take_number (fields, UINT64_MAX);
+  news->targets_row = take_number (fields, UINT64_MAX);
   const msgpack_object *table = next (fields);
   if (!fields->ok)
     return false;
@@ -218,7 +222,10 @@
   if (ok)
     return STATUS_OK;
   link_msg_finish (msg);
-  return fault_raise (fault, STATUS_DECODE, "a message of %zu bytes is malformed", bytes.len);
+  return fault_raise (fault,
+                      STATUS_DECODE,
+                      "a message of %zu bytes is malformed",
+                      bytes.len);
 }
 
 void
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -25,8 +25,9 @@
   name_t host; /* the granter */
   name_t address;
   uint64_t life;
-  msec_t role_left; /* its role lasts at least so much longer */
-  uint32_t hosts;   /* that it hears of, itself included */
+  msec_t role_left;                        /* its role lasts at least so much longer */
+  uint32_t hosts;                          /* that it hears of, itself included */
+  uint64_t configuration_row, targets_row; /* versions of the newest rows that it knows */
   bool has_table;
   key_table_t table;
 } link_news_t;
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -185,8 +185,9 @@
 
   TAILQ_FOREACH (other, list, link)
     kept++;
-  if (extra || self->spoilt || !self->alive || kept >= idle_limit (proxy, target) || proxy->draining
-      || !target->used || evbuffer_get_length (bufferevent_get_output (self->bev)) > 0)
+  if (extra || self->spoilt || !self->alive || kept >= idle_limit (proxy, target)
+      || proxy->draining || !target->used
+      || evbuffer_get_length (bufferevent_get_output (self->bev)) > 0)
     {
       free_call (self);
       return;
@@ -208,10 +209,12 @@
 static dispatch_answer_t
 answer_kind (const call_t *self)
 {
-  const dispatch_target_t *target = dispatch_target (&self->proxy->dispatch, self->target);
+  const dispatch_target_t *target
+      = dispatch_target (&self->proxy->dispatch, self->target);
   text_t who = self->facts.target;
 
-  if (self->status == 421 && who.len > 0 && !text_equal (who, name_text (&target->entry.id)))
+  if (self->status == 421 && who.len > 0
+      && !text_equal (who, name_text (&target->entry.id)))
     return ANSWER_STRANGER;
   if (self->status == 421)
     return ANSWER_NOT_OWNER;
--- a/packages/proxy/dialect.h
+++ b/packages/proxy/dialect.h
@@ -20,10 +20,10 @@
 
 typedef struct
 {
-  text_t id;    /* of the request that it answers */
+  text_t id;     /* of the request that it answers */
   text_t target; /* that gave the answer; empty: not told */
-  bool not_run; /* the target says that it didn't run the request */
-  bool encoded; /* the body isn't the target's plain bytes */
+  bool not_run;  /* the target says that it didn't run the request */
+  bool encoded;  /* the body isn't the target's plain bytes */
   load_report_t load;
   msec_t keep_alive; /* the target closes an idle connection then; -1: not told */
 } answer_facts_t;
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -186,7 +186,8 @@
 {
   if (self->draining)
     return;
-  const struct timeval beat = { PROXY_DRAIN_TICK_MS / 1000, PROXY_DRAIN_TICK_MS % 1000 * 1000 };
+  const struct timeval beat
+      = { PROXY_DRAIN_TICK_MS / 1000, PROXY_DRAIN_TICK_MS % 1000 * 1000 };
   const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN };
   self->draining = true;
   proxy_decide (self, &drain);
@@ -442,7 +443,6 @@
             mailbox_t *coordinator,
             fault_t *fault)
 {
-  
 
   *self = (proxy_t){ .settings = settings,
                      .dialect = dialect,
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -20,12 +20,12 @@
 
 typedef enum
 {
-  PROXY_DIRECTORY,    /* DIRECTORY passes on */
-  PROXY_TARGETS,      /* TARGETS passes on */
-  PROXY_KEYS,         /* KEYS passes on */
-  PROXY_HOSTS,   /* HOSTS share the budget of repeats */
-  PROXY_BOUNDS,  /* BOUNDS changed */
-  PROXY_DRAIN,        /* take nothing new, end what is there */
+  PROXY_DIRECTORY, /* DIRECTORY passes on */
+  PROXY_TARGETS,   /* TARGETS passes on */
+  PROXY_KEYS,      /* KEYS passes on */
+  PROXY_HOSTS,     /* HOSTS share the budget of repeats */
+  PROXY_BOUNDS,    /* BOUNDS changed */
+  PROXY_DRAIN,     /* take nothing new, end what is there */
 } proxy_msg_kind_t;
 
 typedef struct
@@ -84,7 +84,7 @@
   router_bounds_t bounds;
   msec_t leave_at;    /* draining: idle connections end then */
   msec_t drain_until; /* and all others then */
-  bool keys_missing; /* a keyed service has no table yet */
+  bool keys_missing;  /* a keyed service has no table yet */
   proxy_counts_t counts;
 } proxy_t;
 
