--- a/packages/keys/key_rows.c
+++ b/packages/keys/key_rows.c
@@ -54,7 +54,8 @@
                       .last = (uint32_t)last,
                       .fence = (uint64_t)fence,
                       .born = (uint64_t)born };
-  return first >= 0 && last >= first && last <= KEY_LAST && fence > 0
+  return first >= 0 && last >= first && last <= KEY_LAST && fence > 0 && born >= 0
+         && json_string_length (target) > 0 && json_string_length (address) > 0
          && name_set (&run->target, json_text (target))
          && name_set (&run->address, json_text (address));
 }
--- /dev/null
+++ b/packages/link/tests/test_link.c
@@ -0,0 +1,168 @@
+#include "../link.h"
+#include "../link_codec.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+#include <string.h>
+
+static link_report_t
+make_report (void)
+{
+  link_report_t report = { .life = 3, .table_version = 9 };
+  const key_load_t loads[] = { { 1, 5 }, { 4000, 70000 } };
+
+  name_set (&report.host, TEXT ("host"));
+  name_set (&report.address, TEXT ("10.0.0.1:70"));
+  name_set (&report.service, TEXT ("s"));
+  report.loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
+  g_array_append_vals (report.loads, loads, G_N_ELEMENTS (loads));
+  return report;
+}
+
+static link_news_t
+make_news (void)
+{
+  link_news_t news = { .life = 3, .role_left = 900, .hosts = 8, .has_table = true };
+  key_run_t run = { .last = KEY_LAST, .fence = 4, .born = 5 };
+
+  news.configuration_row = 11;
+  news.targets_row = 12;
+  name_set (&news.host, TEXT ("host"));
+  name_set (&news.address, TEXT ("10.0.0.1:70"));
+  key_table_init (&news.table, TEXT ("s"));
+  news.table.version = 77;
+  name_set (&run.target, TEXT ("t"));
+  name_set (&run.address, TEXT ("10.0.0.2:80"));
+  g_array_append_val (news.table.runs, run);
+  return news;
+}
+
+static status_t
+read_bytes (link_msg_t *msg, const GByteArray *bytes, size_t len)
+{
+  fault_t fault;
+
+  return link_read (msg, (text_t){ (const char *)bytes->data, len }, &fault);
+}
+
+static void
+test_a_report_comes_back (void **state)
+{
+  link_report_t report = make_report ();
+  GByteArray *bytes = link_write_report (&report);
+  link_msg_t msg;
+
+  (void)state;
+  assert_int_equal (read_bytes (&msg, bytes, bytes->len), STATUS_OK);
+  assert_int_equal (msg.kind, LINK_REPORT);
+  assert_int_equal (msg.report.loads->len, 2);
+  for (guint i = 0; i < 2; i++)
+    {
+      const key_load_t *sent = &g_array_index (report.loads, key_load_t, i);
+      const key_load_t *got = &g_array_index (msg.report.loads, key_load_t, i);
+      assert_int_equal (got->step, sent->step);
+      assert_int_equal (got->count, sent->count);
+    }
+  assert_int_equal (msg.report.table_version, 9);
+  link_msg_finish (&msg);
+  for (size_t len = 0; len < bytes->len; len++)
+    assert_int_equal (read_bytes (&msg, bytes, len), STATUS_DECODE);
+  g_byte_array_unref (bytes);
+  g_array_unref (report.loads);
+}
+
+static void
+test_news_come_back (void **state)
+{
+  link_news_t news = make_news ();
+  GByteArray *bytes = link_write_news (&news);
+  link_msg_t msg;
+
+  (void)state;
+  assert_int_equal (read_bytes (&msg, bytes, bytes->len), STATUS_OK);
+  assert_int_equal (msg.kind, LINK_NEWS);
+  assert_int_equal (msg.news.role_left, 900);
+  assert_int_equal (msg.news.targets_row, 12);
+  assert_int_equal (msg.news.table.version, 77);
+  assert_memory_equal (
+      msg.news.table.runs->data, news.table.runs->data, sizeof (key_run_t));
+  link_msg_finish (&msg);
+  for (size_t len = 0; len < bytes->len; len++)
+    assert_int_equal (read_bytes (&msg, bytes, len), STATUS_DECODE);
+  g_byte_array_unref (bytes);
+  key_table_finish (&news.table);
+}
+
+static void
+test_any_changed_byte_is_read_or_rejected (void **state)
+{
+  link_news_t news = make_news ();
+  GByteArray *bytes = link_write_news (&news);
+  link_msg_t msg;
+
+  (void)state;
+  for (guint at = 0; at < bytes->len; at++)
+    for (int value = 0; value < 256; value++)
+      {
+        guint8 before = bytes->data[at];
+        bytes->data[at] = (guint8)value;
+        if (read_bytes (&msg, bytes, bytes->len) == STATUS_OK)
+          link_msg_finish (&msg);
+        bytes->data[at] = before;
+      }
+  g_byte_array_unref (bytes);
+  key_table_finish (&news.table);
+}
+
+typedef struct
+{
+  struct event_base *base;
+  GString *got;
+} ears_t;
+
+static void
+on_message (void *owner, text_t message)
+{
+  ears_t *ears = owner;
+
+  g_string_append_len (ears->got, message.at, (gssize)message.len);
+  event_base_loopbreak (ears->base);
+}
+
+static void
+test_a_message_arrives_at_the_other_end (void **state)
+{
+  const struct timeval patience = { 10, 0 };
+  ears_t ears = { event_base_new (), g_string_new (NULL) };
+  link_t a, b;
+  char address[32];
+  int port = 30000 + g_random_int_range (0, 20000);
+
+  (void)state;
+  g_snprintf (address, sizeof address, "127.0.0.1:%d", port);
+  assert_true (link_init (&a, ears.base, text_from_c (address), on_message, &ears));
+  g_snprintf (address, sizeof address, "127.0.0.1:%d", port + 1);
+  assert_true (link_init (&b, ears.base, text_from_c (address), on_message, &ears));
+  event_base_loopexit (ears.base, &patience);
+  link_send (&a, text_from_c (address), TEXT ("hello"));
+  event_base_dispatch (ears.base);
+  assert_string_equal (ears.got->str, "hello");
+  link_finish (&a);
+  link_finish (&b);
+  g_string_free (ears.got, TRUE);
+  event_base_free (ears.base);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_report_comes_back),
+    cmocka_unit_test (test_news_come_back),
+    cmocka_unit_test (test_any_changed_byte_is_read_or_rejected),
+    cmocka_unit_test (test_a_message_arrives_at_the_other_end),
+  };
+
+  return cmocka_run_group_tests_name ("link", tests, NULL, NULL);
+}
