--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -640,8 +640,9 @@
   table = stored_table (&world, 4);
   GString *bytes = key_rows_write_table (&table);
   key_table_init (&read, TEXT ("s"));
-  assert_int_equal (key_rows_read_table (&read, (text_t){ bytes->str, bytes->len }, &fault),
-                    STATUS_OK);
+  assert_int_equal (
+      key_rows_read_table (&read, (text_t){ bytes->str, bytes->len }, &fault),
+      STATUS_OK);
   assert_int_equal (read.runs->len, 4);
   assert_memory_equal (read.runs->data, table.runs->data, 4 * sizeof (key_run_t));
   for (size_t len = 0; len < bytes->len; len++)
@@ -651,8 +652,9 @@
   name_set (&role.host, TEXT ("h"));
   name_set (&role.address, TEXT ("10.0.0.1:2"));
   bytes = key_rows_write_role (&role);
-  assert_int_equal (key_rows_read_role (&back, (text_t){ bytes->str, bytes->len }, &fault),
-                    STATUS_OK);
+  assert_int_equal (
+      key_rows_read_role (&back, (text_t){ bytes->str, bytes->len }, &fault),
+      STATUS_OK);
   assert_int_equal (back.until, 13);
   assert_true (name_equal (&back.address, &role.address));
   for (size_t len = 0; len < bytes->len; len++)
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -85,8 +85,9 @@
   assert_int_equal (msg.news.role_left, 900);
   assert_int_equal (msg.news.targets_row, 12);
   assert_int_equal (msg.news.table.version, 77);
-  assert_memory_equal (
-      msg.news.table.runs->data, news.table.runs->data, sizeof (key_run_t));
+  assert_memory_equal (msg.news.table.runs->data,
+                       news.table.runs->data,
+                       sizeof (key_run_t));
   link_msg_finish (&msg);
   for (size_t len = 0; len < bytes->len; len++)
     assert_int_equal (read_bytes (&msg, bytes, len), STATUS_DECODE);
