--- a/bin/router.c
+++ b/bin/router.c
@@ -34,6 +34,8 @@
   if (status != STATUS_OK)
     {
       fprintf (stderr, "chicorywood: %.*s\n", TEXT_ARG (fault_text (&fault)));
+      g_free (proxy);
+      g_free (coordinator);
       return EXIT_START;
     }
   coordinator_attach (
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -153,8 +153,8 @@
 test_smuggling_shapes_are_refused (void **state)
 {
   static const char *const shapes[] = {
-    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: "
-    "chunked\r\n\r\n0\r\n\r\n",
+    ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n0\r\n\r\n"),
     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
     "POST / HTTP/1.1\r\nHost : a\r\n\r\n",
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -432,10 +432,14 @@
 void
 call_forget (proxy_t *proxy, uint32_t target)
 {
-  call_t *call;
+  struct call_list *list = idle_list (proxy, target);
+  call_t *next;
 
-  while ((call = TAILQ_FIRST (idle_list (proxy, target))) != NULL)
-    close_idle (call);
+  for (call_t *call = TAILQ_FIRST (list); call != NULL; call = next)
+    {
+      next = TAILQ_NEXT (call, link);
+      close_idle (call);
+    }
 }
 
 void
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -157,6 +157,7 @@
         refuse_malformed (self, 413, TEXT ("The body is too large."));
       else if (progress == HTTP_COMPLETE)
         {
+          g_assert (self->reading != NULL);
           self->reading->whole = true;
           self->reading = NULL;
         }
