--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -13,7 +13,11 @@
   if (report->ended)
     event_base_loopbreak (self->base);
   else
-    peers_report (self, report);
+    {
+      self->counts = report->counts;
+      if (report->service.len > 0)
+        peers_report (self, report);
+    }
   proxy_report_free (report);
 }
 
@@ -108,7 +112,8 @@
                      g_free,
                      self))
     return fault_raise (fault, STATUS_IO, "no eventfd");
-  return peers_init (self, fault);
+  status_t status = peers_init (self, fault);
+  return status == STATUS_OK ? status_init (self, fault) : status;
 }
 
 void
@@ -136,6 +141,7 @@
 void
 coordinator_finish (coordinator_t *self)
 {
+  status_finish (self);
   grants_finish (self);
   peers_finish (self);
   owners_finish (self);
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -69,6 +69,8 @@
   proxy_t *proxy;
   mailbox_t inbox; /* proxy_report_t */
   msclock_t clock; /* counts while the machine is suspended */
+  struct evhttp *metrics; /* NULL: not served */
+  proxy_counts_t counts;  /* the proxy's last */
   struct event *tick, *flush, *on_term, *on_int, *on_hup;
   const char *settings_file;
   struct timespec settings_seen; /* the file's time when it was read */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -54,6 +54,10 @@
 /* Whether the granter was heard lately, or is this host. */
 bool peers_have_news (const coordinator_t *self);
 
+/* status.c: the metrics page. */
+status_t status_init (coordinator_t *self, fault_t *fault);
+void status_finish (coordinator_t *self);
+
 /* reload.c: the settings file changes. */
 void reload_init (coordinator_t *self);
 void reload_settings (coordinator_t *self);
--- /dev/null
+++ b/packages/coordinator/status.c
@@ -0,0 +1,177 @@
+#include "coordinator_parts.h"
+
+#include "../core/eventlog.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+/*
+ * The page is in the Prometheus text format.  Counters end in _total, times are
+ * in milliseconds.
+ */
+
+#define METRIC "chicorywood_"
+
+static const char *const end_names[] = {
+  [FATE_NOT_RUN] = "not_run",     [FATE_UNKNOWN] = "unknown",
+  [FATE_TIMED_OUT] = "timed_out", [FATE_NO_ROUTE] = "no_route",
+  [FATE_NO_ROUTE + 1] = "answered",
+};
+
+static void
+add_number (struct evbuffer *page, const char *name, uint64_t value)
+{
+  evbuffer_add_printf (page, METRIC "%s %llu\n", name, (unsigned long long)value);
+}
+
+static void
+add_latency (struct evbuffer *page, const service_counts_t *counts)
+{
+  uint64_t sum = 0;
+
+  for (int i = 0; i < METRICS_BUCKETS; i++)
+    {
+      char bound[24] = "+Inf";
+      sum += counts->latency[i];
+      if (i < METRICS_BUCKETS - 1)
+        g_snprintf (bound, sizeof bound, "%d", 1 << i);
+      evbuffer_add_printf (page,
+                           METRIC "latency_ms_bucket{service=\"%.*s\",le=\"%s\"} %llu\n",
+                           NAME_ARG (counts->service),
+                           bound,
+                           (unsigned long long)sum);
+    }
+  evbuffer_add_printf (page,
+                       METRIC "latency_ms_sum{service=\"%.*s\"} %llu\n"
+                       METRIC "latency_ms_count{service=\"%.*s\"} %llu\n",
+                       NAME_ARG (counts->service),
+                       (unsigned long long)counts->latency_sum_ms,
+                       NAME_ARG (counts->service),
+                       (unsigned long long)sum);
+}
+
+static void
+add_requests (struct evbuffer *page, const proxy_counts_t *counts)
+{
+  add_number (page, "requests_total", counts->requests);
+  add_number (page, "callers_left_total", counts->callers_left);
+  add_number (page, "bad_requests_total", counts->bad_requests);
+  add_number (page, "sends_total", counts->sends);
+  add_number (page, "repeats_total", counts->repeats);
+  add_number (page, "repeats_left", counts->repeats_left);
+  add_number (page, "target_connections_total", counts->connections);
+  add_number (page, "stray_answers_total", counts->strays);
+  add_number (page, "caller_connections", counts->callers);
+  add_number (page, "requests_waiting", counts->waiting);
+  for (int i = 0; i < SERVICE_MAX; i++)
+    {
+      const service_counts_t *service = &counts->services[i];
+      if (i > 0 && service->service.len == 0)
+        continue;
+      for (guint end = 0; end < G_N_ELEMENTS (end_names); end++)
+        evbuffer_add_printf (page,
+                             METRIC "requests_ended_total{service=\"%.*s\",end=\"%s\"} %llu\n",
+                             NAME_ARG (service->service),
+                             end_names[end],
+                             (unsigned long long)service->ends[end]);
+      if (i > 0)
+        add_latency (page, service);
+    }
+}
+
+static void
+add_targets (struct evbuffer *page, coordinator_t *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t ready = 0, leaving = 0;
+
+  g_hash_table_iter_init (&iter, self->known);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const known_target_t *target = value;
+      ready += !target->entry.leaving;
+      leaving += target->entry.leaving;
+    }
+  add_number (page, "targets_ready", ready);
+  add_number (page, "targets_leaving", leaving);
+}
+
+static void
+add_beliefs (struct evbuffer *page, coordinator_t *self)
+{
+  msec_t now = msclock_now (&self->clock);
+  msec_t steady = g_get_monotonic_time () / 1000;
+
+  add_number (page, "configuration_version", self->directory_version);
+  add_number (page,
+              "configuration_age_ms",
+              (uint64_t)MAX (steady - self->configuration.last_good, 0));
+  add_number (page, "targets_age_ms", (uint64_t)MAX (steady - self->targets.last_good, 0));
+  add_number (page, "store_calls_total", self->store->calls);
+  add_number (page, "store_away", self->store_away);
+  add_number (page, "granter", self->role.state == ROLE_HELD);
+  add_number (page, "granter_lease_left_ms", (uint64_t)MAX (self->role.until - now, 0));
+  add_number (page, "granter_news_left_ms", (uint64_t)MAX (self->news_until - now, 0));
+  add_number (page, "hosts", self->hosts);
+  add_number (page, "next_fence", self->keys.next_fence);
+  for (guint i = 0; self->tables != NULL && i < self->tables->len; i++)
+    {
+      const key_table_t *table = g_ptr_array_index (self->tables, i);
+      evbuffer_add_printf (page,
+                           METRIC "owners_version{service=\"%.*s\"} %llu\n"
+                           METRIC "owners_runs{service=\"%.*s\"} %u\n",
+                           NAME_ARG (table->service),
+                           (unsigned long long)table->version,
+                           NAME_ARG (table->service),
+                           table->runs->len);
+    }
+  add_number (page, "link_sent_total", self->link.sent);
+  add_number (page, "link_dropped_total", self->link.dropped);
+  add_number (page, "link_received_total", self->link.received);
+  add_number (page, "log_lines_lost_total", eventlog_lost ());
+}
+
+static void
+on_request (struct evhttp_request *request, void *arg)
+{
+  coordinator_t *self = arg;
+  struct evbuffer *page = evbuffer_new ();
+
+  add_requests (page, &self->counts);
+  add_targets (page, self);
+  add_beliefs (page, self);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type",
+                     "text/plain; version=0.0.4");
+  evhttp_send_reply (request, 200, "OK", page);
+  evbuffer_free (page);
+}
+
+status_t
+status_init (coordinator_t *self, fault_t *fault)
+{
+  const router_settings_t *settings = self->settings;
+  text_t port;
+  text_t host = text_split (name_text (&settings->metrics), ':', &port);
+
+  if (host.len == 0)
+    return STATUS_OK;
+  char *address = text_dup_c (host);
+  self->metrics = evhttp_new (self->base);
+  evhttp_set_gencb (self->metrics, on_request, self);
+  int bound = evhttp_bind_socket (
+      self->metrics, address, ntohs (settings->metrics_address.sin_port));
+  g_free (address);
+  if (bound == 0)
+    return STATUS_OK;
+  return fault_raise (
+      fault, STATUS_IO, "%.*s can't be had", NAME_ARG (settings->metrics));
+}
+
+void
+status_finish (coordinator_t *self)
+{
+  if (self->metrics != NULL)
+    evhttp_free (self->metrics);
+}
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -43,37 +43,51 @@
       (long long)out->retry_after);
 }
 
+/* Counts the request under its service; services beyond the table share its last entry. */
+static service_counts_t *
+counts_of (proxy_t *self, const dispatch_request_t *request)
+{
+  uint32_t i = MIN (request->service + 1, SERVICE_MAX - 1);
+  bool routed = request->reason != REASON_NO_ROUTE
+                && request->reason != REASON_NO_CONFIGURATION;
+
+  if (!routed)
+    return &self->counts.services[0];
+  self->counts.services[i].service
+      = dispatch_service (&self->dispatch, request->service)->name;
+  return &self->counts.services[i];
+}
+
 static void
-count_latency (proxy_t *self, msec_t spent)
+count_answer (proxy_t *self, const dispatch_request_t *request)
 {
+  service_counts_t *counts = counts_of (self, request);
+  msec_t spent = msclock_now (&self->clock) - request->arrived;
   uint32_t bucket = 0;
 
   while (bucket < METRICS_BUCKETS - 1 && spent > (msec_t)1 << bucket)
     bucket++;
-  self->counts.latency[bucket]++;
+  counts->ends[FATE_NO_ROUTE + 1]++;
+  counts->latency[bucket]++;
+  counts->latency_sum_ms += (uint64_t)spent;
 }
 
 static void
 answer_by_fate (exchange_t *self, const dispatch_out_t *out)
 {
-  proxy_counts_t *counts = &self->proxy->counts;
-
+  counts_of (self->proxy, &self->request)->ends[out->fate]++;
   switch (out->fate)
     {
     case FATE_NOT_RUN:
-      counts->not_run++;
       exchange_answer (self, 503, TEXT ("Not run; come back later.\n"), out->retry_after);
       break;
     case FATE_UNKNOWN:
-      counts->unknown++;
       exchange_answer (self, 502, TEXT ("No whole answer from the service.\n"), 0);
       break;
     case FATE_TIMED_OUT:
-      counts->timed_out++;
       exchange_answer (self, 504, TEXT ("No answer in time.\n"), 0);
       break;
     case FATE_NO_ROUTE:
-      counts->no_route++;
       exchange_answer (self, 404, TEXT ("No route.\n"), 0);
       break;
     }
@@ -123,8 +137,7 @@
         call_cancel (exchange->call);
       break;
     case DISPATCH_DELIVER:
-      self->counts.answered++;
-      count_latency (self, msclock_now (&self->clock) - exchange->request.arrived);
+      count_answer (self, &exchange->request);
       conclude (exchange, out);
       break;
     case DISPATCH_END:
@@ -319,24 +332,56 @@
   g_free (report);
 }
 
-/* Tells the coordinator what keys were asked for, and starts counting anew. */
 static void
-tell_loads (proxy_t *self)
+post_report (proxy_t *self, proxy_report_t *report)
 {
+  if (self->coordinator != NULL && mailbox_post (self->coordinator, report))
+    return;
+  eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
+  proxy_report_free (report);
+}
+
+static void
+take_gauges (proxy_t *self)
+{
+  msec_t now = msclock_now (&self->clock);
+
+  self->counts.callers = self->n_callers;
+  self->counts.waiting = 0;
+  self->counts.repeats_left = 0;
+  for (guint i = 0; i < self->dispatch.services->len; i++)
+    {
+      dispatch_service_t *service = g_ptr_array_index (self->dispatch.services, i);
+      self->counts.waiting += service->waiting.length;
+      self->counts.repeats_left += budget_left (&service->budget, now);
+    }
+}
+
+/* Tells the coordinator what was counted, and starts counting keys anew. */
+static void
+tell_report (proxy_t *self)
+{
+  bool told = false;
+
+  take_gauges (self);
   for (guint i = 0; i < self->dispatch.services->len; i++)
     {
       const dispatch_service_t *service = dispatch_service (&self->dispatch, i);
       if (!service->keyed)
         continue;
       proxy_report_t *report = g_new0 (proxy_report_t, 1);
+      report->counts = self->counts;
       report->service = service->name;
       report->loads = take_loads (service);
       report->speeds = list_speeds (self, i);
-      if (self->coordinator != NULL && mailbox_post (self->coordinator, report))
-        continue;
-      eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
-      proxy_report_free (report);
+      post_report (self, report);
+      told = true;
     }
+  if (told)
+    return;
+  proxy_report_t *report = g_new0 (proxy_report_t, 1);
+  report->counts = self->counts;
+  post_report (self, report);
 }
 
 /* Ends connections without a request once the platform had time to hear of the leaving,
@@ -372,7 +417,7 @@
 
   (void)fd;
   (void)what;
-  tell_loads (self);
+  tell_report (self);
   if (self->draining)
     drain_step (self, now);
 }
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -38,10 +38,30 @@
   router_bounds_t bounds;
 } proxy_msg_t;
 
+/* How requests of one service ended. */
+typedef struct
+{
+  name_t service; /* empty: requests that reached no service */
+  uint64_t ends[FATE_NO_ROUTE + 2];  /* by dispatch_fate_t; the last: answered */
+  uint64_t latency[METRICS_BUCKETS]; /* of answered ones; bounds as in metrics.h */
+  uint64_t latency_sum_ms;
+} service_counts_t;
+
+/* Counters of one proxy since its start. */
+typedef struct
+{
+  uint64_t requests, callers_left, sends, repeats, connections, bad_requests, strays;
+  uint64_t callers;      /* connections open now */
+  uint64_t waiting;      /* requests that wait at the host now */
+  uint64_t repeats_left; /* in the budgets now */
+  service_counts_t services[SERVICE_MAX];
+} proxy_counts_t;
+
 /* To the coordinator. */
 typedef struct
 {
-  bool ended; /* the proxy has drained; nothing else is told */
+  bool ended;             /* the proxy has drained; nothing else is told */
+  proxy_counts_t counts;
   name_t service;
   GArray *loads;  /* key_load_t since the last report; passes on */
   GArray *speeds; /* target_speed_t; passes on */
@@ -54,13 +74,6 @@
 TAILQ_HEAD (caller_list, caller);
 TAILQ_HEAD (call_list, call);
 
-/* Counters that the status page shows. */
-typedef struct
-{
-  uint64_t requests, answered, not_run, unknown, timed_out, no_route, callers_left;
-  uint64_t sends, repeats, connections, bad_requests, strays;
-  uint64_t latency[METRICS_BUCKETS];
-} proxy_counts_t;
 
 typedef struct
 {
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -16,6 +16,7 @@
   FIELD ("callers", FORM_NAME, callers, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("ready", FORM_NAME, ready, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("peers", FORM_NAME, peers, true, 0, 0, ENDPOINT_EXPECTED),
+  FIELD ("metrics", FORM_NAME, metrics, false, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("memory_mb", FORM_UINT, memory_mb, false, 16, 1000000, "megabytes, 16 or more"),
   FIELD ("descriptors", FORM_UINT, descriptors, false, 64, 10000000, "64 or more"),
 };
@@ -127,6 +128,8 @@
                       &self->callers_address);
       check_endpoint (form, &doc, "host", "ready", &self->ready, &self->ready_address);
       check_endpoint (form, &doc, "host", "peers", &self->peers, &self->peers_address);
+      check_endpoint (
+          form, &doc, "host", "metrics", &self->metrics, &self->metrics_address);
       check_endpoint (form, &doc, "store", "address", &self->store, &self->store_address);
       if (!form_ok (form))
         status = fault_raise (fault,
--- a/packages/settings/router_settings.h
+++ b/packages/settings/router_settings.h
@@ -32,11 +32,13 @@
   name_t callers; /* address:port */
   name_t ready;   /* address:port */
   name_t peers;   /* address:port, for other hosts */
+  name_t metrics; /* address:port; empty: none are served */
   name_t store;   /* address:port */
   struct sockaddr_in callers_address;
   struct sockaddr_in ready_address;
   struct sockaddr_in peers_address;
   struct sockaddr_in store_address;
+  struct sockaddr_in metrics_address;
   uint32_t memory_mb;
   uint32_t descriptors;
   router_bounds_t bounds;
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -422,6 +422,7 @@
 
     def __init__(self, build, store_port, name, blocked_log=False):
         self.front, self.ready, self.peers = free_port(), free_port(), free_port()
+        self.metrics = free_port()
         self.folder = tempfile.mkdtemp(prefix="router-")
         self.settings = os.path.join(self.folder, "settings.toml")
         self.log = os.path.join(self.folder, "log")
@@ -429,8 +430,9 @@
             file.write(
                 '[host]\nname = "%s"\ndata_centre = "z1"\ncallers = "127.0.0.1:%d"\n'
                 'ready = "127.0.0.1:%d"\npeers = "127.0.0.1:%d"\nunknown = 1\n'
+                'metrics = "127.0.0.1:%d"\n'
                 '[store]\naddress = "127.0.0.1:%d"\n[bounds]\ngrace_s = 6\n'
-                % (name, self.front, self.ready, self.peers, store_port)
+                % (name, self.front, self.ready, self.peers, self.metrics, store_port)
             )
         command = [os.path.join(build, "chicorywood"), "route", "--settings", self.settings]
         with open(self.log, "wb") as log:
