Pass bodies through that are too large to be held; test both ways

Cause: bodies above 16 MiB were refused and answers above 32 MiB failed, though the configuration allows 64 MiB; all were held whole.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -67,8 +67,8 @@
   store_t *store;
   bool store_away; /* the last call about the role got no answer */
   proxy_t *proxy;
-  mailbox_t inbox; /* proxy_report_t */
-  msclock_t clock; /* counts while the machine is suspended */
+  mailbox_t inbox;        /* proxy_report_t */
+  msclock_t clock;        /* counts while the machine is suspended */
   struct evhttp *metrics; /* NULL: not served */
   proxy_counts_t counts;  /* the proxy's last */
   struct event *tick, *flush, *on_term, *on_int, *on_hup;
--- a/packages/coordinator/status.c
+++ b/packages/coordinator/status.c
@@ -13,8 +13,8 @@
 #define METRIC "chicorywood_"
 
 static const char *const end_names[] = {
-  [FATE_NOT_RUN] = "not_run",     [FATE_UNKNOWN] = "unknown",
-  [FATE_TIMED_OUT] = "timed_out", [FATE_NO_ROUTE] = "no_route",
+  [FATE_NOT_RUN] = "not_run",       [FATE_UNKNOWN] = "unknown",
+  [FATE_TIMED_OUT] = "timed_out",   [FATE_NO_ROUTE] = "no_route",
   [FATE_NO_ROUTE + 1] = "answered",
 };
 
@@ -42,8 +42,8 @@
                            (unsigned long long)sum);
     }
   evbuffer_add_printf (page,
-                       METRIC "latency_ms_sum{service=\"%.*s\"} %llu\n"
-                       METRIC "latency_ms_count{service=\"%.*s\"} %llu\n",
+                       METRIC "latency_ms_sum{service=\"%.*s\"} %llu\n" METRIC
+                              "latency_ms_count{service=\"%.*s\"} %llu\n",
                        NAME_ARG (counts->service),
                        (unsigned long long)counts->latency_sum_ms,
                        NAME_ARG (counts->service),
@@ -70,7 +70,8 @@
         continue;
       for (guint end = 0; end < G_N_ELEMENTS (end_names); end++)
         evbuffer_add_printf (page,
-                             METRIC "requests_ended_total{service=\"%.*s\",end=\"%s\"} %llu\n",
+                             METRIC
+                             "requests_ended_total{service=\"%.*s\",end=\"%s\"} %llu\n",
                              NAME_ARG (service->service),
                              end_names[end],
                              (unsigned long long)service->ends[end]);
@@ -107,7 +108,9 @@
   add_number (page,
               "configuration_age_ms",
               (uint64_t)MAX (steady - self->configuration.last_good, 0));
-  add_number (page, "targets_age_ms", (uint64_t)MAX (steady - self->targets.last_good, 0));
+  add_number (page,
+              "targets_age_ms",
+              (uint64_t)MAX (steady - self->targets.last_good, 0));
   add_number (page, "store_calls_total", self->store->calls);
   add_number (page, "store_away", self->store_away);
   add_number (page, "granter", self->role.state == ROLE_HELD);
@@ -119,8 +122,8 @@
     {
       const key_table_t *table = g_ptr_array_index (self->tables, i);
       evbuffer_add_printf (page,
-                           METRIC "owners_version{service=\"%.*s\"} %llu\n"
-                           METRIC "owners_runs{service=\"%.*s\"} %u\n",
+                           METRIC "owners_version{service=\"%.*s\"} %llu\n" METRIC
+                                  "owners_runs{service=\"%.*s\"} %u\n",
                            NAME_ARG (table->service),
                            (unsigned long long)table->version,
                            NAME_ARG (table->service),
@@ -160,13 +163,16 @@
   char *address = text_dup_c (host);
   self->metrics = evhttp_new (self->base);
   evhttp_set_gencb (self->metrics, on_request, self);
-  int bound = evhttp_bind_socket (
-      self->metrics, address, ntohs (settings->metrics_address.sin_port));
+  int bound = evhttp_bind_socket (self->metrics,
+                                  address,
+                                  ntohs (settings->metrics_address.sin_port));
   g_free (address);
   if (bound == 0)
     return STATUS_OK;
-  return fault_raise (
-      fault, STATUS_IO, "%.*s can't be had", NAME_ARG (settings->metrics));
+  return fault_raise (fault,
+                      STATUS_IO,
+                      "%.*s can't be had",
+                      NAME_ARG (settings->metrics));
 }
 
 void
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -160,7 +160,10 @@
 /* The proxy's connections. */
 #define PROXY_LISTEN_BACKLOG 1024
 #define PROXY_LINE_MAX 32                       /* requests of one connection at a time */
-#define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024) /* one request's body, held whole */
+#define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024) /* before a configuration tells it */
+#define PROXY_BODY_HOLD_BYTES (256 * 1024) /* a larger body is sent as it comes */
+#define PROXY_ANSWER_HOLD_BYTES (1024 * 1024) /* a larger answer is passed on as it comes */
+#define PROXY_PROGRESS_MS 5000 /* an answer that is passed on may pause so long */
 #define PROXY_ANSWER_MAX_BYTES (32 * 1024 * 1024) /* one answer, held whole */
 #define PROXY_HEAD_MAX_BYTES (64 * 1024)          /* before a configuration tells it */
 #define PROXY_IDLE_MS 15000     /* the same for a connection without a request */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -351,6 +351,7 @@
   request->objective = now + MIN (route->objective, wait);
   request->keyed = service->keyed && msg->has_key && msg->key <= KEY_LAST;
   request->key = msg->key;
+  request->once = msg->once;
   if (request->keyed)
     service->key_loads[request->key / KEY_STEP]++;
   budget_request (&service->budget, now);
@@ -366,9 +367,9 @@
             msec_t now,
             GArray *out)
 {
-  bool may_run_again
-      = (!request->caller_left && request->runs == 0)
-        || (request->kind != KIND_MUTATING && request->runs < request->runs_max);
+  bool may_run_again = (!request->caller_left && !request->once && request->runs == 0)
+                       || (request->kind != KIND_MUTATING && !request->once
+                           && request->runs < request->runs_max);
 
   request->last_failed = request->target;
   request->reason = reason;
@@ -400,7 +401,7 @@
 {
   dispatch_service_t *service = service_at (self, request->service);
 
-  return request->kind != KIND_MUTATING && !request->keyed
+  return request->kind != KIND_MUTATING && !request->keyed && !request->once
          && request->runs < request->runs_max && request->sends < DISPATCH_SENDS_MAX
          && now + service->work_ms < request->deadline
          && budget_left (&service->budget, now) > 0;
@@ -506,7 +507,7 @@
   dispatch_reason_t reason;
   dispatch_request_t probe = *request;
 
-  if (self->draining || request->kind == KIND_MUTATING || request->keyed
+  if (self->draining || request->kind == KIND_MUTATING || request->keyed || request->once
       || request->runs >= request->runs_max || now < silent_from (self, request, now))
     return false;
   probe.last_failed = request->target;
@@ -559,6 +560,10 @@
     case DISPATCH_ARRIVE:
       arrive (self, msg, now, out);
       break;
+    case DISPATCH_STREAMING:
+      msg->request->once = true;
+      msg->request->due = MSEC_NEVER;
+      break;
     case DISPATCH_ANSWERED:
       answered (self, msg, now, out);
       break;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -25,12 +25,13 @@
   DISPATCH_TARGETS,   /* all targets that are listed now */
   DISPATCH_KEYS,      /* the owners of one service's keys; KEYS is copied */
   DISPATCH_ARRIVE,
-  DISPATCH_ANSWERED, /* the target's whole answer is at hand */
-  DISPATCH_FAILED,   /* the send ended without a whole answer */
-  DISPATCH_GONE,     /* the caller left */
-  DISPATCH_DUE,      /* the request's time `due` has come */
-  DISPATCH_BOUNDS,   /* BOUNDS are in force */
-  DISPATCH_DRAIN,    /* the process leaves: what was sent isn't given up any more */
+  DISPATCH_STREAMING, /* the answer is passed on as it comes: nothing is sent again */
+  DISPATCH_ANSWERED,  /* the target's whole answer is at hand */
+  DISPATCH_FAILED,    /* the send ended without a whole answer */
+  DISPATCH_GONE,      /* the caller left */
+  DISPATCH_DUE,       /* the request's time `due` has come */
+  DISPATCH_BOUNDS,    /* BOUNDS are in force */
+  DISPATCH_DRAIN,     /* the process leaves: what was sent isn't given up any more */
 } dispatch_msg_kind_t;
 
 typedef enum
@@ -67,6 +68,7 @@
   text_t host, path;           /* ARRIVE */
   bool has_key;                /* ARRIVE */
   uint32_t key;                /* ARRIVE */
+  bool once;                   /* ARRIVE: its body can't be sent a second time */
   msec_t wait;                 /* ARRIVE: the caller waits this long; -1: not told */
   dispatch_answer_t answer;    /* ANSWERED */
   unsigned status;             /* ANSWERED */
@@ -144,6 +146,7 @@
   msec_t not_before; /* not sent again before */
   uint32_t sends;
   uint32_t runs;       /* sends that may have run */
+  bool once;           /* not sent again, whatever became of the first send */
   bool caller_left;    /* a mutating request that was sent runs on without its caller */
   int32_t target;      /* of the last send, or -1 */
   int32_t last_failed; /* target of a failed send, not to be picked at once again */
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -125,42 +125,138 @@
 
 static const http_reader_ops_t reader_ops = { on_head, on_body };
 
-/* Prepares what the caller gets if dispatch wants this answer delivered. */
+/* The status line and the headers that pass, without those that frame the body. */
 static void
-prepare_answer (call_t *self, exchange_t *exchange)
+write_head (const call_t *self, struct evbuffer *out)
 {
   const http_head_t *head = &self->reader.head;
   text_t connection = http_head_get (head, TEXT ("connection"));
   text_t reason = http_head_start (head);
-  GString *text = g_string_sized_new (256);
 
-  g_string_append_printf (text, "HTTP/1.1 %u %.*s\r\n", head->status, TEXT_ARG (reason));
+  evbuffer_add_printf (out, "HTTP/1.1 %u %.*s\r\n", head->status, TEXT_ARG (reason));
   for (guint i = 0; i < head->fields->len; i++)
     {
       text_t name = http_head_name (head, i);
       text_t value = http_head_value (head, i);
-      if (http_header_is_hop (name) || http_list_has (connection, name))
-        continue;
-      g_string_append_len (text, name.at, (gssize)name.len);
-      g_string_append (text, ": ");
-      g_string_append_len (text, value.at, (gssize)value.len);
-      g_string_append (text, "\r\n");
+      if (!http_header_is_hop (name) && !http_list_has (connection, name))
+        evbuffer_add_printf (out, "%.*s: %.*s\r\n", TEXT_ARG (name), TEXT_ARG (value));
     }
-  uint64_t length = exchange->bodyless && head->length != UINT64_MAX
-                        ? head->length
-                        : evbuffer_get_length (self->body);
-  if (head->status != 204 && head->status != 304)
-    g_string_append_printf (text, "Content-Length: %llu\r\n", (unsigned long long)length);
+}
+
+static void
+write_length (struct evbuffer *out, uint64_t length)
+{
+  evbuffer_add_printf (out, "Content-Length: %llu\r\n", (unsigned long long)length);
+}
+
+static void
+write_head_end (const exchange_t *exchange, struct evbuffer *out)
+{
+  if (exchange->close)
+    evbuffer_add_printf (out, "Connection: close\r\n");
+  evbuffer_add (out, "\r\n", 2);
+}
+
+static struct evbuffer *
+fresh_answer (exchange_t *exchange)
+{
   if (exchange->answer != NULL)
     evbuffer_free (exchange->answer);
   exchange->answer = evbuffer_new ();
-  evbuffer_add (exchange->answer, text->str, text->len);
-  if (exchange->close)
-    evbuffer_add_printf (exchange->answer, "Connection: close\r\n");
-  evbuffer_add (exchange->answer, "\r\n", 2);
-  evbuffer_add_buffer (exchange->answer, self->body);
+  return exchange->answer;
+}
+
+/* Prepares what the caller gets if dispatch wants this answer delivered. */
+static void
+prepare_answer (call_t *self, exchange_t *exchange)
+{
+  const http_head_t *head = &self->reader.head;
+  struct evbuffer *answer = fresh_answer (exchange);
+
+  write_head (self, answer);
+  if (exchange->bodyless && head->length != UINT64_MAX)
+    write_length (answer, head->length);
+  else if (head->status != 204 && head->status != 304)
+    write_length (answer, evbuffer_get_length (self->body));
+  write_head_end (exchange, answer);
+  evbuffer_add_buffer (answer, self->body);
   exchange->status = head->status;
-  g_string_free (text, TRUE);
+}
+
+static dispatch_answer_t
+answer_kind (const call_t *self)
+{
+  const dispatch_target_t *target
+      = dispatch_target (&self->proxy->dispatch, self->target);
+  text_t who = self->facts.target;
+
+  if (self->status == 421 && who.len > 0
+      && !text_equal (who, name_text (&target->entry.id)))
+    return ANSWER_STRANGER;
+  if (self->status == 421)
+    return ANSWER_NOT_OWNER;
+  return self->facts.not_run ? ANSWER_FULL : ANSWER_RUN;
+}
+
+/* Whether the answer may be passed on before it is whole: it is the caller's next. */
+static bool
+may_stream (const call_t *self)
+{
+  const exchange_t *exchange = self->exchange;
+
+  return !self->stray && !self->facts.encoded && answer_kind (self) == ANSWER_RUN
+         && !self->proxy->dialect->promises_not_run (self->status)
+         && exchange->caller != NULL && TAILQ_FIRST (&exchange->caller->line) == exchange;
+}
+
+static void
+begin_stream (call_t *self)
+{
+  exchange_t *exchange = self->exchange;
+  const http_head_t *head = &self->reader.head;
+  struct evbuffer *out = bufferevent_get_output (exchange->caller->bev);
+  const dispatch_msg_t msg
+      = { .kind = DISPATCH_STREAMING, .request = &exchange->request };
+
+  exchange->streaming = true;
+  exchange->status = head->status;
+  exchange->answer_chunked = head->length == UINT64_MAX && !exchange->old;
+  if (self->proxy->draining || (head->length == UINT64_MAX && exchange->old))
+    {
+      exchange->close = true;
+      exchange->caller->last = true;
+    }
+  write_head (self, out);
+  if (head->length != UINT64_MAX)
+    write_length (out, head->length);
+  else if (exchange->answer_chunked)
+    evbuffer_add_printf (out, "Transfer-Encoding: chunked\r\n");
+  write_head_end (exchange, out);
+  proxy_decide (self->proxy, &msg);
+}
+
+static void
+wait_for_progress (call_t *self)
+{
+  const struct timeval patience
+      = { PROXY_PROGRESS_MS / 1000, PROXY_PROGRESS_MS % 1000 * 1000 };
+
+  evtimer_add (self->timer, &patience);
+}
+
+/* Passes a large answer on as it comes.  False if it is too large to be held. */
+static bool
+pass_on (call_t *self)
+{
+  size_t held = evbuffer_get_length (self->body);
+
+  if (!self->exchange->streaming && held > PROXY_ANSWER_HOLD_BYTES && may_stream (self))
+    begin_stream (self);
+  if (!self->exchange->streaming)
+    return held <= PROXY_ANSWER_MAX_BYTES;
+  stream_answer (self->exchange, self->body, self->bev);
+  wait_for_progress (self);
+  return true;
 }
 
 /* Idle connections to one target: this host's share of those that it accepts, less those
@@ -206,21 +302,6 @@
   evtimer_add (self->timer, &after);
 }
 
-static dispatch_answer_t
-answer_kind (const call_t *self)
-{
-  const dispatch_target_t *target
-      = dispatch_target (&self->proxy->dispatch, self->target);
-  text_t who = self->facts.target;
-
-  if (self->status == 421 && who.len > 0
-      && !text_equal (who, name_text (&target->entry.id)))
-    return ANSWER_STRANGER;
-  if (self->status == 421)
-    return ANSWER_NOT_OWNER;
-  return self->facts.not_run ? ANSWER_FULL : ANSWER_RUN;
-}
-
 static void
 complete (call_t *self)
 {
@@ -239,7 +320,23 @@
       return;
     }
   detach (self);
-  prepare_answer (self, exchange);
+  evtimer_del (self->timer);
+  if (exchange->uploading && !exchange->whole)
+    {
+      /* An early answer: the rest of the body belongs to no request any more. */
+      exchange->close = true;
+      if (exchange->caller != NULL)
+        exchange->caller->last = true;
+      self->spoilt = true;
+    }
+  if (exchange->streaming)
+    {
+      stream_answer (exchange, self->body, self->bev);
+      stream_answer_end (exchange);
+      fresh_answer (exchange);
+    }
+  else
+    prepare_answer (self, exchange);
   if (msg.answer == ANSWER_RUN && proxy->dialect->promises_not_run (self->status)
       && exchange->request.kind == KIND_MUTATING)
     {
@@ -261,7 +358,7 @@
       http_progress_t progress = http_reader_take (&self->reader, in);
       if (progress == HTTP_MORE)
         {
-          if (evbuffer_get_length (self->body) > PROXY_ANSWER_MAX_BYTES)
+          if (evbuffer_get_length (self->body) > 0 && !pass_on (self))
             fail (self, "answer_too_large");
           return;
         }
@@ -300,6 +397,17 @@
     take_bytes (self);
 }
 
+static void
+on_written (struct bufferevent *bev, void *arg)
+{
+  call_t *self = arg;
+
+  (void)bev;
+  if (self->exchange != NULL && self->exchange->uploading
+      && self->exchange->caller != NULL)
+    caller_resume (self->exchange->caller);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
@@ -343,6 +451,10 @@
     close_idle (self);
   else if (!self->connected)
     fail (self, "connect_timeout");
+  else if ((bufferevent_get_enabled (self->bev) & EV_READ) == 0)
+    wait_for_progress (self); /* it waits for the caller, not for the target */
+  else
+    fail (self, "no_progress");
 }
 
 static call_t *
@@ -360,7 +472,7 @@
   self->body = evbuffer_new ();
   self->timer = evtimer_new (proxy->base, on_timer, self);
   http_reader_init (&self->reader, HTTP_ANSWERS, PROXY_HEAD_MAX_BYTES, &reader_ops, self);
-  bufferevent_setcb (self->bev, on_read, NULL, on_event, self);
+  bufferevent_setcb (self->bev, on_read, on_written, on_event, self);
   bufferevent_enable (self->bev, EV_READ | EV_WRITE);
   evtimer_add (self->timer, &patience);
   /* An address that can't be read, or a connect that fails at once, is noticed by the
@@ -406,22 +518,62 @@
   if (call == NULL)
     call = connect_to (proxy, target);
   proxy->dialect->write_send (head, name_text (&to->entry.id), wait);
-  if (body > 0 || exchange->request.kind == KIND_MUTATING)
+  if (exchange->uploading && exchange->length == UINT64_MAX)
+    {
+      exchange->body_chunked = true;
+      g_string_append (head, "Transfer-Encoding: chunked\r\n");
+    }
+  else if (exchange->uploading)
+    g_string_append_printf (head,
+                            "Content-Length: %llu\r\n",
+                            (unsigned long long)exchange->length);
+  else if (body > 0 || exchange->request.kind == KIND_MUTATING)
     g_string_append_printf (head, "Content-Length: %zu\r\n", body);
   g_string_append (head, "\r\n");
   call->exchange = exchange;
   exchange->call = call;
-  call->to_write = head->len + body;
+  call->to_write = head->len;
   evbuffer_drain (call->body, evbuffer_get_length (call->body));
   bufferevent_write (call->bev, head->str, head->len);
-  if (body > 0)
-    evbuffer_add_buffer_reference (bufferevent_get_output (call->bev), exchange->body);
+  if (exchange->uploading)
+    {
+      call_upload (call);
+      if (exchange->caller != NULL)
+        caller_resume (exchange->caller);
+    }
+  else if (body > 0)
+    {
+      call->to_write += body;
+      evbuffer_add_buffer_reference (bufferevent_get_output (call->bev), exchange->body);
+    }
   g_string_free (head, TRUE);
   proxy->counts.sends++;
   if (exchange->request.sends > 1)
     proxy->counts.repeats++;
 }
 
+void
+call_upload (call_t *self)
+{
+  struct evbuffer *out = bufferevent_get_output (self->bev);
+  size_t before = evbuffer_get_length (out);
+
+  stream_request (self->exchange, self->bev);
+  self->to_write += evbuffer_get_length (out) - before;
+}
+
+void
+call_abandon (call_t *self)
+{
+  fail (self, "upload_cut");
+}
+
+void
+call_resume (call_t *self)
+{
+  bufferevent_enable (self->bev, EV_READ);
+}
+
 void
 call_cancel (call_t *self)
 {
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -41,7 +41,8 @@
   while (exchange != NULL)
     {
       exchange_t *next = TAILQ_NEXT (exchange, link);
-      if (!exchange->begun && !exchange->answered && exchange->whole
+      bool readable = exchange->whole || (first && exchange->uploading);
+      if (!exchange->begun && !exchange->answered && readable
           && (first
               || dispatch_may_overlap (&self->proxy->dispatch,
                                        (text_t){ exchange->host, exchange->host_len },
@@ -82,6 +83,11 @@
   exchange_t *exchange = self->reading;
 
   self->proxy->counts.bad_requests++;
+  if (exchange != NULL && exchange->begun)
+    {
+      caller_abort (self); /* it is being sent; no answer of ours would be true */
+      return;
+    }
   eventlog_write (EVENT_TROUBLE,
                   "proxy",
                   "malformed",
@@ -126,8 +132,20 @@
 {
   caller_t *self = owner;
 
-  if (self->reading != NULL)
-    evbuffer_add (self->reading->body, bytes.at, bytes.len);
+  exchange_t *exchange = self->reading;
+
+  if (exchange == NULL || exchange->answered)
+    return; /* it was answered before its end; the rest is of no use */
+  exchange->uploaded += bytes.len;
+  evbuffer_add (exchange->body, bytes.at, bytes.len);
+  if (evbuffer_get_length (exchange->body) > PROXY_BODY_HOLD_BYTES && !exchange->begun)
+    exchange->uploading = true;
+  if (!exchange->uploading)
+    return;
+  if (exchange->call != NULL)
+    call_upload (exchange->call);
+  else if (evbuffer_get_length (exchange->body) > 2 * PROXY_BODY_HOLD_BYTES)
+    bufferevent_disable (self->bev, EV_READ); /* until it is sent */
 }
 
 static const http_reader_ops_t reader_ops = { on_head, on_body };
@@ -137,7 +155,7 @@
 {
   uint64_t told = proxy->limits.body_bytes;
 
-  return told > 0 ? MIN (told, PROXY_BODY_MAX_BYTES) : PROXY_BODY_MAX_BYTES;
+  return told > 0 ? told : PROXY_BODY_MAX_BYTES;
 }
 
 static void
@@ -153,13 +171,16 @@
       else if (progress == HTTP_BROKEN)
         refuse_malformed (self, 400, TEXT ("The request is malformed."));
       else if (self->reading != NULL
-               && evbuffer_get_length (self->reading->body) > body_limit (self->proxy))
+               && self->reading->uploaded > body_limit (self->proxy))
         refuse_malformed (self, 413, TEXT ("The body is too large."));
       else if (progress == HTTP_COMPLETE)
         {
           g_assert (self->reading != NULL);
-          self->reading->whole = true;
+          exchange_t *exchange = self->reading;
           self->reading = NULL;
+          exchange->whole = true;
+          if (exchange->uploading && exchange->call != NULL)
+            call_upload (exchange->call);
         }
       else
         break;
@@ -215,9 +236,11 @@
 on_written (struct bufferevent *bev, void *arg)
 {
   caller_t *self = arg;
+  const exchange_t *first = TAILQ_FIRST (&self->line);
 
-  (void)bev;
-  if (self->closing)
+  if (first != NULL && first->streaming && first->call != NULL)
+    call_resume (first->call);
+  if (self->closing && evbuffer_get_length (bufferevent_get_output (bev)) == 0)
     shutdown (bufferevent_getfd (self->bev), SHUT_WR);
 }
 
@@ -292,3 +315,18 @@
   return TAILQ_EMPTY (&self->line) && !self->reader.begun && !self->closing
          && evbuffer_get_length (bufferevent_get_output (self->bev)) == 0;
 }
+
+void
+caller_abort (caller_t *self)
+{
+  self->closing = true;
+  self->last = true;
+  set_timer (self, 0);
+}
+
+void
+caller_resume (caller_t *self)
+{
+  if (!self->closing)
+    bufferevent_enable (self->bev, EV_READ);
+}
--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -75,6 +75,8 @@
   self->path_len = path.len;
   self->bodyless = head->method == HTTP_HEAD;
   self->close = !head->keep_alive;
+  self->old = head->old;
+  self->length = head->length;
   proxy->dialect->read_request (head, &self->facts);
   if (!name_set (&self->id, self->facts.id))
     self->id.len = 0;
@@ -109,6 +111,7 @@
           .path = { self->path, self->path_len },
           .has_key = self->facts.has_key,
           .key = self->facts.key,
+          .once = self->uploading,
           .wait = self->facts.wait < 0 ? -1 : MAX (self->facts.wait - read_for, 0) };
 
   self->begun = true;
@@ -122,6 +125,11 @@
   dispatch_msg_t msg = { .kind = DISPATCH_GONE, .request = &self->request };
 
   self->caller = NULL;
+  if (self->uploading && !self->whole && self->call != NULL)
+    {
+      call_abandon (self->call); /* which frees it when dispatch has ended it */
+      return;
+    }
   if (self->begun && !self->answered)
     {
       proxy_decide (self->proxy, &msg);
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -23,15 +23,22 @@
   char *host;    /* both for dispatch; they don't end in a 0 byte that counts */
   size_t host_len, path_len;
   char *path;
-  struct evbuffer *body; /* of the request */
+  struct evbuffer *body; /* of the request; what is still to be sent of an upload */
+  uint64_t uploaded;     /* bytes of it that were read */
   request_facts_t facts; /* id is empty: see above */
   msec_t head_at;
-  bool bodyless;   /* the answer has no body: HEAD */
-  bool whole;      /* the request was read to its end */
-  bool begun;      /* dispatch knows it */
-  bool answered;   /* ANSWER is what the caller gets */
-  bool close;      /* its answer ends the connection */
-  unsigned status; /* of the answer */
+  bool bodyless;       /* the answer has no body: HEAD */
+  bool old;            /* the caller speaks HTTP/1.0 */
+  uint64_t length;     /* of the body if the caller told it, else UINT64_MAX */
+  bool whole;          /* the request was read to its end */
+  bool uploading;      /* the body passes through: it is sent as it comes */
+  bool body_chunked;   /* ... in chunks */
+  bool streaming;      /* the answer passes through: its head was written */
+  bool answer_chunked; /* ... in chunks */
+  bool begun;          /* dispatch knows it */
+  bool answered;       /* ANSWER is what the caller gets */
+  bool close;          /* its answer ends the connection */
+  unsigned status;     /* of the answer */
   struct evbuffer *answer;
   struct event *timer;
   TAILQ_ENTRY (exchange) link;
@@ -79,8 +86,32 @@
 /* Gives MSG to dispatch and does what it wants. */
 void proxy_decide (proxy_t *self, const dispatch_msg_t *msg);
 
+/* Ends the connection at once, from the loop; an answer under way stays incomplete. */
+void caller_abort (caller_t *self);
+
+/* Reads on after the target took what was held back. */
+void caller_resume (caller_t *self);
+
+/* stream.c */
+
+/* Passes PIECE of the answer on to the caller. */
+void stream_answer (exchange_t *self, struct evbuffer *piece, struct bufferevent *from);
+void stream_answer_end (exchange_t *self);
+
+/* Passes on what was read of the request's body. */
+void stream_request (exchange_t *self, struct bufferevent *to);
+
 /* call.c */
 
+/* More of an uploaded body was read. */
+void call_upload (call_t *self);
+
+/* The caller left before its body was whole: the send can't end well. */
+void call_abandon (call_t *self);
+
+/* Reads on after the caller took what was held back. */
+void call_resume (call_t *self);
+
 /* Sends EXCHANGE to TARGET, which may work on it for WAIT. */
 void call_send (proxy_t *proxy, exchange_t *exchange, uint32_t target, msec_t wait);
 
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -43,13 +43,14 @@
       (long long)out->retry_after);
 }
 
-/* Counts the request under its service; services beyond the table share its last entry. */
+/* Counts the request under its service; services beyond the table share its last entry.
+ */
 static service_counts_t *
 counts_of (proxy_t *self, const dispatch_request_t *request)
 {
   uint32_t i = MIN (request->service + 1, SERVICE_MAX - 1);
-  bool routed = request->reason != REASON_NO_ROUTE
-                && request->reason != REASON_NO_CONFIGURATION;
+  bool routed
+      = request->reason != REASON_NO_ROUTE && request->reason != REASON_NO_CONFIGURATION;
 
   if (!routed)
     return &self->counts.services[0];
@@ -76,6 +77,21 @@
 answer_by_fate (exchange_t *self, const dispatch_out_t *out)
 {
   counts_of (self->proxy, &self->request)->ends[out->fate]++;
+  if (self->streaming)
+    {
+      /* Its head went out with a status that isn't true any more. */
+      if (self->answer == NULL)
+        self->answer = evbuffer_new ();
+      if (self->caller != NULL)
+        caller_abort (self->caller);
+      return;
+    }
+  if (self->uploading && !self->whole)
+    {
+      self->close = true;
+      if (self->caller != NULL)
+        self->caller->last = true;
+    }
   switch (out->fate)
     {
     case FATE_NOT_RUN:
@@ -106,7 +122,8 @@
       exchange_free (self);
       return;
     }
-  if (self->proxy->draining && !self->close && TAILQ_NEXT (self, link) == NULL)
+  if (self->proxy->draining && !self->close && !self->streaming
+      && TAILQ_NEXT (self, link) == NULL)
     {
       /* Tells the caller to go elsewhere; the answer was made without it. */
       struct evbuffer_ptr at = evbuffer_search (self->answer, "\r\n", 2, NULL);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -41,7 +41,7 @@
 /* How requests of one service ended. */
 typedef struct
 {
-  name_t service; /* empty: requests that reached no service */
+  name_t service;                    /* empty: requests that reached no service */
   uint64_t ends[FATE_NO_ROUTE + 2];  /* by dispatch_fate_t; the last: answered */
   uint64_t latency[METRICS_BUCKETS]; /* of answered ones; bounds as in metrics.h */
   uint64_t latency_sum_ms;
@@ -60,7 +60,7 @@
 /* To the coordinator. */
 typedef struct
 {
-  bool ended;             /* the proxy has drained; nothing else is told */
+  bool ended; /* the proxy has drained; nothing else is told */
   proxy_counts_t counts;
   name_t service;
   GArray *loads;  /* key_load_t since the last report; passes on */
@@ -74,7 +74,6 @@
 TAILQ_HEAD (caller_list, caller);
 TAILQ_HEAD (call_list, call);
 
-
 typedef struct
 {
   const router_settings_t *settings;
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -128,8 +128,12 @@
                       &self->callers_address);
       check_endpoint (form, &doc, "host", "ready", &self->ready, &self->ready_address);
       check_endpoint (form, &doc, "host", "peers", &self->peers, &self->peers_address);
-      check_endpoint (
-          form, &doc, "host", "metrics", &self->metrics, &self->metrics_address);
+      check_endpoint (form,
+                      &doc,
+                      "host",
+                      "metrics",
+                      &self->metrics,
+                      &self->metrics_address);
       check_endpoint (form, &doc, "store", "address", &self->store, &self->store_address);
       if (!form_ok (form))
         status = fault_raise (fault,
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -17,6 +17,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 
+# Larger than what the router holds whole.
+BIG = b"".join(b"%08d" % i for i in range(400000))
+
+
 class Store:
     """Rows with versions, transactions under conditions, and feeds of changes."""
 
@@ -137,8 +141,8 @@
     return server.server_address[1]
 
 
-def read_message(sock, buffer):
-    """Head lines, headers and body of one message with a length, and the bytes after it."""
+def read_head(sock, buffer):
+    """Start line, headers, and the bytes after the head; None: the connection ended."""
     while b"\r\n\r\n" not in buffer:
         piece = sock.recv(65536)
         if not piece:
@@ -150,13 +154,51 @@
     for line in lines[1:]:
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
-    length = int(headers.get("content-length", 0))
-    while len(rest) < length:
+    return lines[0], headers, rest
+
+
+def read_exactly(sock, rest, length):
+    """The first LENGTH bytes and the bytes after them; None: the connection ended before."""
+    pieces, have = [rest], len(rest)
+    while have < length:
         piece = sock.recv(65536)
         if not piece:
             return None
-        rest += piece
-    return lines[0], headers, rest[:length], rest[length:]
+        pieces.append(piece)
+        have += len(piece)
+    data = b"".join(pieces)
+    return data[:length], data[length:]
+
+
+def read_chunks(sock, rest):
+    body = []
+    while True:
+        while b"\r\n" not in rest:
+            piece = sock.recv(65536)
+            if not piece:
+                return None
+            rest += piece
+        size, _, rest = rest.partition(b"\r\n")
+        taken = read_exactly(sock, rest, int(size, 16) + 2)
+        if taken is None:
+            return None
+        body.append(taken[0][:-2])
+        rest = taken[1]
+        if int(size, 16) == 0:
+            return b"".join(body), rest
+
+
+def read_message(sock, buffer):
+    """Start line, headers and body of one message with known end, and the bytes after it."""
+    head = read_head(sock, buffer)
+    if head is None:
+        return None
+    start, headers, rest = head
+    if headers.get("transfer-encoding") == "chunked":
+        taken = read_chunks(sock, rest)
+    else:
+        taken = read_exactly(sock, rest, int(headers.get("content-length", 0)))
+    return None if taken is None else (start, headers, *taken)
 
 
 class Target:
@@ -191,7 +233,13 @@
         rest = b""
         try:
             while True:
-                message = read_message(sock, rest)
+                head = read_head(sock, rest)
+                if head is None:
+                    return
+                if head[0].split(" ")[1].endswith("/early"):
+                    self._answer_early(sock, *head)
+                    return
+                message = read_message(sock, self._again(*head))
                 if message is None or not self._answer(sock, *message[:3]):
                     return
                 rest = message[3]
@@ -200,6 +248,20 @@
         finally:
             sock.close()
 
+    @staticmethod
+    def _again(start, headers, rest):
+        lines = [start] + ["%s: %s" % pair for pair in headers.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + rest
+
+    def _answer_early(self, sock, start, headers, rest):
+        """Answers before the body is in, keeps the connection and reads on."""
+        ident = headers["request-id"]
+        self.runs.append(ident)
+        sock.sendall(self._ok(ident))
+        self.after_early = rest
+        while piece := sock.recv(65536):
+            self.after_early += piece
+
     def holds(self, key):
         now = time.monotonic()
         return any(first <= key <= last and now < until for first, last, _, until in self.held)
@@ -262,6 +324,30 @@
         sock.sendall(self._ok(ident))
         return True
 
+    def _act_big(self, sock, ident, body, headers):
+        self.runs.append(ident)
+        sock.sendall(self._ok(ident, BIG))
+        return True
+
+    def _act_big_chunked(self, sock, ident, body, headers):
+        self.runs.append(ident)
+        sock.sendall(self._head(ident, Transfer_Encoding="chunked") + b"\r\n")
+        for at in range(0, len(BIG), 100000):
+            piece = BIG[at : at + 100000]
+            sock.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+    def _act_big_unframed(self, sock, ident, body, headers):
+        self.runs.append(ident)
+        sock.sendall(self._head(ident) + b"\r\n" + BIG)
+        return False
+
+    def _act_big_cut(self, sock, ident, body, headers):
+        self.runs.append(ident)
+        sock.sendall(self._ok(ident, BIG)[: len(BIG) * 2 // 3])
+        return False
+
     def _act_chunked(self, sock, ident, body, headers):
         self.runs.append(ident)
         sock.sendall(
@@ -404,7 +490,7 @@
             },
             "limits": {
                 "max_header_bytes": 4096,
-                "max_body_bytes": 100000,
+                "max_body_bytes": 5000000,
                 "header_timeout_ms": 1000,
                 "idle_timeout_ms": 5000,
             },
