--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -65,7 +65,8 @@
   const deployment_ops_t *deployment;
   struct event_base *base;
   store_t *store;
-  bool store_away; /* the last call about the role got no answer */
+  bool store_away;      /* the last call about the role got no answer */
+  msec_t role_regained; /* the first one after such a call did, monotonic */
   proxy_t *proxy;
   mailbox_t inbox;        /* proxy_report_t */
   msclock_t clock;        /* counts while the machine is suspended */
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -142,6 +142,20 @@
     ((known_target_t *)value)->told = false;
 }
 
+/* When the store answered this host again: the first sign of it, by whichever call. */
+static msec_t
+store_back_at (const coordinator_t *self)
+{
+  const msec_t signs[]
+      = { self->configuration.regained, self->owners.regained, self->role_regained };
+  msec_t first = self->targets.regained;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (signs); i++)
+    if (signs[i] < first && signs[i] > self->targets.regained - STORE_SIGNS_MS)
+      first = signs[i];
+  return first;
+}
+
 /* Entries may lapse while the store is away, and come back shortly after it. */
 static void
 miss (coordinator_t *self, known_target_t *target)
@@ -150,7 +164,7 @@
 
   if (target->gone_at != MSEC_NEVER)
     return;
-  target->gone_at = MAX (now, self->targets.regained + STORE_LAPSE_MS);
+  target->gone_at = MAX (now, store_back_at (self) + STORE_LAPSE_MS);
   eventlog_write (EVENT_BELIEF,
                   "targets",
                   "entry_gone",
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -40,6 +40,7 @@
                       (unsigned long long)role->version,
                       (unsigned long long)reply->version);
       self->store_away = false;
+      self->role_regained = g_get_monotonic_time () / 1000;
       news_ask_anew (self);
     }
   if (reply->outcome != STORE_DONE)
@@ -57,7 +58,8 @@
 static void
 tell_role (coordinator_t *self, msec_t until)
 {
-  keys_msg_t msg = { .kind = KEYS_ROLE, .until = until };
+  keys_msg_t msg
+      = { .kind = KEYS_ROLE, .until = until, .store_answers = !self->store_away };
 
   grants_tell (self, &msg);
 }
@@ -335,8 +337,18 @@
     lose (self, store_outcome_name (reply->outcome), now);
   else if (reply->outcome == STORE_REFUSED)
     {
-      role->write.under_way = false; /* the table, if any, goes with the next write */
+      bool had_table = role->write.has_table;
+      keys_msg_t msg = { .kind = KEYS_NOT_COMMITTED };
+      if (had_table)
+        {
+          msg.service = role->write.table.service;
+          key_table_finish (&role->write.table);
+        }
+      role->write = (role_write_t){ 0 };
       role->next_write = now + STORE_RETRY_MS;
+      tell_role (self, role->until);
+      if (had_table)
+        grants_tell (self, &msg);
     }
   else
     read_back (self, now);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -139,6 +139,7 @@
 #define DISPATCH_POLL_MS 25  /* how often a waiting request looks again */
 #define DISPATCH_SENDS_MAX 4 /* of one request, those that weren't run included */
 #define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
+#define DISPATCH_ROOM_WAIT_PERCENT 100 /* of the objective: wait for room */
 #define DISPATCH_SILENCE_FACTOR 4 /* an answer this many times late is taken for lost */
 #define DISPATCH_RETRY_AFTER_MIN_MS 100
 /* A target answers at its deadline; the answer may take so long to arrive. */
@@ -216,8 +217,10 @@
 #define STORE_CALL_MS 1200   /* the slowest answers of a working store come after 0.4 s */
 #define STORE_WATCH_MS 10000 /* the longest that a change may stay untold unnoticed */
 #define STORE_RETRY_MS 250
-#define STORE_RETRY_MAX_MS 1000
-#define STORE_LAPSE_MS 2500 /* entries that lapsed in an outage are back 2 s after it */
+#define STORE_RETRY_MAX_MS 600
+/* Entries that lapsed in an outage are back so long after it. */
+#define STORE_LAPSE_MS 2000
+#define STORE_SIGNS_MS 3000 /* calls that were away together come back within this */
 #define COORDINATOR_TICK_MS 100
 #define COORDINATOR_MAILBOX 64
 #define ORDER_CALL_MS 1200 /* a release is answered when the work under way has ended */
--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -107,7 +107,7 @@
 } key_run_t;
 
 /* Loads are counted for this many neighbouring keys at a time. */
-#define KEY_STEP 4
+#define KEY_STEP 1
 #define KEY_STEPS ((KEY_LAST + 1) / KEY_STEP)
 
 /* Requests for the KEY_STEP keys from STEP * KEY_STEP on, in a span of time. */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -153,7 +153,8 @@
   msec_t objective = request->objective - request->arrived;
 
   if (reason == REASON_OVERLOAD)
-    return MIN (request->objective, request->deadline);
+    return MIN (request->arrived + objective * DISPATCH_ROOM_WAIT_PERCENT / 100,
+                request->deadline);
   return MIN (request->arrived + objective * DISPATCH_OWNER_WAIT_PERCENT / 100,
               request->deadline);
 }
@@ -248,6 +249,7 @@
                self->bounds.retry_percent,
                self->bounds.retry_extra);
   key_table_init (&service->keys, entry->name);
+  service->denied = g_array_new (FALSE, TRUE, sizeof (msec_t));
   g_queue_init (&service->waiting);
   service->key_loads = g_new0 (uint32_t, KEY_STEPS);
   g_ptr_array_add (self->services, service);
@@ -291,6 +293,8 @@
     return;
   key_table_finish (&service->keys);
   key_table_copy (&service->keys, keys);
+  g_array_set_size (service->denied, 0);
+  g_array_set_size (service->denied, keys->runs->len);
   for (GList *link = service->waiting.head; link != NULL; link = link->next)
     {
       dispatch_request_t *request = link->data;
@@ -437,6 +441,8 @@
   else
     {
       request->runs--;
+      if (msg->answer == ANSWER_NOT_OWNER && request->keyed)
+        targets_denied (self, request, now);
       send_again (self,
                   request,
                   msg->answer == ANSWER_FULL ? REASON_OVERLOAD : REASON_NO_OWNER,
@@ -595,6 +601,7 @@
   dispatch_service_t *service = item;
 
   key_table_finish (&service->keys);
+  g_array_unref (service->denied);
   g_free (service->key_loads);
   g_free (service);
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -184,6 +184,7 @@
   uint32_t connections; /* that a target accepts from all hosts; 0: not told */
   budget_t budget;
   key_table_t keys;
+  GArray *denied; /* msec_t, a run of KEYS each: its owner denied holding it until then */
   GQueue waiting; /* dispatch_request_t, in order of arrival */
   uint32_t work_ms;
   uint32_t *key_loads; /* requests of each KEY_STEP keys since the last reset */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -252,6 +252,23 @@
   return best;
 }
 
+static guint
+run_index (const dispatch_service_t *service, const key_run_t *run)
+{
+  return (guint)(run - (const key_run_t *)(const void *)service->keys.runs->data);
+}
+
+void
+targets_denied (dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  dispatch_service_t *service = g_ptr_array_index (self->services, request->service);
+  const key_run_t *run = key_table_find (&service->keys, request->key);
+
+  if (run != NULL && service->keys.version == request->key_version)
+    g_array_index (service->denied, msec_t, run_index (service, run))
+        = now + DISPATCH_OWNER_RETRY_MS;
+}
+
 int
 targets_owner (dispatch_t *self,
                dispatch_request_t *request,
@@ -264,7 +281,8 @@
 
   request->key_version = service->keys.version;
   *reason = REASON_NO_OWNER;
-  if (run == NULL || run->fence == 0)
+  if (run == NULL || run->fence == 0
+      || now < g_array_index (service->denied, msec_t, run_index (service, run)))
     return -1;
   int i = find (self, name_text (&run->target), run->born);
   if (i < 0 || !at (self, (uint32_t)i)->listed || at (self, (uint32_t)i)->replaced)
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -37,6 +37,9 @@
                   msec_t now,
                   dispatch_reason_t *reason);
 
+/* The owner says that it doesn't hold the request's key: it isn't asked for a while. */
+void targets_denied (dispatch_t *self, const dispatch_request_t *request, msec_t now);
+
 /* The owner of the request's key, or -1. */
 int targets_owner (dispatch_t *self,
                    dispatch_request_t *request,
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -132,6 +132,9 @@
           next = key_plan_find (self, &span->next);
         }
       span->state = RUN_COMMITTING;
+      span->owner_before = span->owner;
+      span->fence_before = span->fence;
+      span->born_before = span->born;
       span->owner = span->next;
       span->born = next->born;
       span->address = next->address;
@@ -166,7 +169,7 @@
     return;
   if (service->spans->len == 0 && now >= service->joined_at + KEYS_SETTLE_MS)
     key_plan_first (self, service);
-  if (!self->resigning)
+  if (!self->resigning && self->store_answers)
     key_plan_moves (self, service, now);
   for (guint i = 0; i < service->spans->len; i++)
     {
@@ -263,6 +266,34 @@
     }
 }
 
+/* Gives runs that were released back to their owners, as the store still says; what their
+ * owners can't take stays free for the next commit. */
+static void
+not_committed (keys_t *self, key_service_t *service)
+{
+  service->committing = false;
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      key_span_t *span = span_at (service, i);
+      if (span->state != RUN_COMMITTING)
+        continue;
+      const target_entry_t *before = key_plan_find (self, &span->owner_before);
+      if (!span->released || !key_plan_usable (before, service)
+          || before->born != span->born_before)
+        {
+          span->state = RUN_FREE;
+          span->next.len = 0;
+          continue;
+        }
+      span->state = RUN_HELD;
+      span->owner = span->owner_before;
+      span->address = before->address;
+      span->fence = span->fence_before;
+      span->born = span->born_before;
+      span->call_after = 0;
+    }
+}
+
 static void
 call_ended (keys_t *self, const keys_msg_t *msg, msec_t now)
 {
@@ -309,8 +340,7 @@
   for (guint i = 0; i < loads->len; i++)
     {
       const key_load_t *load = &g_array_index (loads, key_load_t, i);
-      if (load->step < KEY_STEPS)
-        service->loads[load->step] += load->count;
+      service->loads[load->step] += load->count;
     }
 }
 
@@ -347,6 +377,7 @@
     {
     case KEYS_ROLE:
       take_role (self, msg->until);
+      self->store_answers = msg->store_answers;
       break;
     case KEYS_SERVICES:
       take_services (self, msg->names, now);
@@ -361,6 +392,10 @@
       if (service != NULL)
         committed (service);
       break;
+    case KEYS_NOT_COMMITTED:
+      if (service != NULL)
+        not_committed (self, service);
+      break;
     case KEYS_GRANTED:
     case KEYS_REFUSED:
     case KEYS_RELEASED:
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -20,16 +20,17 @@
 
 typedef enum
 {
-  KEYS_ROLE,      /* the role is held until UNTIL; 0: it isn't */
-  KEYS_SERVICES,  /* NAMES: the services whose keys have owners */
-  KEYS_TARGETS,   /* all listed targets */
-  KEYS_TABLE,     /* what the store holds for one service, or that it has nothing */
-  KEYS_COMMITTED, /* the commit under way took effect */
-  KEYS_GRANTED,   /* the target took the grant */
-  KEYS_REFUSED,   /* the target saw a higher fence */
-  KEYS_RELEASED,  /* the target gave the keys back; HANDOVER may be empty */
-  KEYS_OVER,      /* another target has the address: the owner is over */
-  KEYS_FAILED,    /* a grant or release got no answer */
+  KEYS_ROLE,          /* the role is held until UNTIL; 0: it isn't */
+  KEYS_SERVICES,      /* NAMES: the services whose keys have owners */
+  KEYS_TARGETS,       /* all listed targets */
+  KEYS_TABLE,         /* what the store holds for one service, or that it has nothing */
+  KEYS_COMMITTED,     /* the commit under way took effect */
+  KEYS_NOT_COMMITTED, /* the store refused it for now; nothing was done */
+  KEYS_GRANTED,       /* the target took the grant */
+  KEYS_REFUSED,       /* the target saw a higher fence */
+  KEYS_RELEASED,      /* the target gave the keys back; HANDOVER may be empty */
+  KEYS_OVER,          /* another target has the address: the owner is over */
+  KEYS_FAILED,        /* a grant or release got no answer */
   KEYS_LOADS,
   KEYS_SPEEDS, /* what this host saw the targets take for one request */
   KEYS_RESIGN, /* the host is about to stop */
@@ -40,6 +41,7 @@
 {
   keys_msg_kind_t kind;
   msec_t until;             /* ROLE */
+  bool store_answers;       /* ROLE: its last answer is fresh, so that a move can end */
   const GArray *names;      /* SERVICES: name_t */
   const GArray *targets;    /* TARGETS: target_entry_t */
   const key_table_t *table; /* TABLE */
@@ -90,7 +92,9 @@
   name_t owner;
   name_t address; /* of the owner, where it is called also when it isn't listed */
   uint64_t born;
-  name_t next;        /* planned owner; empty: the least loaded */
+  name_t next;         /* planned owner; empty: the least loaded */
+  name_t owner_before; /* of a commit under way, as far as it can be undone */
+  uint64_t fence_before, born_before;
   name_t handover;    /* of the last owner, for the first grant */
   bool warm;          /* the first grant was taken */
   bool calling;       /* a grant or release is under way */
@@ -118,6 +122,7 @@
 typedef struct
 {
   msec_t role_until; /* 0: not held */
+  bool store_answers;
   msec_t hold_max;
   bool resigning;
   uint64_t next_fence;
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -3,9 +3,23 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define CODEC_VERSION 2
-#define LOADS_MAX 4096
-#define RUNS_MAX 4096
+/*
+ * A message is a flat run of numbers and texts.  Arrays and maps are refused by
+ * their first byte, since the library reserves room for as many items as they
+ * claim to have.
+ */
+
+#define CODEC_VERSION 3
+#define LOADS_MAX 8192
+#define RUNS_MAX 8192
+
+/* First bytes of the values that messages are made of. */
+#define LEAD_FIXINT_MAX 0x7f
+#define LEAD_FIXSTR_MIN 0xa0
+#define LEAD_FIXSTR_MAX 0xbf
+#define LEAD_UINT_MIN 0xcc
+#define LEAD_UINT_MAX 0xcf
+#define LEAD_STR8 0xd9
 
 static int
 write_bytes (void *data, const char *bytes, size_t len)
@@ -21,29 +35,30 @@
   msgpack_pack_str_body (packer, name->at, name->len);
 }
 
-static void
-pack_start (msgpack_packer *packer, GByteArray *bytes, link_kind_t kind, size_t n)
+static GByteArray *
+pack_start (msgpack_packer *packer, link_kind_t kind)
 {
+  GByteArray *bytes = g_byte_array_new ();
+
   msgpack_packer_init (packer, bytes, write_bytes);
-  msgpack_pack_array (packer, n + 2);
   msgpack_pack_uint8 (packer, CODEC_VERSION);
   msgpack_pack_uint8 (packer, (uint8_t)kind);
+  return bytes;
 }
 
 GByteArray *
 link_write_report (const link_report_t *report)
 {
-  GByteArray *bytes = g_byte_array_new ();
   msgpack_packer packer;
+  GByteArray *bytes = pack_start (&packer, LINK_REPORT);
 
-  pack_start (&packer, bytes, LINK_REPORT, 6);
   pack_name (&packer, &report->host);
   pack_name (&packer, &report->address);
   msgpack_pack_uint64 (&packer, report->life);
   pack_name (&packer, &report->service);
   msgpack_pack_uint64 (&packer, report->table_version);
-  msgpack_pack_array (&packer, 2 * (size_t)report->loads->len);
-  for (guint i = 0; i < report->loads->len; i++)
+  msgpack_pack_uint32 (&packer, MIN (report->loads->len, LOADS_MAX));
+  for (guint i = 0; i < MIN (report->loads->len, LOADS_MAX); i++)
     {
       const key_load_t *load = &g_array_index (report->loads, key_load_t, i);
       msgpack_pack_uint32 (&packer, load->step);
@@ -55,9 +70,9 @@
 static void
 pack_table (msgpack_packer *packer, const key_table_t *table)
 {
-  msgpack_pack_array (packer, 2 + 6 * (size_t)table->runs->len);
   pack_name (packer, &table->service);
   msgpack_pack_uint64 (packer, table->version);
+  msgpack_pack_uint32 (packer, table->runs->len);
   for (guint i = 0; i < table->runs->len; i++)
     {
       const key_run_t *run = &g_array_index (table->runs, key_run_t, i);
@@ -73,10 +88,9 @@
 GByteArray *
 link_write_news (const link_news_t *news)
 {
-  GByteArray *bytes = g_byte_array_new ();
   msgpack_packer packer;
+  GByteArray *bytes = pack_start (&packer, LINK_NEWS);
 
-  pack_start (&packer, bytes, LINK_NEWS, 8);
   pack_name (&packer, &news->host);
   pack_name (&packer, &news->address);
   msgpack_pack_uint64 (&packer, news->life);
@@ -84,30 +98,39 @@
   msgpack_pack_uint32 (&packer, news->hosts);
   msgpack_pack_uint64 (&packer, news->configuration_row);
   msgpack_pack_uint64 (&packer, news->targets_row);
+  msgpack_pack_uint8 (&packer, news->has_table);
   if (news->has_table)
     pack_table (&packer, &news->table);
-  else
-    msgpack_pack_nil (&packer);
   return bytes;
 }
 
-/* Values of one array, taken in order; OK turns false at the first that doesn't fit. */
+/* Values in order; OK turns false at the first that doesn't fit. */
 typedef struct
 {
-  const msgpack_object_array *array;
-  uint32_t at;
+  text_t bytes;
+  size_t at;
+  msgpack_unpacked value;
   bool ok;
 } cursor_t;
 
+static bool
+is_scalar (uint8_t lead)
+{
+  return lead <= LEAD_FIXINT_MAX || (lead >= LEAD_FIXSTR_MIN && lead <= LEAD_FIXSTR_MAX)
+         || (lead >= LEAD_UINT_MIN && lead <= LEAD_UINT_MAX) || lead == LEAD_STR8;
+}
+
 static const msgpack_object *
 next (cursor_t *self)
 {
-  if (self->at >= self->array->size)
-    {
-      self->ok = false;
-      return NULL;
-    }
-  return &self->array->ptr[self->at++];
+  static const msgpack_object none = { .type = MSGPACK_OBJECT_NIL };
+
+  self->ok
+      = self->ok && self->at < self->bytes.len
+        && is_scalar ((uint8_t)self->bytes.at[self->at])
+        && msgpack_unpack_next (&self->value, self->bytes.at, self->bytes.len, &self->at)
+               == MSGPACK_UNPACK_SUCCESS;
+  return self->ok ? &self->value.data : &none;
 }
 
 static uint64_t
@@ -115,13 +138,9 @@
 {
   const msgpack_object *value = next (self);
 
-  if (value == NULL || value->type != MSGPACK_OBJECT_POSITIVE_INTEGER
-      || value->via.u64 > max)
-    {
-      self->ok = false;
-      return 0;
-    }
-  return value->via.u64;
+  self->ok = self->ok && value->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+             && value->via.u64 <= max;
+  return self->ok ? value->via.u64 : 0;
 }
 
 static void
@@ -129,97 +148,80 @@
 {
   const msgpack_object *value = next (self);
 
-  if (value == NULL || value->type != MSGPACK_OBJECT_STR
-      || !name_set (name, (text_t){ value->via.str.ptr, value->via.str.size }))
-    self->ok = false;
+  self->ok = self->ok && value->type == MSGPACK_OBJECT_STR
+             && name_set (name, (text_t){ value->via.str.ptr, value->via.str.size });
 }
 
-static bool
-take_report (cursor_t *fields, link_report_t *report)
-{
-  take_name (fields, &report->host);
-  take_name (fields, &report->address);
-  report->life = take_number (fields, UINT64_MAX);
-  take_name (fields, &report->service);
-  report->table_version = take_number (fields, UINT64_MAX);
-  const msgpack_object *loads = next (fields);
+static void
+take_report (cursor_t *self, link_report_t *report)
+{
+  take_name (self, &report->host);
+  take_name (self, &report->address);
+  report->life = take_number (self, UINT64_MAX);
+  take_name (self, &report->service);
+  report->table_version = take_number (self, UINT64_MAX);
   report->loads = g_array_new (FALSE, FALSE, sizeof (key_load_t));
-  if (!fields->ok || loads->type != MSGPACK_OBJECT_ARRAY
-      || loads->via.array.size > 2 * LOADS_MAX)
-    return false;
-  cursor_t items = { &loads->via.array, 0, true };
-  while (items.ok && items.at < items.array->size)
+  for (uint64_t n = take_number (self, LOADS_MAX); n > 0 && self->ok; n--)
     {
-      key_load_t load = { .step = (uint16_t)take_number (&items, KEY_LAST),
-                          .count = (uint32_t)take_number (&items, UINT32_MAX) };
+      key_load_t load = { 0 };
+      load.step = (uint16_t)take_number (self, KEY_STEPS - 1);
+      load.count = (uint32_t)take_number (self, UINT32_MAX);
       g_array_append_val (report->loads, load);
     }
-  return items.ok;
 }
 
-static bool
-take_table (const msgpack_object *value, key_table_t *table)
+static void
+take_table (cursor_t *self, key_table_t *table)
 {
   name_t service = { 0 };
 
-  if (value->type != MSGPACK_OBJECT_ARRAY || value->via.array.size > 2 + 6 * RUNS_MAX)
-    return false;
-  cursor_t items = { &value->via.array, 0, true };
-  take_name (&items, &service);
+  take_name (self, &service);
   key_table_init (table, name_text (&service));
-  table->version = take_number (&items, UINT64_MAX);
-  while (items.ok && items.at < items.array->size)
+  table->version = take_number (self, UINT64_MAX);
+  for (uint64_t n = take_number (self, RUNS_MAX); n > 0 && self->ok; n--)
     {
       key_run_t run = { 0 };
-      run.first = (uint32_t)take_number (&items, KEY_LAST);
-      run.last = (uint32_t)take_number (&items, KEY_LAST);
-      run.fence = take_number (&items, UINT64_MAX);
-      take_name (&items, &run.target);
-      take_name (&items, &run.address);
-      run.born = take_number (&items, UINT64_MAX);
+      run.first = (uint32_t)take_number (self, KEY_LAST);
+      run.last = (uint32_t)take_number (self, KEY_LAST);
+      run.fence = take_number (self, UINT64_MAX);
+      take_name (self, &run.target);
+      take_name (self, &run.address);
+      run.born = take_number (self, UINT64_MAX);
       g_array_append_val (table->runs, run);
     }
-  return items.ok;
 }
 
-static bool
-take_news (cursor_t *fields, link_news_t *news)
-{
-  take_name (fields, &news->host);
-  take_name (fields, &news->address);
-  news->life = take_number (fields, UINT64_MAX);
-  news->role_left = (msec_t)take_number (fields, 1000 * 1000);
-  news->hosts = (uint32_t)take_number (fields, UINT32_MAX);
-  news->configuration_row = take_number (fields, UINT64_MAX);
-  news->targets_row = take_number (fields, UINT64_MAX);
-  const msgpack_object *table = next (fields);
-  if (!fields->ok)
-    return false;
-  news->has_table = table->type != MSGPACK_OBJECT_NIL;
-  return !news->has_table || take_table (table, &news->table);
+static void
+take_news (cursor_t *self, link_news_t *news)
+{
+  take_name (self, &news->host);
+  take_name (self, &news->address);
+  news->life = take_number (self, UINT64_MAX);
+  news->role_left = (msec_t)take_number (self, 1000 * 1000);
+  news->hosts = (uint32_t)take_number (self, UINT32_MAX);
+  news->configuration_row = take_number (self, UINT64_MAX);
+  news->targets_row = take_number (self, UINT64_MAX);
+  news->has_table = take_number (self, 1) == 1;
+  if (news->has_table)
+    take_table (self, &news->table);
 }
 
 status_t
 link_read (link_msg_t *msg, text_t bytes, fault_t *fault)
 {
-  msgpack_unpacked unpacked;
-  size_t at = 0;
-  bool ok = false;
+  cursor_t cursor = { .bytes = bytes, .ok = true };
 
   *msg = (link_msg_t){ 0 };
-  msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, bytes.at, bytes.len, &at) == MSGPACK_UNPACK_SUCCESS
-      && unpacked.data.type == MSGPACK_OBJECT_ARRAY)
-    {
-      cursor_t fields = { &unpacked.data.via.array, 0, true };
-      uint64_t version = take_number (&fields, UINT8_MAX);
-      msg->kind = (link_kind_t)take_number (&fields, LINK_NEWS);
-      ok = fields.ok && version == CODEC_VERSION
-           && (msg->kind == LINK_REPORT ? take_report (&fields, &msg->report)
-                                        : take_news (&fields, &msg->news));
-    }
-  msgpack_unpacked_destroy (&unpacked);
-  if (ok)
+  msgpack_unpacked_init (&cursor.value);
+  uint64_t version = take_number (&cursor, UINT8_MAX);
+  msg->kind = (link_kind_t)take_number (&cursor, LINK_NEWS);
+  cursor.ok = cursor.ok && version == CODEC_VERSION;
+  if (msg->kind == LINK_REPORT)
+    take_report (&cursor, &msg->report);
+  else
+    take_news (&cursor, &msg->news);
+  msgpack_unpacked_destroy (&cursor.value);
+  if (cursor.ok && cursor.at == bytes.len)
     return STATUS_OK;
   link_msg_finish (msg);
   return fault_raise (fault,
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -302,6 +302,38 @@
   evtimer_add (self->timer, &after);
 }
 
+static void
+log_refusal (const call_t *self, dispatch_answer_t answer)
+{
+  static const char *const whys[] = {
+    [ANSWER_RUN] = "run",
+    [ANSWER_FULL] = "full",
+    [ANSWER_NOT_OWNER] = "not_owner",
+    [ANSWER_STRANGER] = "stranger",
+  };
+  const exchange_t *exchange = self->exchange;
+  const dispatch_target_t *target
+      = dispatch_target (&self->proxy->dispatch, self->target);
+
+  eventlog_write (
+      EVENT_TROUBLE,
+      "proxy",
+      "send_refused",
+      "request=%.*s target=%.*s why=%s key=%d keys=%llu send=%u load=%u,%u,%u "
+      "believed=%u after_ms=%lld",
+      NAME_ARG (exchange->id),
+      NAME_ARG (target->entry.id),
+      whys[answer],
+      exchange->request.keyed ? (int)exchange->request.key : -1,
+      (unsigned long long)exchange->request.key_version,
+      exchange->request.sends,
+      self->facts.load.running,
+      self->facts.load.waiting,
+      self->facts.load.slots,
+      exchange->request.load_at_send,
+      (long long)(msclock_now (&self->proxy->clock) - exchange->request.sent_at));
+}
+
 static void
 complete (call_t *self)
 {
@@ -319,6 +351,8 @@
       fail (self, "encoded");
       return;
     }
+  if (msg.answer != ANSWER_RUN)
+    log_refusal (self, msg.answer);
   detach (self);
   evtimer_del (self->timer);
   if (exchange->uploading && !exchange->whole)
