--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -166,6 +166,7 @@
   uint32_t service;
   uint32_t in_flight; /* of this host */
   uint32_t others;    /* other hosts' requests there, by its last report */
+  uint32_t usual;     /* moving average of OTHERS, in thousandths */
   msec_t reported_at;
   uint32_t work_ms; /* moving average of its work on one request */
   uint32_t failures;
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -9,16 +9,29 @@
   return g_ptr_array_index (self->targets, i);
 }
 
+/* What its last report still says of others' requests, in thousandths. */
+static msec_t
+told_others (const dispatch_target_t *self, msec_t now)
+{
+  msec_t age = CLAMP (now - self->reported_at, 0, DISPATCH_REPORT_KEEP_MS);
+
+  return self->others * 1000 * (DISPATCH_REPORT_KEEP_MS - age) / DISPATCH_REPORT_KEEP_MS;
+}
+
 uint32_t
 target_load (const dispatch_target_t *self, msec_t now)
 {
-  msec_t age = MAX (now - self->reported_at, 0);
+  return self->in_flight + (uint32_t)(told_others (self, now) / 1000);
+}
+
+/* The load by which targets are compared: an old report gives way to what is usual. */
+static msec_t
+likely_load (const dispatch_target_t *self, msec_t now)
+{
+  msec_t age = CLAMP (now - self->reported_at, 0, DISPATCH_REPORT_KEEP_MS);
 
-  if (age >= DISPATCH_REPORT_KEEP_MS)
-    return self->in_flight;
-  return self->in_flight
-         + (uint32_t)(self->others * (DISPATCH_REPORT_KEEP_MS - age)
-                      / DISPATCH_REPORT_KEEP_MS);
+  return self->in_flight * 1000 + told_others (self, now)
+         + self->usual * age / DISPATCH_REPORT_KEEP_MS;
 }
 
 static msec_t
@@ -73,6 +86,7 @@
       uint32_t there = msg->load.running + msg->load.waiting;
       self->others = there > self->in_flight ? there - self->in_flight : 0;
       self->reported_at = now;
+      average (&self->usual, self->others * 1000);
     }
   else if (msg->answer == ANSWER_FULL)
     {
@@ -210,7 +224,12 @@
          const dispatch_request_t *request,
          msec_t now)
 {
-  msec_t expected = target_expected (target, now) * 16;
+  msec_t slots = MAX (target->entry.slots, 1) * 1000;
+  msec_t load = likely_load (target, now) + 1000;
+  msec_t work = work_of (target, now);
+  /* Near its slots a target queues part of the time: the wait grows before it is full. */
+  msec_t expected = 16 * work + 16 * work * load * load / (slots * slots);
+  expected = expected * (1000 + 3 * (msec_t)target->errors_permille) / 1000;
 
   if (!name_equal (&target->entry.data_centre, &self->data_centre))
     expected += expected * remote_percent (request->kind) / 100;
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -10,7 +10,10 @@
  * at the same targets.
  */
 
-/* Requests at the target: this host's, and others' by its last report, as it ages. */
+/*
+ * Requests at the target: this host's and the others'.  The others' are known from the
+ * target's last report, which counts less as it ages, and from what was usual before.
+ */
 uint32_t target_load (const dispatch_target_t *self, msec_t now);
 
 /* The target's expected time for one more request, queueing included. */
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -562,6 +562,33 @@
   end (&world);
 }
 
+/* Other hosts' requests count in the choice though no report of the last second tells. */
+static void
+test_a_target_that_is_usually_busy_gets_less (void **state)
+{
+  world_t world;
+  dispatch_request_t request;
+  uint32_t busy = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < 40; i++)
+    {
+      arrive (&world, &request, TEXT ("/read/"));
+      bool p1 = text_equal (sent_to (&world), TEXT ("p1"));
+      busy += i >= 20 && p1;
+      const dispatch_msg_t msg = { .kind = DISPATCH_ANSWERED,
+                                   .request = &request,
+                                   .status = 200,
+                                   .load = { true, p1 ? 3 : 0, 0, 3 } };
+      world.now += 100;
+      tell (&world, &msg);
+      world.now += DISPATCH_REPORT_KEEP_MS;
+    }
+  assert_in_range (busy, 0, 4);
+  end (&world);
+}
+
 static void
 test_too_much_waits_and_is_refused_by_the_objective (void **state)
 {
@@ -626,6 +653,7 @@
     cmocka_unit_test (test_a_caller_that_leaves_cancels_what_may_run_again),
     cmocka_unit_test (test_slow_and_failing_targets_get_less),
     cmocka_unit_test (test_several_targets_share_what_comes_at_once),
+    cmocka_unit_test (test_a_target_that_is_usually_busy_gets_less),
     cmocka_unit_test (test_too_much_waits_and_is_refused_by_the_objective),
     cmocka_unit_test (test_requests_in_flight_outlive_their_target),
   };
