The granter passes on what its feeds tell; other hosts' feeds rest

A host that misses rows sees it by their versions and asks the store; one that doesn't hear the granter for 1.3 s follows the store itself.

--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -15,6 +15,13 @@
 /* The granter knows rows up to these versions: a feed that stays behind asks anew. */
 void news_compare (coordinator_t *self, uint64_t configuration_row, uint64_t targets_row);
 
+/* Rows of another host's feed that follow BEFORE: store_row_t. */
+void news_take_rows (coordinator_t *self,
+                     store_table_t table,
+                     uint64_t before,
+                     uint64_t after,
+                     const GArray *rows);
+
 /* The store answers again: whatever was asked while it was away is asked anew. */
 void news_ask_anew (coordinator_t *self);
 
@@ -51,6 +58,12 @@
 /* Tells all hosts that report to this one of a new table. */
 void peers_tell_table (coordinator_t *self, const key_table_t *table);
 
+/* The granter passes on what its feed of TABLE told. */
+void peers_tell_rows (coordinator_t *self,
+                      store_table_t table,
+                      uint64_t before,
+                      const store_reply_t *reply);
+
 /* Whether the granter was heard lately, or is this host. */
 bool peers_have_news (const coordinator_t *self);
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -48,7 +48,7 @@
 go_on (feed_t *self)
 {
   if (self->watching && self->ops->wanted != NULL && !self->ops->wanted (self->owner))
-    call_later (self, FEED_REST_MS);
+    self->resting = true;
   else
     call (self);
 }
@@ -154,9 +154,12 @@
   succeeded (self, reply);
   if (self->watching)
     {
+      uint64_t before = self->version;
       for (guint i = 0; i < reply->rows->len; i++)
         tell_row (self, &g_array_index (reply->rows, store_row_t, i));
       self->version = MAX (self->version, reply->version);
+      if (self->ops->changed != NULL && reply->rows->len > 0)
+        self->ops->changed (self->owner, before, reply);
       if (reply->rows->len > 0)
         self->ops->settled (self->owner, false);
     }
@@ -181,6 +184,45 @@
   take_reply (self, reply);
 }
 
+void
+feed_wake (feed_t *self)
+{
+  if (self->call != NULL)
+    return;
+  evtimer_del (self->retry);
+  self->resting = false;
+  call (self);
+}
+
+void
+feed_step (feed_t *self)
+{
+  if (self->resting && self->ops->wanted (self->owner))
+    feed_wake (self);
+}
+
+void
+feed_take (feed_t *self, uint64_t before, uint64_t after, const GArray *rows)
+{
+  if (!self->watching || after <= self->version)
+    return;
+  if (before > self->version)
+    {
+      feed_wake (self);
+      return;
+    }
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const store_row_t *row = &g_array_index (rows, store_row_t, i);
+      if (row->version > self->version)
+        tell_row (self, row);
+    }
+  self->version = after;
+  self->last_good = now_ms ();
+  if (rows->len > 0)
+    self->ops->settled (self->owner, false);
+}
+
 void
 feed_ask_anew (feed_t *self, msec_t since)
 {
@@ -211,6 +253,7 @@
                     .name = name,
                     .ops = ops,
                     .owner = owner,
+                    .behind_since = MSEC_NEVER,
                     .after = g_string_new (NULL) };
   self->retry = evtimer_new (base, on_retry, self);
   rng_init (&self->rng, (uint64_t)g_get_monotonic_time ());
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -18,6 +18,8 @@
   void (*row) (void *owner, const store_row_t *row);
   /* All rows of an answer were told; WHOLE: they end a whole read. */
   void (*settled) (void *owner, bool whole);
+  /* A watch brought REPLY's rows, which follow BEFORE; NULL: nobody else is told. */
+  void (*changed) (void *owner, uint64_t before, const store_reply_t *reply);
   /* Whether a watch should begin now; NULL: always. */
   bool (*wanted) (void *owner);
 } feed_ops_t;
@@ -32,13 +34,15 @@
   struct event *retry;
   struct feed_call *call; /* under way; NULL: none, or one that isn't listened to */
   rng_t rng;
-  bool watching;    /* else a whole read is due or under way */
-  uint64_t version; /* all changes up to this were told */
-  uint64_t newest;  /* version of the newest row that was told */
-  GString *after;   /* last key of the page before */
-  msec_t pause;     /* before the next try; 0: the last call went well */
-  msec_t last_good; /* the last answer came */
-  msec_t regained;  /* the store answered again after failures */
+  bool watching;       /* else a whole read is due or under way */
+  bool resting;        /* no watch is wanted, by the last look */
+  uint64_t version;    /* all changes up to this were told */
+  uint64_t newest;     /* version of the newest row that was told */
+  msec_t behind_since; /* another host told of a newer row; MSEC_NEVER: none did */
+  GString *after;      /* last key of the page before */
+  msec_t pause;        /* before the next try; 0: the last call went well */
+  msec_t last_good;    /* the last answer came */
+  msec_t regained;     /* the store answered again after failures */
 } feed_t;
 
 void feed_init (feed_t *self,
@@ -57,5 +61,17 @@
  */
 void feed_ask_anew (feed_t *self, msec_t since);
 
+/*
+ * Takes over rows that another host's feed told between versions BEFORE and AFTER, as if
+ * a watch had brought them.  Asks the store if rows before them are missing here.
+ */
+void feed_take (feed_t *self, uint64_t before, uint64_t after, const GArray *rows);
+
+/* Looks whether a resting feed is wanted again; to be called often. */
+void feed_step (feed_t *self);
+
+/* Asks the store now if the feed rests. */
+void feed_wake (feed_t *self);
+
 /* The store hasn't failed since, and a whole read was told. */
 bool feed_is_current (const feed_t *self);
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -299,19 +299,42 @@
   (void)whole;
 }
 
-/* While the granter tells of owners, the store isn't asked for them. */
+/* While the granter passes on what its feeds tell, the store isn't asked. */
+static bool
+is_wanted (void *owner)
+{
+  const coordinator_t *self = owner;
+
+  return self->role.state == ROLE_HELD || !peers_have_news (self);
+}
+
 static bool
 owners_wanted (void *owner)
 {
   return !peers_have_news (owner);
 }
 
-static const feed_ops_t configuration_ops
-    = { configuration_begin, configuration_row, configuration_settled, NULL };
+static void
+configuration_changed (void *owner, uint64_t before, const store_reply_t *reply)
+{
+  peers_tell_rows (owner, STORE_CONFIGURATION, before, reply);
+}
+
+static void
+targets_changed (void *owner, uint64_t before, const store_reply_t *reply)
+{
+  peers_tell_rows (owner, STORE_TARGETS, before, reply);
+}
+
+static const feed_ops_t configuration_ops = { configuration_begin,
+                                              configuration_row,
+                                              configuration_settled,
+                                              configuration_changed,
+                                              is_wanted };
 static const feed_ops_t targets_ops
-    = { targets_begin, targets_row, targets_settled, NULL };
+    = { targets_begin, targets_row, targets_settled, targets_changed, is_wanted };
 static const feed_ops_t owners_ops
-    = { owners_begin, owners_row, owners_settled, owners_wanted };
+    = { owners_begin, owners_row, owners_settled, NULL, owners_wanted };
 
 void
 news_step (coordinator_t *self, msec_t now)
@@ -319,6 +342,9 @@
   GHashTableIter iter;
   gpointer value;
 
+  feed_step (&self->configuration);
+  feed_step (&self->targets);
+  feed_step (&self->owners);
   g_hash_table_iter_init (&iter, self->known);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -337,8 +363,15 @@
   msec_t now = g_get_monotonic_time () / 1000;
 
   /* A change takes a moment to arrive everywhere. */
-  if (newest > feed->newest)
-    feed_ask_anew (feed, now - FEED_BEHIND_MS);
+  if (newest <= feed->newest)
+    feed->behind_since = MSEC_NEVER;
+  else if (feed->behind_since == MSEC_NEVER)
+    feed->behind_since = now;
+  else if (now >= feed->behind_since + FEED_BEHIND_MS)
+    {
+      feed_ask_anew (feed, now - FEED_BEHIND_MS);
+      feed_wake (feed);
+    }
 }
 
 void
@@ -348,6 +381,19 @@
   compare (&self->targets, targets_row);
 }
 
+void
+news_take_rows (coordinator_t *self,
+                store_table_t table,
+                uint64_t before,
+                uint64_t after,
+                const GArray *rows)
+{
+  if (table == STORE_CONFIGURATION)
+    feed_take (&self->configuration, before, after, rows);
+  else if (table == STORE_TARGETS)
+    feed_take (&self->targets, before, after, rows);
+}
+
 void
 news_ask_anew (coordinator_t *self)
 {
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -111,6 +111,76 @@
     owners_take (self, &news->table);
 }
 
+static void
+take_rows (coordinator_t *self, const link_rows_t *from)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (store_row_t));
+
+  for (guint i = 0; i < from->rows->len; i++)
+    {
+      const link_row_t *row = &g_array_index (from->rows, link_row_t, i);
+      store_row_t copy
+          = { .key = g_string_new_len (row->key.at, (gssize)row->key.len),
+              .value = g_string_new_len (row->value.at, (gssize)row->value.len),
+              .version = row->version,
+              .removed = row->removed };
+      g_array_append_val (rows, copy);
+    }
+  if (self->role.state != ROLE_HELD)
+    news_take_rows (self, (store_table_t)from->table, from->before, from->after, rows);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      g_string_free (g_array_index (rows, store_row_t, i).key, TRUE);
+      g_string_free (g_array_index (rows, store_row_t, i).value, TRUE);
+    }
+  g_array_unref (rows);
+}
+
+static void
+tell_part (coordinator_t *self, const link_rows_t *part)
+{
+  GByteArray *bytes = link_write_rows (part);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->reporters);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    send_bytes (self, &((const reporter_t *)value)->address, g_byte_array_ref (bytes));
+  g_byte_array_unref (bytes);
+}
+
+void
+peers_tell_rows (coordinator_t *self,
+                 store_table_t table,
+                 uint64_t before,
+                 const store_reply_t *reply)
+{
+  link_rows_t part = { .table = table,
+                       .before = before,
+                       .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
+  size_t held = 0;
+
+  for (guint i = 0; i < reply->rows->len && self->role.state == ROLE_HELD; i++)
+    {
+      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
+      link_row_t copy = { .key = { row->key->str, row->key->len },
+                          .value = { row->value->str, row->value->len },
+                          .version = row->version,
+                          .removed = row->removed };
+      g_array_append_val (part.rows, copy);
+      held += row->value->len;
+      bool last = i + 1 == reply->rows->len;
+      if (!last && held < LINK_MESSAGE_MAX_BYTES / 2)
+        continue;
+      part.after = last ? reply->version : row->version;
+      tell_part (self, &part);
+      part.before = part.after;
+      g_array_set_size (part.rows, 0);
+      held = 0;
+    }
+  g_array_unref (part.rows);
+}
+
 static void
 on_message (void *owner, text_t bytes)
 {
@@ -129,8 +199,10 @@
     }
   if (msg.kind == LINK_REPORT)
     take_report (self, &msg.report);
-  else
+  else if (msg.kind == LINK_NEWS)
     take_news (self, &msg.news);
+  else
+    take_rows (self, &msg.rows);
   link_msg_finish (&msg);
 }
 
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -177,7 +177,7 @@
 #define CALL_IDLE_PERCENT 60
 #define CALL_SILENT_MS 1500 /* unacknowledged bytes: the peer is gone */
 #define PROXY_MAILBOX 256
-#define PROXY_LOADS_MS 1000       /* how often loads of keys are told */
+#define PROXY_LOADS_MS 500 /* how often loads of keys are told, and news asked for */
 #define PROXY_GRACE_MARGIN_MS 500 /* from the last connection's end to SIGKILL */
 #define PROXY_LEAVE_MS                                                                   \
   2600 /* two missed readiness questions, a second apart, and a margin */
@@ -233,14 +233,13 @@
 #define LINK_RECONNECT_MS 200
 #define LINK_RECONNECT_MAX_MS 2000
 #define LINK_FORGET_MS 30000
-/* A host reports to the granter once a second, and believes news three times as long. */
-#define REPORT_MS 1000
-#define NEWS_KEEP_MS 3000
+/* A host believes news so long: two reports may be lost.  What it misses meanwhile, a leaving
+ * target or a configuration, has to be read from the store within their bounds. */
+#define NEWS_KEEP_MS 1300
 #define REPORT_FORGET_MS 5000 /* a host that doesn't report isn't counted any more */
 
 /* Feeds of the store's tables. */
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
-#define FEED_BEHIND_MS 700 /* a watch that missed a change for so long is stale */
-#define FEED_REST_MS 500   /* between looks whether a resting feed is wanted again */
+#define FEED_BEHIND_MS 400 /* a feed that missed a change for so long asks the store */
 
 #define SETTINGS_LOOK_MS 2000 /* between looks at the settings file */
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -12,6 +12,7 @@
 #define CODEC_VERSION 3
 #define LOADS_MAX 8192
 #define RUNS_MAX 8192
+#define ROWS_MAX 8192
 
 /* First bytes of the values that messages are made of. */
 #define LEAD_FIXINT_MAX 0x7f
@@ -19,7 +20,8 @@
 #define LEAD_FIXSTR_MAX 0xbf
 #define LEAD_UINT_MIN 0xcc
 #define LEAD_UINT_MAX 0xcf
-#define LEAD_STR8 0xd9
+#define LEAD_STR_MIN 0xd9
+#define LEAD_STR_MAX 0xdb
 
 static int
 write_bytes (void *data, const char *bytes, size_t len)
@@ -104,6 +106,34 @@
   return bytes;
 }
 
+static void
+pack_text (msgpack_packer *packer, text_t text)
+{
+  msgpack_pack_str (packer, text.len);
+  msgpack_pack_str_body (packer, text.at, text.len);
+}
+
+GByteArray *
+link_write_rows (const link_rows_t *rows)
+{
+  msgpack_packer packer;
+  GByteArray *bytes = pack_start (&packer, LINK_ROWS);
+
+  msgpack_pack_uint32 (&packer, rows->table);
+  msgpack_pack_uint64 (&packer, rows->before);
+  msgpack_pack_uint64 (&packer, rows->after);
+  msgpack_pack_uint32 (&packer, rows->rows->len);
+  for (guint i = 0; i < rows->rows->len; i++)
+    {
+      const link_row_t *row = &g_array_index (rows->rows, link_row_t, i);
+      pack_text (&packer, row->key);
+      pack_text (&packer, row->value);
+      msgpack_pack_uint64 (&packer, row->version);
+      msgpack_pack_uint8 (&packer, row->removed);
+    }
+  return bytes;
+}
+
 /* Values in order; OK turns false at the first that doesn't fit. */
 typedef struct
 {
@@ -117,7 +147,8 @@
 is_scalar (uint8_t lead)
 {
   return lead <= LEAD_FIXINT_MAX || (lead >= LEAD_FIXSTR_MIN && lead <= LEAD_FIXSTR_MAX)
-         || (lead >= LEAD_UINT_MIN && lead <= LEAD_UINT_MAX) || lead == LEAD_STR8;
+         || (lead >= LEAD_UINT_MIN && lead <= LEAD_UINT_MAX)
+         || (lead >= LEAD_STR_MIN && lead <= LEAD_STR_MAX);
 }
 
 static const msgpack_object *
@@ -206,6 +237,33 @@
     take_table (self, &news->table);
 }
 
+static text_t
+take_text (cursor_t *self)
+{
+  const msgpack_object *value = next (self);
+
+  self->ok = self->ok && value->type == MSGPACK_OBJECT_STR;
+  return self->ok ? (text_t){ value->via.str.ptr, value->via.str.size } : TEXT_NONE;
+}
+
+static void
+take_rows (cursor_t *self, link_rows_t *rows)
+{
+  rows->table = (uint32_t)take_number (self, UINT8_MAX);
+  rows->before = take_number (self, UINT64_MAX);
+  rows->after = take_number (self, UINT64_MAX);
+  rows->rows = g_array_new (FALSE, FALSE, sizeof (link_row_t));
+  for (uint64_t n = take_number (self, ROWS_MAX); n > 0 && self->ok; n--)
+    {
+      link_row_t row = { 0 };
+      row.key = take_text (self);
+      row.value = take_text (self);
+      row.version = take_number (self, UINT64_MAX);
+      row.removed = take_number (self, 1) == 1;
+      g_array_append_val (rows->rows, row);
+    }
+}
+
 status_t
 link_read (link_msg_t *msg, text_t bytes, fault_t *fault)
 {
@@ -214,12 +272,14 @@
   *msg = (link_msg_t){ 0 };
   msgpack_unpacked_init (&cursor.value);
   uint64_t version = take_number (&cursor, UINT8_MAX);
-  msg->kind = (link_kind_t)take_number (&cursor, LINK_NEWS);
+  msg->kind = (link_kind_t)take_number (&cursor, LINK_ROWS);
   cursor.ok = cursor.ok && version == CODEC_VERSION;
   if (msg->kind == LINK_REPORT)
     take_report (&cursor, &msg->report);
-  else
+  else if (msg->kind == LINK_NEWS)
     take_news (&cursor, &msg->news);
+  else
+    take_rows (&cursor, &msg->rows);
   msgpack_unpacked_destroy (&cursor.value);
   if (cursor.ok && cursor.at == bytes.len)
     return STATUS_OK;
@@ -235,6 +295,8 @@
 {
   if (self->report.loads != NULL)
     g_array_unref (self->report.loads);
+  if (self->rows.rows != NULL)
+    g_array_unref (self->rows.rows);
   if (self->news.table.runs != NULL)
     key_table_finish (&self->news.table);
   *self = (link_msg_t){ 0 };
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -32,10 +32,28 @@
   key_table_t table;
 } link_news_t;
 
+/* One row of a table of the store, as a feed told it.  The texts aren't owned. */
+typedef struct
+{
+  text_t key;
+  text_t value;
+  uint64_t version;
+  bool removed;
+} link_row_t;
+
+/* Rows that the granter's feed of TABLE told between two versions of the store. */
+typedef struct
+{
+  uint32_t table;
+  uint64_t before, after;
+  GArray *rows; /* link_row_t; read ones point into the message's bytes */
+} link_rows_t;
+
 typedef enum
 {
   LINK_REPORT,
   LINK_NEWS,
+  LINK_ROWS,
 } link_kind_t;
 
 typedef struct
@@ -43,11 +61,13 @@
   link_kind_t kind;
   link_report_t report;
   link_news_t news;
+  link_rows_t rows;
 } link_msg_t;
 
-/* Both make a GByteArray to be freed by the caller. */
+/* All make a GByteArray to be freed by the caller. */
 GByteArray *link_write_report (const link_report_t *report);
 GByteArray *link_write_news (const link_news_t *news);
+GByteArray *link_write_rows (const link_rows_t *rows);
 
 /* On STATUS_OK the message is to be freed by link_msg_finish. */
 status_t link_read (link_msg_t *msg, text_t bytes, fault_t *fault);
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -95,6 +95,34 @@
   key_table_finish (&news.table);
 }
 
+static void
+test_rows_come_back (void **state)
+{
+  char *large = g_strnfill (70000, 'x');
+  const link_row_t sent[] = { { TEXT ("a"), { large, 70000 }, 7, false },
+                              { TEXT ("b"), TEXT_NONE, 8, true } };
+  link_rows_t rows = { .table = 1, .before = 6, .after = 9 };
+  link_msg_t msg;
+
+  (void)state;
+  rows.rows = g_array_new (FALSE, FALSE, sizeof (link_row_t));
+  g_array_append_vals (rows.rows, sent, G_N_ELEMENTS (sent));
+  GByteArray *bytes = link_write_rows (&rows);
+  assert_int_equal (read_bytes (&msg, bytes, bytes->len), STATUS_OK);
+  assert_int_equal (msg.kind, LINK_ROWS);
+  assert_int_equal (msg.rows.after, 9);
+  assert_int_equal (msg.rows.rows->len, 2);
+  const link_row_t *first = &g_array_index (msg.rows.rows, link_row_t, 0);
+  assert_true (text_equal (first->value, sent[0].value));
+  assert_true (g_array_index (msg.rows.rows, link_row_t, 1).removed);
+  link_msg_finish (&msg);
+  for (size_t len = 0; len < bytes->len; len += 997)
+    assert_int_equal (read_bytes (&msg, bytes, len), STATUS_DECODE);
+  g_byte_array_unref (bytes);
+  g_array_unref (rows.rows);
+  g_free (large);
+}
+
 static void
 test_any_changed_byte_is_read_or_rejected (void **state)
 {
@@ -161,6 +189,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_report_comes_back),
     cmocka_unit_test (test_news_come_back),
+    cmocka_unit_test (test_rows_come_back),
     cmocka_unit_test (test_any_changed_byte_is_read_or_rejected),
     cmocka_unit_test (test_a_message_arrives_at_the_other_end),
   };
