--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -139,7 +139,9 @@
 #define DISPATCH_POLL_MS 25  /* how often a waiting request looks again */
 #define DISPATCH_SENDS_MAX 4 /* of one request, those that weren't run included */
 #define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
-#define DISPATCH_ROOM_WAIT_PERCENT 25 /* of the objective: wait for room */
+/* Of the objective: wait for room, when more requests of the service wait than is short. */
+#define DISPATCH_ROOM_WAIT_PERCENT 25
+#define DISPATCH_SHORT_QUEUE 3 /* so many turns come round within an objective */
 #define DISPATCH_SILENCE_FACTOR 4 /* an answer this many times late is taken for lost */
 #define DISPATCH_RETRY_AFTER_MIN_MS 100
 /* A target answers at its deadline; the answer may take so long to arrive. */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -148,10 +148,15 @@
 
 /* The latest time at which a request that waits for REASON is given up. */
 static msec_t
-patience (const dispatch_request_t *request, dispatch_reason_t reason)
+patience (const dispatch_t *self,
+          const dispatch_request_t *request,
+          dispatch_reason_t reason)
 {
   msec_t objective = request->objective - request->arrived;
 
+  if (reason == REASON_OVERLOAD
+      && service_at (self, request->service)->waiting.length <= DISPATCH_SHORT_QUEUE)
+    return MIN (request->objective, request->deadline);
   if (reason == REASON_OVERLOAD)
     return MIN (request->arrived + objective * DISPATCH_ROOM_WAIT_PERCENT / 100,
                 request->deadline);
@@ -192,13 +197,13 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_NOT_TAKEN, now, out);
-  else if (now >= patience (request, reason) || is_hopeless (self, request, now))
+  else if (now >= patience (self, request, reason) || is_hopeless (self, request, now))
     end (self, request, reason, now, out);
   else
     wait_for (self,
               request,
               reason,
-              MIN (now + DISPATCH_POLL_MS, patience (request, reason)));
+              MIN (now + DISPATCH_POLL_MS, patience (self, request, reason)));
 }
 
 /* Looks again at the waiting requests of SERVICE, the most urgent first. */
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -613,6 +613,28 @@
   end (&world);
 }
 
+/* A few that wait get their turn within the objective; they aren't sent away early. */
+static void
+test_a_short_queue_waits_for_its_turn (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[200];
+  guint n = 0;
+
+  (void)state;
+  begin (&world);
+  do
+    arrive (&world, &requests[n], TEXT ("/read/"));
+  while (requests[n++].state == REQUEST_SENT);
+  dispatch_request_t *waiting = &requests[n - 1];
+  come_due (&world, waiting, START + OBJECTIVE / 2);
+  assert_int_equal (waiting->state, REQUEST_WAITING);
+  for (guint i = 0; i < n - 1; i++)
+    answer (&world, &requests[i], ANSWER_RUN, 200);
+  assert_int_equal (waiting->state, REQUEST_SENT);
+  end (&world);
+}
+
 static void
 test_requests_in_flight_outlive_their_target (void **state)
 {
@@ -655,6 +677,7 @@
     cmocka_unit_test (test_several_targets_share_what_comes_at_once),
     cmocka_unit_test (test_a_target_that_is_usually_busy_gets_less),
     cmocka_unit_test (test_too_much_waits_and_is_refused_by_the_objective),
+    cmocka_unit_test (test_a_short_queue_waits_for_its_turn),
     cmocka_unit_test (test_requests_in_flight_outlive_their_target),
   };
 
