--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -244,7 +244,7 @@
                           .address = run->address,
                           .born = run->born,
                           .warm = true,
-                          .held_until = now + on_slow_clock (self->hold_max) };
+                          .held_until = now + msg->held_for };
       g_array_append_val (service->spans, span);
     }
 }
@@ -452,6 +452,12 @@
   self->next_fence = MAX (self->next_fence, next_fence);
 }
 
+msec_t
+keys_held_after (const keys_t *self, msec_t since)
+{
+  return MAX (on_slow_clock (self->hold_max) - since, 0);
+}
+
 bool
 keys_settled (const keys_t *self)
 {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -44,7 +44,8 @@
   bool store_answers;       /* ROLE: its last answer is fresh, so that a move can end */
   const GArray *names;      /* SERVICES: name_t */
   const GArray *targets;    /* TARGETS: target_entry_t */
-  const key_table_t *table; /* TABLE */
+  const key_table_t *table;    /* TABLE */
+  msec_t held_for;             /* TABLE: no grant of a predecessor lasts longer */
   name_t service;           /* TABLE, and of GRANTED to FAILED */
   uint32_t first;           /* GRANTED to FAILED: the run's first key */
   uint64_t fence;           /* GRANTED to FAILED */
@@ -140,5 +141,11 @@
 /* The store's fence counter, read with the role. */
 void keys_set_fence (keys_t *self, uint64_t next_fence);
 
+/*
+ * How long grants of a predecessor may still last whose role ended SINCE ago: it may have
+ * granted the longest hold right before.
+ */
+msec_t keys_held_after (const keys_t *self, msec_t since);
+
 /* Whether every run of every service has an owner that took its grant. */
 bool keys_settled (const keys_t *self);
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -441,7 +441,10 @@
   list_targets (&world);
   keys_set_fence (&world.keys, 30);
   hold_role (&world);
-  tell (&world, (keys_msg_t){ .kind = KEYS_TABLE, .table = &table });
+  tell (&world,
+        (keys_msg_t){ .kind = KEYS_TABLE,
+                      .table = &table,
+                      .held_for = keys_held_after (&world.keys, 0) });
   key_table_finish (&table);
   assert_int_equal (count (&world, KEYS_GRANT), 1);
   assert_int_equal (find (&world, KEYS_GRANT)->fence, 20);
@@ -463,6 +466,43 @@
   end (&world);
 }
 
+/* Found in the recorded day of the first site: the role had been vacant for 7 s, and a
+ * crashed target's keys rested for the longest hold from the take-over on. */
+static void
+test_a_successor_counts_the_time_that_the_role_was_vacant (void **state)
+{
+  world_t world;
+  key_table_t table;
+
+  (void)state;
+  begin (&world, 2);
+  table = stored_table (&world, 2);
+  g_array_remove_index (world.targets, 1);
+  list_targets (&world);
+  hold_role (&world);
+  tell (&world,
+        (keys_msg_t){ .kind = KEYS_TABLE,
+                      .table = &table,
+                      .held_for = keys_held_after (&world.keys, HOLD_MAX - 1000) });
+  key_table_finish (&table);
+  assert_int_equal (count (&world, KEYS_COMMIT), 0);
+  while (world.now < START + 2000 && count (&world, KEYS_COMMIT) == 0)
+    {
+      const keys_out_t *call = find (&world, KEYS_RELEASE);
+      if (call != NULL)
+        {
+          keys_out_t copy = *call;
+          reply (&world, &copy, KEYS_FAILED, false);
+        }
+      take_grants (&world);
+      world.now += 50;
+      hold_role (&world);
+    }
+  assert_in_range (world.now, START + 1000, START + 1600);
+  assert_int_equal (keys_held_after (&world.keys, 100000), 0);
+  end (&world);
+}
+
 static void
 test_a_resigning_granter_makes_one_long_round_and_moves_nothing (void **state)
 {
@@ -750,6 +790,7 @@
     cmocka_unit_test (test_a_target_that_started_anew_gets_its_keys_under_a_new_fence),
     cmocka_unit_test (
         test_a_successor_renews_at_once_and_moves_nothing_its_predecessor_may_have_granted),
+    cmocka_unit_test (test_a_successor_counts_the_time_that_the_role_was_vacant),
     cmocka_unit_test (test_a_resigning_granter_makes_one_long_round_and_moves_nothing),
     cmocka_unit_test (test_nothing_is_granted_after_the_role_is_given_up),
     cmocka_unit_test (test_a_target_that_joins_gets_a_share),
