--- a/packages/core/eventlog.c
+++ b/packages/core/eventlog.c
@@ -4,6 +4,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
@@ -13,7 +14,7 @@
 /* The one thing that tasks share: lines of all tasks go to one descriptor. */
 static struct
 {
-  GMutex lock;
+  pthread_mutex_t lock; /* not GLib's, whose order ThreadSanitizer does not see */
   int fd;
   char bytes[EVENTLOG_BUFFER_BYTES];
   size_t len;
@@ -22,7 +23,7 @@
   int64_t second;
   uint32_t routine;
   uint32_t left_out;
-} log_state = { .fd = -1 };
+} log_state = { .lock = PTHREAD_MUTEX_INITIALIZER, .fd = -1 };
 
 static void
 append (const char *line, size_t len)
@@ -93,7 +94,7 @@
   if (log_state.fd < 0)
     return;
   clock_gettime (CLOCK_REALTIME, &wall);
-  g_mutex_lock (&log_state.lock);
+  pthread_mutex_lock (&log_state.lock);
   bool wanted = class != EVENT_ROUTINE || take_routine (&wall);
   if (wanted)
     {
@@ -117,13 +118,13 @@
         }
       append (line, (size_t)len);
     }
-  g_mutex_unlock (&log_state.lock);
+  pthread_mutex_unlock (&log_state.lock);
 }
 
 void
 eventlog_flush (void)
 {
-  g_mutex_lock (&log_state.lock);
+  pthread_mutex_lock (&log_state.lock);
   while (log_state.len > 0 && log_state.fd >= 0)
     {
       ssize_t n = write (log_state.fd, log_state.bytes, log_state.len);
@@ -134,14 +135,14 @@
       memmove (log_state.bytes, log_state.bytes + n, log_state.len - (size_t)n);
       log_state.len -= (size_t)n;
     }
-  g_mutex_unlock (&log_state.lock);
+  pthread_mutex_unlock (&log_state.lock);
 }
 
 uint64_t
 eventlog_lost (void)
 {
-  g_mutex_lock (&log_state.lock);
+  pthread_mutex_lock (&log_state.lock);
   uint64_t lost = log_state.lost;
-  g_mutex_unlock (&log_state.lock);
+  pthread_mutex_unlock (&log_state.lock);
   return lost;
 }
