--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -670,6 +670,48 @@
   end (&world);
 }
 
+/* A key hotter than any target's share, among targets of unequal speed. */
+static void
+test_the_hottest_key_goes_to_a_fast_target (void **state)
+{
+  world_t world;
+  GArray *speeds = g_array_new (FALSE, TRUE, sizeof (target_speed_t));
+  GArray *loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
+  name_t owner = { 0 };
+
+  (void)state;
+  begin (&world, 6);
+  settle (&world);
+  for (guint i = 0; i < 6; i++)
+    g_array_append_val (speeds,
+                        ((target_speed_t){ target (&world, i)->id, i == 4 ? 60 : 140 }));
+  tell (&world, (keys_msg_t){ .kind = KEYS_SPEEDS, .speeds = speeds });
+  for (uint32_t key = 0; key < KEY_STEPS; key += KEY_STEPS / 200)
+    g_array_append_val (loads, ((key_load_t){ (uint16_t)key, 1 }));
+  g_array_append_val (loads, ((key_load_t){ 777, 150 }));
+  for (msec_t until = world.now + 5000; world.now < until; world.now += 50)
+    {
+      hold_role (&world);
+      obey (&world);
+      if ((until - world.now) % KEYS_PLAN_MS == 0)
+        {
+          tell (&world, (keys_msg_t){ .kind = KEYS_LOADS, .loads = loads });
+          obey (&world);
+        }
+    }
+  const key_service_t *service = g_ptr_array_index (world.keys.services, 0);
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      const key_span_t *span = &g_array_index (service->spans, key_span_t, i);
+      if (span->first <= 777 && span->last >= 777)
+        owner = span->owner;
+    }
+  assert_true (name_equal (&owner, &target (&world, 4)->id));
+  g_array_unref (speeds);
+  g_array_unref (loads);
+  end (&world);
+}
+
 /* Found in the bench: runs were released while the store refused the commits. */
 static void
 test_nothing_moves_by_load_while_the_store_refuses (void **state)
@@ -795,6 +837,7 @@
     cmocka_unit_test (test_nothing_is_granted_after_the_role_is_given_up),
     cmocka_unit_test (test_a_target_that_joins_gets_a_share),
     cmocka_unit_test (test_hot_keys_are_spread_within_seconds),
+    cmocka_unit_test (test_the_hottest_key_goes_to_a_fast_target),
     cmocka_unit_test (test_nothing_moves_by_load_while_the_store_refuses),
     cmocka_unit_test (test_a_refused_commit_gives_released_keys_back),
     cmocka_unit_test (test_rows_come_back_as_they_were_written),
