--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -1,21 +1,12 @@
 #include "dispatch.h"
 
+#include "dispatch_parts.h"
+#include "services.h"
 #include "targets.h"
+#include "waits.h"
 
 #include <string.h>
 
-static dispatch_service_t *
-service_at (const dispatch_t *self, uint32_t i)
-{
-  return g_ptr_array_index (self->services, i);
-}
-
-static dispatch_target_t *
-target_at (const dispatch_t *self, uint32_t i)
-{
-  return g_ptr_array_index (self->targets, i);
-}
-
 static void
 emit (GArray *out, const dispatch_out_t *one)
 {
@@ -40,16 +31,6 @@
     target->used = false;
 }
 
-/* When a caller may come back: spread over the time within which it still may. */
-static msec_t
-return_time (dispatch_t *self, const dispatch_request_t *request, msec_t now)
-{
-  msec_t most = MAX ((request->deadline - now) / 3, DISPATCH_RETRY_AFTER_MIN_MS);
-  msec_t least = MAX (most / 3, DISPATCH_RETRY_AFTER_MIN_MS);
-
-  return least + (msec_t)rng_below (&self->rng, (uint64_t)(most - least + 1));
-}
-
 static void
 end (dispatch_t *self,
      dispatch_request_t *request,
@@ -68,7 +49,7 @@
   else if (request->runs == 0)
     {
       over.fate = FATE_NOT_RUN;
-      over.retry_after = return_time (self, request, now);
+      over.retry_after = waits_return (self, request, now);
     }
   else
     over.fate = reason == REASON_TIME ? FATE_TIMED_OUT : FATE_UNKNOWN;
@@ -92,35 +73,6 @@
   request->due = until;
 }
 
-/* An answer that doesn't come until then is taken for lost, if another target is free. */
-static msec_t
-silent_from (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
-{
-  const dispatch_target_t *target = target_at (self, (uint32_t)request->target);
-
-  return request->sent_at
-         + MAX (DISPATCH_SILENCE_FACTOR * target_expected (target, now),
-                request->objective - request->arrived);
-}
-
-/* The last moment at which an answer is waited for. */
-static msec_t
-last_answer (const dispatch_request_t *request)
-{
-  return request->deadline + DISPATCH_LAST_ANSWER_MS;
-}
-
-/* When a request that was sent is looked at again. */
-static msec_t
-next_look (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
-{
-  if (request->kind == KIND_MUTATING || request->keyed
-      || request->runs >= request->runs_max)
-    return last_answer (request);
-  return MIN (MAX (silent_from (self, request, now), now + DISPATCH_POLL_MS),
-              last_answer (request));
-}
-
 static void
 send (dispatch_t *self,
       dispatch_request_t *request,
@@ -138,7 +90,7 @@
   request->sent_at = now;
   to->in_flight++;
   request->load_at_send = target_load (to, now);
-  request->due = next_look (self, request, now);
+  request->due = waits_next_look (self, request, now);
   dispatch_out_t out_send = { .kind = DISPATCH_SEND,
                               .request = request,
                               .target = target,
@@ -146,33 +98,6 @@
   emit (out, &out_send);
 }
 
-/* The latest time at which a request that waits for REASON is given up. */
-static msec_t
-patience (const dispatch_t *self,
-          const dispatch_request_t *request,
-          dispatch_reason_t reason)
-{
-  msec_t objective = request->objective - request->arrived;
-
-  if (reason == REASON_OVERLOAD
-      && service_at (self, request->service)->waiting.length <= DISPATCH_SHORT_QUEUE)
-    return MIN (request->objective, request->deadline);
-  if (reason == REASON_OVERLOAD)
-    return MIN (request->arrived + objective * DISPATCH_ROOM_WAIT_PERCENT / 100,
-                request->deadline);
-  return MIN (request->arrived + objective * DISPATCH_OWNER_WAIT_PERCENT / 100,
-              request->deadline);
-}
-
-/* Whether the work on a request that begins now can't end by its deadline. */
-static bool
-is_hopeless (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
-{
-  msec_t work = service_at (self, request->service)->work_ms;
-
-  return now + work / 2 >= request->deadline;
-}
-
 /* Sends the request, or leaves it waiting, or ends it. */
 static void
 proceed (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
@@ -197,13 +122,14 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_NOT_TAKEN, now, out);
-  else if (now >= patience (self, request, reason) || is_hopeless (self, request, now))
+  else if (now >= waits_patience (self, request, reason)
+           || waits_is_hopeless (self, request, now))
     end (self, request, reason, now, out);
   else
     wait_for (self,
               request,
               reason,
-              MIN (now + DISPATCH_POLL_MS, patience (self, request, reason)));
+              MIN (now + DISPATCH_POLL_MS, waits_patience (self, request, reason)));
 }
 
 /* Looks again at the waiting requests of SERVICE, the most urgent first. */
@@ -237,62 +163,13 @@
     pump (self, i, now, out);
 }
 
-static dispatch_service_t *
-find_or_add_service (dispatch_t *self, const service_entry_t *entry, uint32_t *index)
-{
-  for (guint i = 0; i < self->services->len; i++)
-    if (text_equal (name_text (&service_at (self, i)->name), entry->name))
-      {
-        *index = i;
-        return service_at (self, i);
-      }
-  dispatch_service_t *service = g_new0 (dispatch_service_t, 1);
-  name_set (&service->name, entry->name);
-  service->work_ms = DISPATCH_WORK_START_MS;
-  budget_init (&service->budget,
-               self->bounds.retry_window,
-               self->bounds.retry_percent,
-               self->bounds.retry_extra);
-  key_table_init (&service->keys, entry->name);
-  service->denied = g_array_new (FALSE, TRUE, sizeof (msec_t));
-  g_queue_init (&service->waiting);
-  service->key_loads = g_new0 (uint32_t, KEY_STEPS);
-  g_ptr_array_add (self->services, service);
-  *index = self->services->len - 1;
-  return service;
-}
-
-static void
-take_directory (dispatch_t *self, directory_t *directory)
-{
-  if (self->directory != NULL)
-    {
-      directory_finish (self->directory);
-      g_free (self->directory);
-    }
-  self->directory = directory;
-  g_array_set_size (self->service_of, directory->services->len);
-  g_array_set_size (self->credits, 0);
-  g_array_set_size (self->credits, directory->shares->len);
-  for (guint i = 0; i < directory->services->len; i++)
-    {
-      const service_entry_t *entry
-          = &g_array_index (directory->services, service_entry_t, i);
-      uint32_t index;
-      dispatch_service_t *service = find_or_add_service (self, entry, &index);
-      service->keyed = entry->keyed;
-      service->connections = entry->connections;
-      g_array_index (self->service_of, uint32_t, i) = index;
-    }
-}
-
 /* Owners may be told before the configuration that names their service. */
 static void
 take_keys (dispatch_t *self, const key_table_t *keys, msec_t now, GArray *out)
 {
   const service_entry_t entry = { .name = name_text (&keys->service), .keyed = true };
   uint32_t index;
-  dispatch_service_t *service = find_or_add_service (self, &entry, &index);
+  dispatch_service_t *service = services_find_or_add (self, &entry, &index);
 
   if (keys->version < service->keys.version)
     return;
@@ -308,27 +185,6 @@
   pump (self, index, now, out);
 }
 
-/* Smooth weighted round robin: any run of requests keeps close to the weights. */
-static uint32_t
-choose_share (dispatch_t *self, const route_entry_t *route)
-{
-  uint32_t best = route->first_share;
-  double total = 0;
-
-  for (uint32_t i = route->first_share; i < route->first_share + route->n_shares; i++)
-    {
-      double *credit = &g_array_index (self->credits, double, i);
-      double weight = g_array_index (self->directory->shares, route_share_t, i).weight;
-      *credit += weight;
-      total += weight;
-      if (*credit > g_array_index (self->credits, double, best))
-        best = i;
-    }
-  g_array_index (self->credits, double, best) -= total;
-  uint32_t service = g_array_index (self->directory->shares, route_share_t, best).service;
-  return g_array_index (self->service_of, uint32_t, service);
-}
-
 static void
 arrive (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
 {
@@ -351,7 +207,7 @@
   const route_entry_t *route
       = &g_array_index (self->directory->routes, route_entry_t, (guint)i);
   msec_t wait = msg->wait >= 0 ? MIN (msg->wait, route->timeout) : route->timeout;
-  request->service = choose_share (self, route);
+  request->service = services_choose (self, route);
   dispatch_service_t *service = service_at (self, request->service);
   request->kind = route->kind;
   request->rank = route->rank;
@@ -519,7 +375,8 @@
   dispatch_request_t probe = *request;
 
   if (self->draining || request->kind == KIND_MUTATING || request->keyed || request->once
-      || request->runs >= request->runs_max || now < silent_from (self, request, now))
+      || request->runs >= request->runs_max
+      || now < waits_silent_from (self, request, now))
     return false;
   probe.last_failed = request->target;
   int other = targets_pick (self, &probe, now, &reason);
@@ -537,7 +394,7 @@
     proceed (self, request, now, out);
   if (request->state != REQUEST_SENT || now < request->due)
     return;
-  if (now >= last_answer (request))
+  if (now >= waits_last_answer (request))
     {
       cancel (self, request, out);
       end (self, request, REASON_TIME, now, out);
@@ -549,7 +406,7 @@
       send_again (self, request, REASON_LOST, now, now, out);
     }
   else
-    request->due = next_look (self, request, now);
+    request->due = waits_next_look (self, request, now);
 }
 
 void
@@ -558,7 +415,7 @@
   switch (msg->kind)
     {
     case DISPATCH_DIRECTORY:
-      take_directory (self, msg->directory);
+      services_take (self, msg->directory);
       pump_all (self, now, out);
       break;
     case DISPATCH_TARGETS:
@@ -600,24 +457,13 @@
     }
 }
 
-static void
-free_service (void *item)
-{
-  dispatch_service_t *service = item;
-
-  key_table_finish (&service->keys);
-  g_array_unref (service->denied);
-  g_free (service->key_loads);
-  g_free (service);
-}
-
 void
 dispatch_init (dispatch_t *self, text_t data_centre, uint64_t seed)
 {
   *self = (dispatch_t){
     .service_of = g_array_new (FALSE, TRUE, sizeof (uint32_t)),
     .credits = g_array_new (FALSE, TRUE, sizeof (double)),
-    .services = g_ptr_array_new_with_free_func (free_service),
+    .services = g_ptr_array_new_with_free_func (services_free),
     .targets = g_ptr_array_new_with_free_func (g_free),
   };
   name_set (&self->data_centre, data_centre);
@@ -638,45 +484,8 @@
   g_ptr_array_unref (self->targets);
 }
 
-bool
-dispatch_may_overlap (const dispatch_t *self, text_t host, text_t path)
-{
-  int i = self->directory == NULL ? -1 : directory_match (self->directory, host, path);
-
-  return i >= 0
-         && g_array_index (self->directory->routes, route_entry_t, (guint)i).kind
-                != KIND_MUTATING;
-}
-
 void
 dispatch_request_init (dispatch_request_t *self)
 {
   *self = (dispatch_request_t){ .due = MSEC_NEVER, .target = -1, .last_failed = -1 };
 }
-
-const dispatch_target_t *
-dispatch_target (const dispatch_t *self, uint32_t target)
-{
-  return target_at (self, target);
-}
-
-const dispatch_service_t *
-dispatch_service (const dispatch_t *self, uint32_t service)
-{
-  return service_at (self, service);
-}
-
-const char *
-dispatch_reason_name (dispatch_reason_t reason)
-{
-  static const char *const names[] = {
-    [REASON_NONE] = "none",           [REASON_NO_CONFIGURATION] = "no-configuration",
-    [REASON_NO_ROUTE] = "no-route",   [REASON_NO_TARGET] = "no-target",
-    [REASON_NO_OWNER] = "no-owner",   [REASON_OVERLOAD] = "overload",
-    [REASON_NOT_TAKEN] = "not-taken", [REASON_LOST] = "answer-lost",
-    [REASON_TIME] = "time-over",      [REASON_CALLER_LEFT] = "caller-left",
-    [REASON_ANSWERED] = "answered",
-  };
-
-  return names[reason];
-}
--- /dev/null
+++ b/packages/dispatch/dispatch_parts.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "dispatch.h"
+
+/* DISPATCH_PARTS: what dispatch's files share.  Private to them. */
+
+static inline dispatch_service_t *
+service_at (const dispatch_t *self, uint32_t i)
+{
+  return g_ptr_array_index (self->services, i);
+}
+
+static inline dispatch_target_t *
+target_at (const dispatch_t *self, uint32_t i)
+{
+  return g_ptr_array_index (self->targets, i);
+}
--- /dev/null
+++ b/packages/dispatch/services.c
@@ -0,0 +1,120 @@
+#include "services.h"
+
+#include "dispatch_parts.h"
+
+dispatch_service_t *
+services_find_or_add (dispatch_t *self, const service_entry_t *entry, uint32_t *index)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    if (text_equal (name_text (&service_at (self, i)->name), entry->name))
+      {
+        *index = i;
+        return service_at (self, i);
+      }
+  dispatch_service_t *service = g_new0 (dispatch_service_t, 1);
+  name_set (&service->name, entry->name);
+  service->work_ms = DISPATCH_WORK_START_MS;
+  budget_init (&service->budget,
+               self->bounds.retry_window,
+               self->bounds.retry_percent,
+               self->bounds.retry_extra);
+  key_table_init (&service->keys, entry->name);
+  service->denied = g_array_new (FALSE, TRUE, sizeof (msec_t));
+  g_queue_init (&service->waiting);
+  service->key_loads = g_new0 (uint32_t, KEY_STEPS);
+  g_ptr_array_add (self->services, service);
+  *index = self->services->len - 1;
+  return service;
+}
+
+void
+services_take (dispatch_t *self, directory_t *directory)
+{
+  if (self->directory != NULL)
+    {
+      directory_finish (self->directory);
+      g_free (self->directory);
+    }
+  self->directory = directory;
+  g_array_set_size (self->service_of, directory->services->len);
+  g_array_set_size (self->credits, 0);
+  g_array_set_size (self->credits, directory->shares->len);
+  for (guint i = 0; i < directory->services->len; i++)
+    {
+      const service_entry_t *entry
+          = &g_array_index (directory->services, service_entry_t, i);
+      uint32_t index;
+      dispatch_service_t *service = services_find_or_add (self, entry, &index);
+      service->keyed = entry->keyed;
+      service->connections = entry->connections;
+      g_array_index (self->service_of, uint32_t, i) = index;
+    }
+}
+
+uint32_t
+services_choose (dispatch_t *self, const route_entry_t *route)
+{
+  uint32_t best = route->first_share;
+  double total = 0;
+
+  for (uint32_t i = route->first_share; i < route->first_share + route->n_shares; i++)
+    {
+      double *credit = &g_array_index (self->credits, double, i);
+      double weight = g_array_index (self->directory->shares, route_share_t, i).weight;
+      *credit += weight;
+      total += weight;
+      if (*credit > g_array_index (self->credits, double, best))
+        best = i;
+    }
+  g_array_index (self->credits, double, best) -= total;
+  uint32_t service = g_array_index (self->directory->shares, route_share_t, best).service;
+  return g_array_index (self->service_of, uint32_t, service);
+}
+
+void
+services_free (void *item)
+{
+  dispatch_service_t *service = item;
+
+  key_table_finish (&service->keys);
+  g_array_unref (service->denied);
+  g_free (service->key_loads);
+  g_free (service);
+}
+
+const char *
+dispatch_reason_name (dispatch_reason_t reason)
+{
+  static const char *const names[] = {
+    [REASON_NONE] = "none",           [REASON_NO_CONFIGURATION] = "no-configuration",
+    [REASON_NO_ROUTE] = "no-route",   [REASON_NO_TARGET] = "no-target",
+    [REASON_NO_OWNER] = "no-owner",   [REASON_OVERLOAD] = "overload",
+    [REASON_NOT_TAKEN] = "not-taken", [REASON_LOST] = "answer-lost",
+    [REASON_TIME] = "time-over",      [REASON_CALLER_LEFT] = "caller-left",
+    [REASON_ANSWERED] = "answered",
+  };
+
+  return names[reason];
+}
+
+bool
+dispatch_may_overlap (const dispatch_t *self, text_t host, text_t path)
+{
+  int i = self->directory == NULL ? -1 : directory_match (self->directory, host, path);
+
+  return i >= 0
+         && g_array_index (self->directory->routes, route_entry_t, (guint)i).kind
+                != KIND_MUTATING;
+}
+
+const dispatch_target_t *
+dispatch_target (const dispatch_t *self, uint32_t target)
+{
+  return target_at (self, target);
+}
+
+const dispatch_service_t *
+dispatch_service (const dispatch_t *self, uint32_t service)
+{
+  return service_at (self, service);
+}
--- /dev/null
+++ b/packages/proxy/answer.c
@@ -0,0 +1,50 @@
+#include "call_parts.h"
+
+#include "../core/eventlog.h"
+
+dispatch_answer_t
+answer_kind (const call_t *self)
+{
+  const dispatch_target_t *target
+      = dispatch_target (&self->proxy->dispatch, self->target);
+  text_t who = self->facts.target;
+
+  if (self->status == 421 && who.len > 0
+      && !text_equal (who, name_text (&target->entry.id)))
+    return ANSWER_STRANGER;
+  if (self->status == 421)
+    return ANSWER_NOT_OWNER;
+  return self->facts.not_run ? ANSWER_FULL : ANSWER_RUN;
+}
+
+void
+answer_log_refusal (const call_t *self, dispatch_answer_t answer)
+{
+  static const char *const whys[] = {
+    [ANSWER_RUN] = "run",
+    [ANSWER_FULL] = "full",
+    [ANSWER_NOT_OWNER] = "not_owner",
+    [ANSWER_STRANGER] = "stranger",
+  };
+  const exchange_t *exchange = self->exchange;
+  const dispatch_target_t *target
+      = dispatch_target (&self->proxy->dispatch, self->target);
+
+  eventlog_write (
+      EVENT_TROUBLE,
+      "proxy",
+      "send_refused",
+      "request=%.*s target=%.*s why=%s key=%d keys=%llu send=%u load=%u,%u,%u "
+      "believed=%u after_ms=%lld",
+      NAME_ARG (exchange->id),
+      NAME_ARG (target->entry.id),
+      whys[answer],
+      exchange->request.keyed ? (int)exchange->request.key : -1,
+      (unsigned long long)exchange->request.key_version,
+      exchange->request.sends,
+      self->facts.load.running,
+      self->facts.load.waiting,
+      self->facts.load.slots,
+      exchange->request.load_at_send,
+      (long long)(msclock_now (&self->proxy->clock) - exchange->request.sent_at));
+}
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -1,60 +1,9 @@
-#include "exchange.h"
+#include "call_parts.h"
 
 #include "../core/eventlog.h"
 
 #include <string.h>
 
-/* A connection to a target: one request at a time, or idle. */
-struct call
-{
-  proxy_t *proxy;
-  uint32_t target;
-  exchange_t *exchange; /* NULL: idle */
-  struct bufferevent *bev;
-  http_reader_t reader;
-  bool connected;
-  bool stray;           /* the message being read answers another request */
-  bool spoilt;          /* not to be used again */
-  size_t to_write;      /* bytes of the request that were queued */
-  answer_facts_t facts; /* its texts point into the reader's head */
-  unsigned status;
-  bool alive; /* the target keeps the connection */
-  struct evbuffer *body;
-  msec_t idle_until;
-  msec_t idle_span;
-  struct event *timer; /* connecting, or idle */
-  TAILQ_ENTRY (call) link;
-};
-
-static struct call_list *
-idle_list (proxy_t *proxy, uint32_t target)
-{
-  while (proxy->idle->len <= target)
-    {
-      struct call_list *list = g_new0 (struct call_list, 1);
-      TAILQ_INIT (list);
-      g_ptr_array_add (proxy->idle, list);
-    }
-  return g_ptr_array_index (proxy->idle, target);
-}
-
-static void
-free_call (call_t *self)
-{
-  event_free (self->timer);
-  http_reader_finish (&self->reader);
-  evbuffer_free (self->body);
-  bufferevent_free (self->bev);
-  g_free (self);
-}
-
-static void
-close_idle (call_t *self)
-{
-  TAILQ_REMOVE (idle_list (self->proxy, self->target), self, link);
-  free_call (self);
-}
-
 /* Whether a byte of the request may have left. */
 static bool
 has_left (const call_t *self)
@@ -96,7 +45,7 @@
                   msg.sent,
                   exchange->request.sends,
                   (long long)(msclock_now (&proxy->clock) - exchange->request.sent_at));
-  free_call (self);
+  call_free (self);
   proxy_decide (proxy, &msg);
 }
 
@@ -183,21 +132,6 @@
   exchange->status = head->status;
 }
 
-static dispatch_answer_t
-answer_kind (const call_t *self)
-{
-  const dispatch_target_t *target
-      = dispatch_target (&self->proxy->dispatch, self->target);
-  text_t who = self->facts.target;
-
-  if (self->status == 421 && who.len > 0
-      && !text_equal (who, name_text (&target->entry.id)))
-    return ANSWER_STRANGER;
-  if (self->status == 421)
-    return ANSWER_NOT_OWNER;
-  return self->facts.not_run ? ANSWER_FULL : ANSWER_RUN;
-}
-
 /* Whether the answer may be passed on before it is whole: it is the caller's next. */
 static bool
 may_stream (const call_t *self)
@@ -259,81 +193,6 @@
   return true;
 }
 
-/* Idle connections to one target: this host's share of those that it accepts, less those
- * that are in use. */
-static uint32_t
-idle_limit (const proxy_t *proxy, const dispatch_target_t *target)
-{
-  uint32_t all = dispatch_service (&proxy->dispatch, target->service)->connections;
-  uint32_t share = all * CALL_IDLE_PERCENT / 100 / MAX (proxy->hosts, 1);
-
-  return all == 0 ? CALL_IDLE_MAX : CLAMP (share, 1, CALL_IDLE_MAX);
-}
-
-static void
-keep_or_close (call_t *self, bool extra)
-{
-  proxy_t *proxy = self->proxy;
-  struct call_list *list = idle_list (proxy, self->target);
-  const dispatch_target_t *target = dispatch_target (&proxy->dispatch, self->target);
-  uint32_t kept = 0;
-  call_t *other;
-
-  TAILQ_FOREACH (other, list, link)
-    kept++;
-  if (extra || self->spoilt || !self->alive || kept >= idle_limit (proxy, target)
-      || proxy->draining || !target->used
-      || evbuffer_get_length (bufferevent_get_output (self->bev)) > 0)
-    {
-      free_call (self);
-      return;
-    }
-  msec_t span = self->facts.keep_alive >= 0 ? self->facts.keep_alive - CALL_IDLE_MARGIN_MS
-                                            : CALL_IDLE_MS;
-  if (span <= 0)
-    {
-      free_call (self);
-      return;
-    }
-  const struct timeval after = { span / 1000, span % 1000 * 1000 };
-  self->idle_span = span;
-  self->idle_until = msclock_now (&proxy->clock) + span;
-  TAILQ_INSERT_HEAD (list, self, link);
-  evtimer_add (self->timer, &after);
-}
-
-static void
-log_refusal (const call_t *self, dispatch_answer_t answer)
-{
-  static const char *const whys[] = {
-    [ANSWER_RUN] = "run",
-    [ANSWER_FULL] = "full",
-    [ANSWER_NOT_OWNER] = "not_owner",
-    [ANSWER_STRANGER] = "stranger",
-  };
-  const exchange_t *exchange = self->exchange;
-  const dispatch_target_t *target
-      = dispatch_target (&self->proxy->dispatch, self->target);
-
-  eventlog_write (
-      EVENT_TROUBLE,
-      "proxy",
-      "send_refused",
-      "request=%.*s target=%.*s why=%s key=%d keys=%llu send=%u load=%u,%u,%u "
-      "believed=%u after_ms=%lld",
-      NAME_ARG (exchange->id),
-      NAME_ARG (target->entry.id),
-      whys[answer],
-      exchange->request.keyed ? (int)exchange->request.key : -1,
-      (unsigned long long)exchange->request.key_version,
-      exchange->request.sends,
-      self->facts.load.running,
-      self->facts.load.waiting,
-      self->facts.load.slots,
-      exchange->request.load_at_send,
-      (long long)(msclock_now (&self->proxy->clock) - exchange->request.sent_at));
-}
-
 static void
 complete (call_t *self)
 {
@@ -352,7 +211,7 @@
       return;
     }
   if (msg.answer != ANSWER_RUN)
-    log_refusal (self, msg.answer);
+    answer_log_refusal (self, msg.answer);
   detach (self);
   evtimer_del (self->timer);
   if (exchange->uploading && !exchange->whole)
@@ -378,7 +237,7 @@
       exchange_answer (exchange, 502, TEXT ("The target failed.\n"), 0);
       exchange->answered = false;
     }
-  keep_or_close (self, extra);
+  pool_keep (self, extra);
   proxy_decide (proxy, &msg);
 }
 
@@ -426,7 +285,7 @@
 
   (void)bev;
   if (self->exchange == NULL)
-    close_idle (self); /* bytes that answer nothing */
+    pool_close (self); /* bytes that answer nothing */
   else
     take_bytes (self);
 }
@@ -458,7 +317,7 @@
     }
   if (self->exchange == NULL)
     {
-      close_idle (self);
+      pool_close (self);
       return;
     }
   if ((what & BEV_EVENT_EOF) && http_reader_end (&self->reader) == HTTP_COMPLETE
@@ -482,7 +341,7 @@
   (void)fd;
   (void)what;
   if (self->exchange == NULL)
-    close_idle (self);
+    pool_close (self);
   else if (!self->connected)
     fail (self, "connect_timeout");
   else if ((bufferevent_get_enabled (self->bev) & EV_READ) == 0)
@@ -525,27 +384,11 @@
   return self;
 }
 
-/* An idle connection; a mutating request wants one that was used a short while ago, since
- * the target may be about to close an older one. */
-static call_t *
-take_idle (proxy_t *proxy, uint32_t target, request_kind_t kind)
-{
-  call_t *call = TAILQ_FIRST (idle_list (proxy, target));
-  msec_t now = msclock_now (&proxy->clock);
-
-  if (call == NULL
-      || (kind == KIND_MUTATING && call->idle_until - now < call->idle_span / 2))
-    return NULL;
-  TAILQ_REMOVE (idle_list (proxy, target), call, link);
-  evtimer_del (call->timer);
-  return call;
-}
-
 void
 call_send (proxy_t *proxy, exchange_t *exchange, uint32_t target, msec_t wait)
 {
   const dispatch_target_t *to = dispatch_target (&proxy->dispatch, target);
-  call_t *call = take_idle (proxy, target, exchange->request.kind);
+  call_t *call = pool_take (proxy, target, exchange->request.kind);
   GString *head = g_string_new_len (exchange->head->str, (gssize)exchange->head->len);
   size_t body = evbuffer_get_length (exchange->body);
 
@@ -612,25 +455,5 @@
 call_cancel (call_t *self)
 {
   detach (self);
-  free_call (self);
-}
-
-void
-call_forget (proxy_t *proxy, uint32_t target)
-{
-  struct call_list *list = idle_list (proxy, target);
-  call_t *next;
-
-  for (call_t *call = TAILQ_FIRST (list); call != NULL; call = next)
-    {
-      next = TAILQ_NEXT (call, link);
-      close_idle (call);
-    }
-}
-
-void
-call_close_all (proxy_t *proxy)
-{
-  for (guint i = 0; i < proxy->idle->len; i++)
-    call_forget (proxy, i);
+  call_free (self);
 }
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -92,6 +92,11 @@
 /* Reads on after the target took what was held back. */
 void caller_resume (caller_t *self);
 
+/* report.c: what the proxy counts, and tells the coordinator */
+service_counts_t *report_counts (proxy_t *self, const dispatch_request_t *request);
+void report_answer (proxy_t *self, const dispatch_request_t *request);
+void report_tell (proxy_t *self);
+
 /* stream.c */
 
 /* Passes PIECE of the answer on to the caller. */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -43,40 +43,10 @@
       (long long)out->retry_after);
 }
 
-/* Counts the request under its service; services beyond the table share its last entry.
- */
-static service_counts_t *
-counts_of (proxy_t *self, const dispatch_request_t *request)
-{
-  uint32_t i = MIN (request->service + 1, SERVICE_MAX - 1);
-  bool routed
-      = request->reason != REASON_NO_ROUTE && request->reason != REASON_NO_CONFIGURATION;
-
-  if (!routed)
-    return &self->counts.services[0];
-  self->counts.services[i].service
-      = dispatch_service (&self->dispatch, request->service)->name;
-  return &self->counts.services[i];
-}
-
-static void
-count_answer (proxy_t *self, const dispatch_request_t *request)
-{
-  service_counts_t *counts = counts_of (self, request);
-  msec_t spent = msclock_now (&self->clock) - request->arrived;
-  uint32_t bucket = 0;
-
-  while (bucket < METRICS_BUCKETS - 1 && spent > (msec_t)1 << bucket)
-    bucket++;
-  counts->ends[FATE_NO_ROUTE + 1]++;
-  counts->latency[bucket]++;
-  counts->latency_sum_ms += (uint64_t)spent;
-}
-
 static void
 answer_by_fate (exchange_t *self, const dispatch_out_t *out)
 {
-  counts_of (self->proxy, &self->request)->ends[out->fate]++;
+  report_counts (self->proxy, &self->request)->ends[out->fate]++;
   if (self->streaming)
     {
       /* Its head went out with a status that isn't true any more. */
@@ -154,7 +124,7 @@
         call_cancel (exchange->call);
       break;
     case DISPATCH_DELIVER:
-      count_answer (self, &exchange->request);
+      report_answer (self, &exchange->request);
       conclude (exchange, out);
       break;
     case DISPATCH_END:
@@ -307,100 +277,6 @@
   proxy_msg_free (msg);
 }
 
-static GArray *
-take_loads (const dispatch_service_t *service)
-{
-  GArray *loads = g_array_new (FALSE, FALSE, sizeof (key_load_t));
-
-  for (uint32_t step = 0; step < KEY_STEPS; step++)
-    if (service->key_loads[step] > 0)
-      {
-        key_load_t load = { (uint16_t)step, service->key_loads[step] };
-        g_array_append_val (loads, load);
-        service->key_loads[step] = 0;
-      }
-  return loads;
-}
-
-static GArray *
-list_speeds (const proxy_t *self, uint32_t service)
-{
-  GArray *speeds = g_array_new (FALSE, FALSE, sizeof (target_speed_t));
-
-  for (guint i = 0; i < self->dispatch.targets->len; i++)
-    {
-      const dispatch_target_t *target = dispatch_target (&self->dispatch, i);
-      target_speed_t speed = { target->entry.id, target->work_ms };
-      if (target->used && target->listed && target->service == service)
-        g_array_append_val (speeds, speed);
-    }
-  return speeds;
-}
-
-void
-proxy_report_free (void *item)
-{
-  proxy_report_t *report = item;
-
-  if (report->loads != NULL)
-    g_array_unref (report->loads);
-  if (report->speeds != NULL)
-    g_array_unref (report->speeds);
-  g_free (report);
-}
-
-static void
-post_report (proxy_t *self, proxy_report_t *report)
-{
-  if (self->coordinator != NULL && mailbox_post (self->coordinator, report))
-    return;
-  eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
-  proxy_report_free (report);
-}
-
-static void
-take_gauges (proxy_t *self)
-{
-  msec_t now = msclock_now (&self->clock);
-
-  self->counts.callers = self->n_callers;
-  self->counts.waiting = 0;
-  self->counts.repeats_left = 0;
-  for (guint i = 0; i < self->dispatch.services->len; i++)
-    {
-      dispatch_service_t *service = g_ptr_array_index (self->dispatch.services, i);
-      self->counts.waiting += service->waiting.length;
-      self->counts.repeats_left += budget_left (&service->budget, now);
-    }
-}
-
-/* Tells the coordinator what was counted, and starts counting keys anew. */
-static void
-tell_report (proxy_t *self)
-{
-  bool told = false;
-
-  take_gauges (self);
-  for (guint i = 0; i < self->dispatch.services->len; i++)
-    {
-      const dispatch_service_t *service = dispatch_service (&self->dispatch, i);
-      if (!service->keyed)
-        continue;
-      proxy_report_t *report = g_new0 (proxy_report_t, 1);
-      report->counts = self->counts;
-      report->service = service->name;
-      report->loads = take_loads (service);
-      report->speeds = list_speeds (self, i);
-      post_report (self, report);
-      told = true;
-    }
-  if (told)
-    return;
-  proxy_report_t *report = g_new0 (proxy_report_t, 1);
-  report->counts = self->counts;
-  post_report (self, report);
-}
-
 /* Ends connections without a request once the platform had time to hear of the leaving,
  * and all that is left shortly before the process would be killed. */
 static void
@@ -434,7 +310,7 @@
 
   (void)fd;
   (void)what;
-  tell_report (self);
+  report_tell (self);
   if (self->draining)
     drain_step (self, now);
 }
--- /dev/null
+++ b/packages/proxy/report.c
@@ -0,0 +1,127 @@
+#include "exchange.h"
+
+#include "../core/eventlog.h"
+
+/* Counts the request under its service; services beyond the table share its last entry.
+ */
+service_counts_t *
+report_counts (proxy_t *self, const dispatch_request_t *request)
+{
+  uint32_t i = MIN (request->service + 1, SERVICE_MAX - 1);
+  bool routed
+      = request->reason != REASON_NO_ROUTE && request->reason != REASON_NO_CONFIGURATION;
+
+  if (!routed)
+    return &self->counts.services[0];
+  self->counts.services[i].service
+      = dispatch_service (&self->dispatch, request->service)->name;
+  return &self->counts.services[i];
+}
+
+void
+report_answer (proxy_t *self, const dispatch_request_t *request)
+{
+  service_counts_t *counts = report_counts (self, request);
+  msec_t spent = msclock_now (&self->clock) - request->arrived;
+  uint32_t bucket = 0;
+
+  while (bucket < METRICS_BUCKETS - 1 && spent > (msec_t)1 << bucket)
+    bucket++;
+  counts->ends[FATE_NO_ROUTE + 1]++;
+  counts->latency[bucket]++;
+  counts->latency_sum_ms += (uint64_t)spent;
+}
+
+static GArray *
+take_loads (const dispatch_service_t *service)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (key_load_t));
+
+  for (uint32_t step = 0; step < KEY_STEPS; step++)
+    if (service->key_loads[step] > 0)
+      {
+        key_load_t load = { (uint16_t)step, service->key_loads[step] };
+        g_array_append_val (loads, load);
+        service->key_loads[step] = 0;
+      }
+  return loads;
+}
+
+static GArray *
+list_speeds (const proxy_t *self, uint32_t service)
+{
+  GArray *speeds = g_array_new (FALSE, FALSE, sizeof (target_speed_t));
+
+  for (guint i = 0; i < self->dispatch.targets->len; i++)
+    {
+      const dispatch_target_t *target = dispatch_target (&self->dispatch, i);
+      target_speed_t speed = { target->entry.id, target->work_ms };
+      if (target->used && target->listed && target->service == service)
+        g_array_append_val (speeds, speed);
+    }
+  return speeds;
+}
+
+void
+proxy_report_free (void *item)
+{
+  proxy_report_t *report = item;
+
+  if (report->loads != NULL)
+    g_array_unref (report->loads);
+  if (report->speeds != NULL)
+    g_array_unref (report->speeds);
+  g_free (report);
+}
+
+static void
+post_report (proxy_t *self, proxy_report_t *report)
+{
+  if (self->coordinator != NULL && mailbox_post (self->coordinator, report))
+    return;
+  eventlog_write (EVENT_TROUBLE, "proxy", "mailbox_full", "to=coordinator");
+  proxy_report_free (report);
+}
+
+static void
+take_gauges (proxy_t *self)
+{
+  msec_t now = msclock_now (&self->clock);
+
+  self->counts.callers = self->n_callers;
+  self->counts.waiting = 0;
+  self->counts.repeats_left = 0;
+  for (guint i = 0; i < self->dispatch.services->len; i++)
+    {
+      dispatch_service_t *service = g_ptr_array_index (self->dispatch.services, i);
+      self->counts.waiting += service->waiting.length;
+      self->counts.repeats_left += budget_left (&service->budget, now);
+    }
+}
+
+/* Tells the coordinator what was counted, and starts counting keys anew. */
+void
+report_tell (proxy_t *self)
+{
+  bool told = false;
+
+  take_gauges (self);
+  for (guint i = 0; i < self->dispatch.services->len; i++)
+    {
+      const dispatch_service_t *service = dispatch_service (&self->dispatch, i);
+      if (!service->keyed)
+        continue;
+      proxy_report_t *report = g_new0 (proxy_report_t, 1);
+      report->counts = self->counts;
+      report->service = service->name;
+      report->loads = take_loads (service);
+      report->speeds = list_speeds (self, i);
+      post_report (self, report);
+      told = true;
+    }
+  if (told)
+    return;
+  proxy_report_t *report = g_new0 (proxy_report_t, 1);
+  report->counts = self->counts;
+  post_report (self, report);
+}
