--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -154,7 +154,7 @@
   succeeded (self, reply);
   if (self->watching)
     {
-      uint64_t before = self->version;
+      uint64_t before = self->newest;
       for (guint i = 0; i < reply->rows->len; i++)
         tell_row (self, &g_array_index (reply->rows, store_row_t, i));
       self->version = MAX (self->version, reply->version);
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -18,7 +18,8 @@
   void (*row) (void *owner, const store_row_t *row);
   /* All rows of an answer were told; WHOLE: they end a whole read. */
   void (*settled) (void *owner, bool whole);
-  /* A watch brought REPLY's rows, which follow BEFORE; NULL: nobody else is told. */
+  /* A watch brought REPLY's rows, which follow the row of version BEFORE; NULL: nobody
+   * else is told. */
   void (*changed) (void *owner, uint64_t before, const store_reply_t *reply);
   /* Whether a watch should begin now; NULL: always. */
   bool (*wanted) (void *owner);
@@ -62,8 +63,9 @@
 void feed_ask_anew (feed_t *self, msec_t since);
 
 /*
- * Takes over rows that another host's feed told between versions BEFORE and AFTER, as if
- * a watch had brought them.  Asks the store if rows before them are missing here.
+ * Takes over rows that another host's feed told, as if a watch had brought them: those
+ * that follow the row of version BEFORE, up to AFTER.  Asks the store if rows before them
+ * are missing here.
  */
 void feed_take (feed_t *self, uint64_t before, uint64_t after, const GArray *rows);
 
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -363,7 +363,7 @@
   msec_t now = g_get_monotonic_time () / 1000;
 
   /* A change takes a moment to arrive everywhere. */
-  if (newest <= feed->newest)
+  if (newest <= MAX (feed->newest, feed->version))
     feed->behind_since = MSEC_NEVER;
   else if (feed->behind_since == MSEC_NEVER)
     feed->behind_since = now;
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -156,10 +156,10 @@
 static void
 tell_table (coordinator_t *self, const name_t *service, const store_reply_t *reply)
 {
-  keys_msg_t msg = { .kind = KEYS_TABLE,
-                     .service = *service,
-                     .held_for = MAX (
-                         self->role.held_until - msclock_now (&self->clock), 0) };
+  keys_msg_t msg
+      = { .kind = KEYS_TABLE,
+          .service = *service,
+          .held_for = MAX (self->role.held_until - msclock_now (&self->clock), 0) };
   key_table_t table;
   fault_t fault;
 
@@ -394,7 +394,8 @@
                   (unsigned long long)role->version);
   /* One that resigned granted the longest holds just before it wrote that. */
   msec_t since = role->row.until == 0 ? 0 : MAX (reply->clock - role->row.until, 0);
-  role->held_until = role->version == 0 ? now : now + keys_held_after (&self->keys, since);
+  role->held_until
+      = role->version == 0 ? now : now + keys_held_after (&self->keys, since);
   role->state = ROLE_TAKING;
   write_role (self, now);
 }
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -139,9 +139,10 @@
 #define DISPATCH_POLL_MS 25  /* how often a waiting request looks again */
 #define DISPATCH_SENDS_MAX 4 /* of one request, those that weren't run included */
 #define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
-/* Of the objective: wait for room, when more requests of the service wait than is short. */
+/* Of the objective: wait for room, when more requests of the service wait than is short.
+ */
 #define DISPATCH_ROOM_WAIT_PERCENT 25
-#define DISPATCH_SHORT_QUEUE 3 /* so many turns come round within an objective */
+#define DISPATCH_SHORT_QUEUE 3    /* so many turns come round within an objective */
 #define DISPATCH_SILENCE_FACTOR 4 /* an answer this many times late is taken for lost */
 #define DISPATCH_RETRY_AFTER_MIN_MS 100
 /* A target answers at its deadline; the answer may take so long to arrive. */
@@ -164,8 +165,9 @@
 #define PROXY_LISTEN_BACKLOG 1024
 #define PROXY_LINE_MAX 32                       /* requests of one connection at a time */
 #define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024) /* before a configuration tells it */
-#define PROXY_BODY_HOLD_BYTES (256 * 1024) /* a larger body is sent as it comes */
-#define PROXY_ANSWER_HOLD_BYTES (1024 * 1024) /* a larger answer is passed on as it comes */
+#define PROXY_BODY_HOLD_BYTES (256 * 1024)      /* a larger body is sent as it comes */
+#define PROXY_ANSWER_HOLD_BYTES                                                          \
+  (1024 * 1024)                /* a larger answer is passed on as it comes */
 #define PROXY_PROGRESS_MS 5000 /* an answer that is passed on may pause so long */
 #define PROXY_ANSWER_MAX_BYTES (32 * 1024 * 1024) /* one answer, held whole */
 #define PROXY_HEAD_MAX_BYTES (64 * 1024)          /* before a configuration tells it */
@@ -235,8 +237,9 @@
 #define LINK_RECONNECT_MS 200
 #define LINK_RECONNECT_MAX_MS 2000
 #define LINK_FORGET_MS 30000
-/* A host believes news so long: two reports may be lost.  What it misses meanwhile, a leaving
- * target or a configuration, has to be read from the store within their bounds. */
+/* A host believes news so long: two reports may be lost.  What it misses meanwhile, a
+ * leaving target or a configuration, has to be read from the store within their bounds.
+ */
 #define NEWS_KEEP_MS 1300
 #define REPORT_FORGET_MS 5000 /* a host that doesn't report isn't counted any more */
 
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -165,9 +165,46 @@
   return -1;
 }
 
+/* Tells the lives of targets apart; equal keys are compared in full. */
+static uint64_t
+life_key (const target_entry_t *entry)
+{
+  return text_hash (name_text (&entry->id)) ^ entry->born;
+}
+
+/* The places of all used targets by the key of their life. */
+static GHashTable *
+index_lives (const dispatch_t *self, uint64_t *keys)
+{
+  GHashTable *index = g_hash_table_new (g_int64_hash, g_int64_equal);
+
+  for (guint i = 0; i < self->targets->len; i++)
+    {
+      keys[i] = life_key (&at (self, i)->entry);
+      if (at (self, i)->used)
+        g_hash_table_insert (index, &keys[i], GUINT_TO_POINTER (i + 1));
+    }
+  return index;
+}
+
+static int
+find_life (const dispatch_t *self, GHashTable *index, const target_entry_t *entry)
+{
+  uint64_t key = life_key (entry);
+  guint place = GPOINTER_TO_UINT (g_hash_table_lookup (index, &key));
+
+  if (place > 0 && name_equal (&at (self, place - 1)->entry.id, &entry->id)
+      && at (self, place - 1)->entry.born == entry->born)
+    return (int)place - 1;
+  return place > 0 ? find (self, name_text (&entry->id), entry->born) : -1;
+}
+
 void
 targets_update (dispatch_t *self, const GArray *entries, msec_t now, GArray *out)
 {
+  uint64_t *keys = g_new (uint64_t, self->targets->len);
+  GHashTable *index = index_lives (self, keys);
+
   for (guint i = 0; i < self->targets->len; i++)
     at (self, i)->listed = false;
   for (guint i = 0; i < entries->len; i++)
@@ -176,7 +213,7 @@
       int service = service_index (self, name_text (&entry->service));
       if (service < 0)
         continue; /* no configuration uses it yet; it comes again with the next list */
-      int known = find (self, name_text (&entry->id), entry->born);
+      int known = find_life (self, index, entry);
       dispatch_target_t *target = known >= 0 ? at (self, (uint32_t)known)
                                              : add (self, entry, (uint32_t)service, now);
       if (!name_equal (&target->entry.address, &entry->address))
@@ -188,6 +225,8 @@
       else if (target->leaving_at == MSEC_NEVER)
         target->leaving_at = now;
     }
+  g_hash_table_unref (index);
+  g_free (keys);
   for (guint i = 0; i < self->targets->len; i++)
     {
       dispatch_target_t *target = at (self, i);
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -1,5 +1,7 @@
 #include "key_plan.h"
 
+#include <string.h>
+
 /* Keys without requests count too, all together this much of the load. */
 #define IDLE_LOAD 0.25
 
@@ -12,14 +14,45 @@
   uint32_t keys;
 } key_bearer_t;
 
+static int
+compare_ids (const name_t *a, const name_t *b)
+{
+  int order = memcmp (a->at, b->at, MIN (a->len, b->len));
+
+  return order != 0 ? order : (int)a->len - (int)b->len;
+}
+
+static int
+by_id (const void *left, const void *right)
+{
+  const target_entry_t *a = left, *b = right;
+
+  return compare_ids (&a->id, &b->id);
+}
+
+void
+key_plan_sort (GArray *targets)
+{
+  g_array_sort (targets, by_id);
+}
+
 const target_entry_t *
 key_plan_find (const keys_t *keys, const name_t *id)
 {
-  for (guint i = 0; i < keys->targets->len; i++)
+  guint low = 0, high = keys->targets->len;
+
+  while (low < high)
     {
-      const target_entry_t *target = &g_array_index (keys->targets, target_entry_t, i);
-      if (name_equal (&target->id, id))
+      guint middle = (low + high) / 2;
+      const target_entry_t *target
+          = &g_array_index (keys->targets, target_entry_t, middle);
+      int order = compare_ids (&target->id, id);
+      if (order == 0)
         return target;
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
     }
   return NULL;
 }
--- a/packages/keys/key_plan.h
+++ b/packages/keys/key_plan.h
@@ -23,6 +23,9 @@
 /* Whether TARGET may be given keys of the service. */
 bool key_plan_usable (const target_entry_t *target, const key_service_t *self);
 
+/* Puts targets in the order in which key_plan_find looks for them. */
+void key_plan_sort (GArray *targets);
+
 const target_entry_t *key_plan_find (const keys_t *keys, const name_t *id);
 
 /* Takes a run back from its owner, for NEXT, or for whoever is least loaded then. */
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -221,6 +221,7 @@
     }
   g_array_set_size (self->targets, 0);
   g_array_append_vals (self->targets, targets->data, targets->len);
+  key_plan_sort (self->targets);
 }
 
 static void
@@ -417,7 +418,9 @@
     case KEYS_TICK:
       break;
     }
-  step (self, now, out);
+  /* These change nothing that the next tick couldn't do as well, and come often. */
+  if (msg->kind != KEYS_LOADS && msg->kind != KEYS_SPEEDS && msg->kind != KEYS_GRANTED)
+    step (self, now, out);
 }
 
 static void
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -44,8 +44,8 @@
   bool store_answers;       /* ROLE: its last answer is fresh, so that a move can end */
   const GArray *names;      /* SERVICES: name_t */
   const GArray *targets;    /* TARGETS: target_entry_t */
-  const key_table_t *table;    /* TABLE */
-  msec_t held_for;             /* TABLE: no grant of a predecessor lasts longer */
+  const key_table_t *table; /* TABLE */
+  msec_t held_for;          /* TABLE: no grant of a predecessor lasts longer */
   name_t service;           /* TABLE, and of GRANTED to FAILED */
   uint32_t first;           /* GRANTED to FAILED: the run's first key */
   uint64_t fence;           /* GRANTED to FAILED */
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -41,7 +41,8 @@
   bool removed;
 } link_row_t;
 
-/* Rows that the granter's feed of TABLE told between two versions of the store. */
+/* Rows that the granter's feed of TABLE told after the row of version BEFORE: all changes
+ * up to the store's version AFTER. */
 typedef struct
 {
   uint32_t table;
--- a/packages/proxy/pool.c
+++ b/packages/proxy/pool.c
@@ -35,9 +35,17 @@
 idle_limit (const proxy_t *proxy, const dispatch_target_t *target)
 {
   uint32_t all = dispatch_service (&proxy->dispatch, target->service)->connections;
-  uint32_t share = all * CALL_IDLE_PERCENT / 100 / MAX (proxy->hosts, 1);
+  uint32_t idle = all * CALL_IDLE_PERCENT / 100;
+  uint32_t hosts = MAX (proxy->hosts, 1);
+  uint64_t turn = text_hash (name_text (&proxy->settings->host))
+                  ^ text_hash (name_text (&target->entry.id));
 
-  return all == 0 ? CALL_IDLE_MAX : CLAMP (share, 1, CALL_IDLE_MAX);
+  if (all == 0)
+    return CALL_IDLE_MAX;
+  /* With more hosts than connections, each target is kept to by some of them. */
+  if (idle < hosts)
+    return turn % hosts < idle ? 1 : 0;
+  return MIN (idle / hosts, CALL_IDLE_MAX);
 }
 
 void
