A predecessor's last call may have been on its way: its time counts too

Cause: found in reading: a grant sent at the end of a role may arrive as late as a call may take, and the successor counted from the role's end alone. The successor's test now asserts that nothing is committed until then, 1.2 s longer.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -458,7 +458,8 @@
 msec_t
 keys_held_after (const keys_t *self, msec_t since)
 {
-  return MAX (on_slow_clock (self->hold_max) - since, 0);
+  /* Its last call may have been on its way for as long as a call may take. */
+  return MAX (on_slow_clock (self->hold_max) + ORDER_CALL_MS - since, 0);
 }
 
 bool
