Make the platform's cases independent of when hosts hear of each other

The log says reason=not-taken: before a host knows how many share the budget it counts with 16 and has one repeat, which is allowed. The cases now wait for the number of hosts.

--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import itertools
 import json
 import os
 import signal
@@ -13,6 +14,7 @@
 import tempfile
 import threading
 import time
+import urllib.request
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -498,9 +500,18 @@
     ).encode()
 
 
+# Below the ports that the system gives out by itself, which may be taken again at any moment.
+PORTS = itertools.cycle(range(10000 + os.getpid() * 37 % 9000, 20000))
+
+
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
+    while True:
+        port = next(PORTS)
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            continue
 
 
 class Router:
@@ -543,6 +554,19 @@
             time.sleep(0.05)
         raise AssertionError("not ready: " + self.read_log()[-2000:])
 
+    def page(self):
+        with urllib.request.urlopen("http://127.0.0.1:%d/metrics" % self.metrics) as answer:
+            return answer.read().decode()
+
+    def wait_hosts(self, hosts, seconds=20):
+        """Until then the budget of repeats is that of a large fleet's host: one or two."""
+        until = time.monotonic() + seconds
+        while "chicorywood_hosts %d\n" % hosts not in self.page():
+            if time.monotonic() > until:
+                raise AssertionError("hosts not known: " + self.page())
+            time.sleep(0.05)
+        time.sleep(0.1)  # the proxy hears it from the coordinator
+
     def signal(self, number):
         self.process.send_signal(number)
 
