--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -85,15 +85,13 @@
   role_t *role = &self->role;
 
   if (role->state == ROLE_HELD)
-    {
-      eventlog_write (EVENT_BELIEF,
-                      "role",
-                      "lost",
-                      "why=%s row_version=%llu holder=%.*s",
-                      why,
-                      (unsigned long long)role->version,
-                      NAME_ARG (role->row.host));
-    }
+    eventlog_write (EVENT_BELIEF,
+                    "role",
+                    "lost",
+                    "why=%s row_version=%llu holder=%.*s",
+                    why,
+                    (unsigned long long)role->version,
+                    NAME_ARG (role->row.host));
   role->state = ROLE_ELSEWHERE;
   role->until = 0;
   role->next_look
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -118,32 +118,30 @@
 #define DRAIN_MS 30000
 
 /* The structured log. */
-#define EVENTLOG_BUFFER_BYTES                                                            \
-  (64 * 1024) /* some 300 lines: more than a burst's second                              \
-               */
-#define EVENTLOG_LINE_BYTES 768
+/* Some 300 lines: more than a burst's second. */
+#define EVENTLOG_BUFFER_BYTES (64 * 1024)
+#define EVENTLOG_LINE_BYTES 768   /* the longest line has some 400; longer ones are cut */
 #define EVENTLOG_ROUTINE_PER_S 20 /* a sample of served requests, 5 KB/s at most */
-#define EVENTLOG_FLUSH_MS 500
+#define EVENTLOG_FLUSH_MS 500     /* an engineer who follows the log waits no longer */
 
 /* Dispatch: the fate of one request. */
 #define DISPATCH_WORK_START_MS 100 /* a target's work on a request, before any answer */
-/* a target's report of its load is worth nothing later */
+/* A target's report of its load is worth nothing later. */
 #define DISPATCH_REPORT_KEEP_MS 1000
-/* targets of the first users queue 12 beside their slots */
+/* Targets of the first users queue 12 beside their slots. */
 #define DISPATCH_TARGET_LOAD_MAX 12
-#define DISPATCH_AVOID_MS 100 /* first pause after a failed connection; doubles */
-#define DISPATCH_AVOID_MAX_MS 2000
+#define DISPATCH_AVOID_MS 100       /* first pause after a failed connection; doubles */
+#define DISPATCH_AVOID_MAX_MS 2000  /* a target that is back is tried within this */
 #define DISPATCH_OWNER_RETRY_MS 150 /* a move is committed and told within this */
 #define DISPATCH_GRANT_MS 10 /* a new owner's grant arrives so long after its table */
 #define DISPATCH_POLL_MS 25  /* how often a waiting request looks again */
 #define DISPATCH_SENDS_MAX 4 /* of one request, those that weren't run included */
 #define DISPATCH_OWNER_WAIT_PERCENT 50 /* of the objective: wait for a key's owner */
-/* Of the objective: wait for room, when more requests of the service wait than is short.
- */
+/* Of the objective: wait for room, while more than a short queue waits. */
 #define DISPATCH_ROOM_WAIT_PERCENT 25
 #define DISPATCH_SHORT_QUEUE 3    /* so many turns come round within an objective */
 #define DISPATCH_SILENCE_FACTOR 4 /* an answer this many times late is taken for lost */
-#define DISPATCH_RETRY_AFTER_MIN_MS 100
+#define DISPATCH_RETRY_AFTER_MIN_MS 100 /* sooner nothing has changed at the targets */
 /* A target answers at its deadline; the answer may take so long to arrive. */
 #define DISPATCH_LAST_ANSWER_MS 40
 
@@ -161,12 +159,12 @@
 #define BUDGET_SAFETY_PERCENT 70
 
 /* The proxy's connections. */
-#define PROXY_LISTEN_BACKLOG 1024
-#define PROXY_LINE_MAX 32                       /* requests of one connection at a time */
+#define PROXY_LISTEN_BACKLOG 1024 /* all callers of a lost host come at once */
+#define PROXY_LINE_MAX 32         /* requests of one connection at a time */
 #define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024) /* before a configuration tells it */
 #define PROXY_BODY_HOLD_BYTES (256 * 1024)      /* a larger body is sent as it comes */
-#define PROXY_ANSWER_HOLD_BYTES                                                          \
-  (1024 * 1024)                /* a larger answer is passed on as it comes */
+/* A larger answer is passed on as it comes. */
+#define PROXY_ANSWER_HOLD_BYTES (1024 * 1024)
 #define PROXY_PROGRESS_MS 5000 /* an answer that is passed on may pause so long */
 #define PROXY_ANSWER_MAX_BYTES (32 * 1024 * 1024) /* one answer, held whole */
 #define PROXY_HEAD_MAX_BYTES (64 * 1024)          /* before a configuration tells it */
@@ -179,12 +177,12 @@
 /* Of the connections that a target accepts, over all hosts. */
 #define CALL_IDLE_PERCENT 60
 #define CALL_SILENT_MS 1500 /* unacknowledged bytes: the peer is gone */
-#define PROXY_MAILBOX 256
-#define PROXY_LOADS_MS 500 /* how often loads of keys are told, and news asked for */
+#define PROXY_MAILBOX 256   /* messages; a burst of configurations has some dozens */
+#define PROXY_LOADS_MS 500  /* how often loads of keys are told, and news asked for */
 #define PROXY_GRACE_MARGIN_MS 500 /* from the last connection's end to SIGKILL */
-#define PROXY_LEAVE_MS                                                                   \
-  2600 /* two missed readiness questions, a second apart, and a margin */
-#define PROXY_DRAIN_TICK_MS 100
+/* Two missed readiness questions, a second apart, and a margin. */
+#define PROXY_LEAVE_MS 2600
+#define PROXY_DRAIN_TICK_MS 100 /* well below the margin before SIGKILL */
 
 /* Owners of keys. */
 /* A grant's length in calm.  A crashed owner's keys rest so long; a granter's end and the
@@ -209,6 +207,7 @@
 #define KEYS_JOIN_KEYS_MIN 64     /* a joining target's share isn't cut finer */
 
 /* The granter's role. */
+/* Two renewals may be lost; a take-over has to fit into what a grant's hold has left. */
 #define ROLE_LEASE_MS 2500
 #define ROLE_RENEW_MS 800
 #define ROLE_WATCH_MS 4000 /* between one host's looks; the hosts' looks are spread */
@@ -219,26 +218,26 @@
 /* The store's client. */
 #define STORE_CALL_MS 1200   /* the slowest answers of a working store come after 0.4 s */
 #define STORE_WATCH_MS 10000 /* the longest that a change may stay untold unnoticed */
+/* Its return is noticed well within what a configuration may take. */
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MAX_MS 600
 /* Entries that lapsed in an outage are back so long after it. */
 #define STORE_LAPSE_MS 2000
-#define STORE_SIGNS_MS 3000 /* calls that were away together come back within this */
-#define COORDINATOR_TICK_MS 100
-#define COORDINATOR_MAILBOX 64
+#define STORE_SIGNS_MS 3000     /* calls that were away together come back within this */
+#define COORDINATOR_TICK_MS 100 /* a tenth of the shortest time that it watches */
+#define COORDINATOR_MAILBOX 64  /* reports of the proxy: two a second and service */
 #define ORDER_CALL_MS 1200 /* a release is answered when the work under way has ended */
 
 /* Messages between hosts. */
 /* A full queue means that the host is away; what it misses comes anew. */
-#define LINK_QUEUE_MAX 32
-#define LINK_MESSAGE_MAX_BYTES (256 * 1024)
-#define LINK_SILENT_MS 2000 /* unacknowledged bytes: the connection is made anew */
-#define LINK_RECONNECT_MS 200
-#define LINK_RECONNECT_MAX_MS 2000
-#define LINK_FORGET_MS 30000
-/* A host believes news so long: two reports may be lost.  What it misses meanwhile, a
- * leaving target or a configuration, has to be read from the store within their bounds.
- */
+#define LINK_QUEUE_MAX 32                   /* messages */
+#define LINK_MESSAGE_MAX_BYTES (256 * 1024) /* four of the store's largest rows */
+#define LINK_SILENT_MS 2000        /* unacknowledged bytes: the connection is made anew */
+#define LINK_RECONNECT_MS 200      /* a host that starts again is reached soon */
+#define LINK_RECONNECT_MAX_MS 2000 /* one that is gone costs little */
+#define LINK_FORGET_MS 30000       /* a host that wasn't written to for so long is gone */
+/* A host believes news so long: two reports may be lost.  What it misses meanwhile has to
+ * be read from the store within the bounds of leaving targets and configurations. */
 #define NEWS_KEEP_MS 1300
 #define REPORT_FORGET_MS 5000 /* a host that doesn't report isn't counted any more */
 
@@ -246,4 +245,5 @@
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
 #define FEED_BEHIND_MS 400 /* a feed that missed a change for so long asks the store */
 
+/* The settings file. */
 #define SETTINGS_LOOK_MS 2000 /* between looks at the settings file */
--- /dev/null
+++ b/packages/dispatch/tests/dispatch_world.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "../dispatch.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+
+/* DISPATCH_WORLD: one router's decisions under a clock that the test sets. */
+
+#define START 100000
+#define WAIT 3000
+#define OBJECTIVE 500
+
+typedef struct
+{
+  dispatch_t dispatch;
+  GArray *out;
+  GArray *targets;
+  msec_t now;
+} world_t;
+
+directory_t *make_directory (uint64_t version);
+
+void tell (world_t *self, const dispatch_msg_t *msg);
+
+void list_targets (world_t *self);
+
+void add_target (world_t *self, text_t id, text_t service);
+
+void own_keys (world_t *self, text_t target, uint64_t version);
+
+void begin (world_t *self);
+
+void end (world_t *self);
+
+void arrive (world_t *self, dispatch_request_t *request, text_t path);
+
+void answer (world_t *self,
+             dispatch_request_t *request,
+             dispatch_answer_t kind,
+             unsigned status);
+
+void lose_send (world_t *self, dispatch_request_t *request, bool sent);
+
+void come_due (world_t *self, dispatch_request_t *request, msec_t at);
+
+const dispatch_out_t *find_out (const world_t *self, dispatch_out_kind_t kind);
+
+void assert_ended (const world_t *self, dispatch_fate_t fate, dispatch_reason_t reason);
+
+text_t sent_to (const world_t *self);
--- /dev/null
+++ b/packages/dispatch/tests/test_dispatch_load.c
@@ -0,0 +1,192 @@
+#include "dispatch_world.h"
+
+/* Choices under load: budgets, shares, picks and queues. */
+
+static void
+test_a_silent_idempotent_request_goes_to_another_target (void **state)
+{
+  world_t world;
+  dispatch_request_t request;
+
+  (void)state;
+  begin (&world);
+  arrive (&world, &request, TEXT ("/read/"));
+  text_t first = sent_to (&world);
+  come_due (&world, &request, START + OBJECTIVE - 1);
+  assert_null (find_out (&world, DISPATCH_CANCEL));
+  come_due (&world, &request, START + OBJECTIVE + 10);
+  assert_non_null (find_out (&world, DISPATCH_CANCEL));
+  assert_false (text_equal (sent_to (&world), first));
+  end (&world);
+}
+
+static void
+test_the_budget_bounds_repeats (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[200];
+  uint32_t repeats = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      arrive (&world, &requests[i], TEXT ("/read/"));
+      while (requests[i].state == REQUEST_SENT)
+        lose_send (&world, &requests[i], false);
+      repeats += requests[i].sends - 1;
+      world.now += 5;
+    }
+  assert_in_range (repeats, 1, G_N_ELEMENTS (requests) * 20 / 100 + 5);
+  end (&world);
+}
+
+static void
+test_shares_are_kept_in_any_run_of_requests (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[300];
+  uint32_t keyed = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      arrive (&world, &requests[i], TEXT ("/split/"));
+      keyed += requests[i].service == 0;
+      if (requests[i].state == REQUEST_SENT)
+        answer (&world, &requests[i], ANSWER_RUN, 200);
+      if (i % 100 == 99)
+        assert_int_equal (keyed, (i + 1) / 10);
+    }
+  end (&world);
+}
+
+static void
+test_slow_and_failing_targets_get_less (void **state)
+{
+  world_t world;
+  dispatch_request_t request;
+  uint32_t slow = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < 200; i++)
+    {
+      arrive (&world, &request, TEXT ("/read/"));
+      bool p1 = text_equal (sent_to (&world), TEXT ("p1"));
+      slow += p1;
+      world.now += p1 ? 400 : 100;
+      answer (&world, &request, ANSWER_RUN, 200);
+    }
+  assert_in_range (slow, 1, 40);
+  end (&world);
+}
+
+static void
+test_several_targets_share_what_comes_at_once (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[6];
+  uint32_t first = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      arrive (&world, &requests[i], TEXT ("/read/"));
+      first += text_equal (sent_to (&world), TEXT ("p1"));
+    }
+  assert_int_equal (first, 3);
+  end (&world);
+}
+
+/* Other hosts' requests count in the choice though no report of the last second tells. */
+static void
+test_a_target_that_is_usually_busy_gets_less (void **state)
+{
+  world_t world;
+  dispatch_request_t request;
+  uint32_t busy = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < 40; i++)
+    {
+      arrive (&world, &request, TEXT ("/read/"));
+      bool p1 = text_equal (sent_to (&world), TEXT ("p1"));
+      busy += i >= 20 && p1;
+      const dispatch_msg_t msg = { .kind = DISPATCH_ANSWERED,
+                                   .request = &request,
+                                   .status = 200,
+                                   .load = { true, p1 ? 3 : 0, 0, 3 } };
+      world.now += 100;
+      tell (&world, &msg);
+      world.now += DISPATCH_REPORT_KEEP_MS;
+    }
+  assert_in_range (busy, 0, 4);
+  end (&world);
+}
+
+static void
+test_too_much_waits_and_is_refused_by_the_objective (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[200];
+  uint32_t sent = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      arrive (&world, &requests[i], TEXT ("/read/"));
+      sent += requests[i].state == REQUEST_SENT;
+    }
+  assert_in_range (sent, 6, 2 * (3 + DISPATCH_TARGET_LOAD_MAX));
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    if (requests[i].state == REQUEST_WAITING)
+      {
+        come_due (&world, &requests[i], START + OBJECTIVE);
+        assert_ended (&world, FATE_NOT_RUN, REASON_OVERLOAD);
+      }
+  end (&world);
+}
+
+/* A few that wait get their turn within the objective; they aren't sent away early. */
+static void
+test_a_short_queue_waits_for_its_turn (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[200];
+  guint n = 0;
+
+  (void)state;
+  begin (&world);
+  do
+    arrive (&world, &requests[n], TEXT ("/read/"));
+  while (requests[n++].state == REQUEST_SENT);
+  dispatch_request_t *waiting = &requests[n - 1];
+  come_due (&world, waiting, START + OBJECTIVE / 2);
+  assert_int_equal (waiting->state, REQUEST_WAITING);
+  for (guint i = 0; i < n - 1; i++)
+    answer (&world, &requests[i], ANSWER_RUN, 200);
+  assert_int_equal (waiting->state, REQUEST_SENT);
+  end (&world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_silent_idempotent_request_goes_to_another_target),
+    cmocka_unit_test (test_the_budget_bounds_repeats),
+    cmocka_unit_test (test_shares_are_kept_in_any_run_of_requests),
+    cmocka_unit_test (test_slow_and_failing_targets_get_less),
+    cmocka_unit_test (test_several_targets_share_what_comes_at_once),
+    cmocka_unit_test (test_a_target_that_is_usually_busy_gets_less),
+    cmocka_unit_test (test_too_much_waits_and_is_refused_by_the_objective),
+    cmocka_unit_test (test_a_short_queue_waits_for_its_turn),
+  };
+
+  return cmocka_run_group_tests_name ("dispatch_load", tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/keys/tests/keys_world.c
@@ -0,0 +1,185 @@
+#include "keys_world.h"
+
+#include <stdio.h>
+
+void
+drop_tables (world_t *self)
+{
+  for (guint i = 0; i < self->out->len; i++)
+    {
+      keys_out_t *out = &g_array_index (self->out, keys_out_t, i);
+      if (out->kind == KEYS_COMMIT)
+        key_table_finish (&out->table);
+    }
+  g_array_set_size (self->out, 0);
+}
+
+void
+tell (world_t *self, keys_msg_t msg)
+{
+  drop_tables (self);
+  if (msg.service.len == 0)
+    msg.service = self->service;
+  keys_handle (&self->keys, &msg, self->now, self->out);
+}
+
+void
+tick (world_t *self, msec_t at)
+{
+  self->now = at;
+  tell (self, (keys_msg_t){ .kind = KEYS_TICK });
+}
+
+void
+hold_role (world_t *self)
+{
+  tell (self,
+        (keys_msg_t){ .kind = KEYS_ROLE,
+                      .until = self->now + ROLE,
+                      .store_answers = true });
+}
+
+void
+list_targets (world_t *self)
+{
+  tell (self, (keys_msg_t){ .kind = KEYS_TARGETS, .targets = self->targets });
+}
+
+target_entry_t *
+target (world_t *self, guint i)
+{
+  return &g_array_index (self->targets, target_entry_t, i);
+}
+
+void
+add_target (world_t *self, guint n)
+{
+  target_entry_t entry = { .born = 1, .slots = 3, .service = self->service };
+  char id[16];
+
+  snprintf (id, sizeof id, "t%u", n);
+  name_set (&entry.id, text_from_c (id));
+  snprintf (id, sizeof id, "10.0.0.%u:1", n);
+  name_set (&entry.address, text_from_c (id));
+  g_array_append_val (self->targets, entry);
+}
+
+void
+begin (world_t *self, guint n)
+{
+  *self = (world_t){ .out = g_array_new (FALSE, TRUE, sizeof (keys_out_t)),
+                     .targets = g_array_new (FALSE, TRUE, sizeof (target_entry_t)),
+                     .now = START };
+  GArray *names = g_array_new (FALSE, TRUE, sizeof (name_t));
+
+  name_set (&self->service, TEXT ("s"));
+  g_array_append_val (names, self->service);
+  keys_init (&self->keys, HOLD_MAX);
+  tell (self, (keys_msg_t){ .kind = KEYS_SERVICES, .names = names });
+  g_array_unref (names);
+  for (guint i = 0; i < n; i++)
+    add_target (self, i);
+  list_targets (self);
+}
+
+void
+end (world_t *self)
+{
+  drop_tables (self);
+  keys_finish (&self->keys);
+  g_array_unref (self->out);
+  g_array_unref (self->targets);
+}
+
+guint
+count (const world_t *self, keys_out_kind_t kind)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < self->out->len; i++)
+    n += g_array_index (self->out, keys_out_t, i).kind == kind;
+  return n;
+}
+
+const keys_out_t *
+find (const world_t *self, keys_out_kind_t kind)
+{
+  for (guint i = 0; i < self->out->len; i++)
+    if (g_array_index (self->out, keys_out_t, i).kind == kind)
+      return &g_array_index (self->out, keys_out_t, i);
+  return NULL;
+}
+
+void
+reply (world_t *self, const keys_out_t *call, keys_msg_kind_t kind, bool sent)
+{
+  keys_msg_t msg = { .kind = kind,
+                     .first = call->first,
+                     .fence = call->fence,
+                     .release = call->kind == KEYS_RELEASE,
+                     .sent = sent };
+
+  if (kind == KEYS_RELEASED)
+    name_set (&msg.handover, TEXT ("warm"));
+  tell (self, msg);
+}
+
+void
+take_grants (world_t *self)
+{
+  GArray *calls = g_array_new (FALSE, TRUE, sizeof (keys_out_t));
+
+  for (guint i = 0; i < self->out->len; i++)
+    if (g_array_index (self->out, keys_out_t, i).kind == KEYS_GRANT)
+      g_array_append_val (calls, g_array_index (self->out, keys_out_t, i));
+  for (guint i = 0; i < calls->len; i++)
+    reply (self, &g_array_index (calls, keys_out_t, i), KEYS_GRANTED, true);
+  g_array_unref (calls);
+}
+
+void
+settle (world_t *self)
+{
+  hold_role (self);
+  tell (self, (keys_msg_t){ .kind = KEYS_TABLE });
+  tick (self, START + KEYS_SETTLE_MS);
+  hold_role (self);
+  if (count (self, KEYS_COMMIT) == 0)
+    tick (self, START + KEYS_SETTLE_MS);
+  tell (self, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  take_grants (self);
+}
+
+bool
+run_until (world_t *self, keys_out_kind_t kind, msec_t until)
+{
+  while (self->now < until)
+    {
+      self->now += 50;
+      hold_role (self);
+      if (count (self, kind) > 0)
+        return true;
+      take_grants (self);
+    }
+  return false;
+}
+
+key_table_t
+stored_table (const world_t *world, guint n)
+{
+  key_table_t table;
+
+  key_table_init (&table, name_text (&world->service));
+  for (guint i = 0; i < n; i++)
+    {
+      const target_entry_t *owner = &g_array_index (world->targets, target_entry_t, i);
+      key_run_t run = { .first = (KEY_LAST + 1) / n * i,
+                        .last = (KEY_LAST + 1) / n * (i + 1) - 1,
+                        .fence = 20 + i,
+                        .target = owner->id,
+                        .address = owner->address,
+                        .born = owner->born };
+      g_array_append_val (table.runs, run);
+    }
+  return table;
+}
