Tell hosts what changed of the owners, spread over groups of hosts

Each move of keys was told as the whole table, some 10 KB, to each of 89 hosts: 7 Mbit on a host whose link carries 10, and a move comes every half second while a hot key shifts.

Ruled out: the processor (0.018 of a core at most of 0.1), the targets' caps on connections as the cause (they were reset after the link was full; grants to targets that had free connections went unanswered as well).

Change: hosts get the runs that changed since the version before; one that missed a version asks for the whole table. What goes to more than 16 hosts goes to groups of about the square root of them, whose first host passes it on. Rows that would fill a link are announced, and each host asks the store; a host that the store doesn't answer asks the granter for the configuration.

Left there: connections to targets over their caps (2,770 reset), and 502 for requests that no target took.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -83,9 +83,10 @@
   feed_t configuration, targets, owners;
   uint64_t directory_version;
   bool has_directory;
-  GArray *keyed;        /* name_t: services whose keys have owners */
-  GHashTable *known;    /* id to known_target_t */
-  GHashTable *bad_keys; /* ids of entries that can't be read, told once */
+  GString *configuration_bytes; /* of the newest row, in force or rejected */
+  GArray *keyed;                /* name_t: services whose keys have owners */
+  GHashTable *known;            /* id to known_target_t */
+  GHashTable *bad_keys;         /* ids of entries that can't be read, told once */
   bool targets_changed;
 
   keys_t keys;
@@ -97,6 +98,8 @@
   link_t link;
   name_t granter;        /* the link's address of the granter; empty: not known */
   msec_t news_until;     /* its news count until then */
+  msec_t table_told;     /* the last change of owners was spread */
+  msec_t table_asked;    /* the last missing one was asked for */
   GHashTable *reporters; /* host's name to reporter_t */
   uint32_t hosts;        /* that share the budget of repeats; 0: not known */
 } coordinator_t;
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -55,7 +55,7 @@
 /* Passes the proxy's report on to the granter, which may be this host. */
 void peers_report (coordinator_t *self, const proxy_report_t *report);
 
-/* Tells all hosts that report to this one of a new table. */
+/* Tells all hosts that report to this one of a new table, before owners_take has it. */
 void peers_tell_table (coordinator_t *self, const key_table_t *table);
 
 /* The granter passes on what its feed of TABLE told. */
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -62,6 +62,10 @@
 
   if (row->removed || !text_equal (key, self->deployment->configuration_key))
     return;
+  g_string_truncate (self->configuration_bytes, 0);
+  g_string_append_len (self->configuration_bytes,
+                       row->value->str,
+                       (gssize)row->value->len);
   directory = g_new (directory_t, 1);
   directory_init (directory);
   status_t status
@@ -361,7 +365,12 @@
                 uint64_t after,
                 const GArray *rows)
 {
-  if (table == STORE_CONFIGURATION)
+  /* A host that the store never answered has no configuration to follow the rows: each
+   * of them is a whole one. */
+  if (table == STORE_CONFIGURATION && !self->configuration.watching)
+    for (guint i = 0; i < rows->len; i++)
+      configuration_row (self, &g_array_index (rows, store_row_t, i));
+  else if (table == STORE_CONFIGURATION)
     feed_take (&self->configuration, before, after, rows);
   else if (table == STORE_TARGETS)
     feed_take (&self->targets, before, after, rows);
@@ -386,6 +395,7 @@
 void
 news_init (coordinator_t *self)
 {
+  self->configuration_bytes = g_string_new (NULL);
   self->keyed = g_array_new (FALSE, FALSE, sizeof (name_t));
   self->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->bad_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -426,6 +436,7 @@
   feed_finish (&self->configuration);
   feed_finish (&self->targets);
   feed_finish (&self->owners);
+  g_string_free (self->configuration_bytes, TRUE);
   g_array_unref (self->keyed);
   g_hash_table_unref (self->known);
   g_hash_table_unref (self->bad_keys);
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -2,6 +2,7 @@
 
 #include "../core/eventlog.h"
 #include "../link/link_codec.h"
+#include "../link/spread.h"
 
 /* A host that reports to this one. */
 typedef struct
@@ -25,17 +26,92 @@
   news_post (self, msg);
 }
 
+/* Sends BODY to one host, which passes it on to the N others at PASS_ON. */
 static void
-send_bytes (coordinator_t *self, const name_t *address, GByteArray *bytes)
+send_body (coordinator_t *self,
+           const name_t *address,
+           const GByteArray *body,
+           const name_t *pass_on,
+           guint n)
 {
+  const text_t text = { (const char *)body->data, body->len };
+  GByteArray *message = link_write_message (text, pass_on, n);
+
   link_send (&self->link,
              name_text (address),
-             (text_t){ (const char *)bytes->data, bytes->len });
-  g_byte_array_unref (bytes);
+             (text_t){ (const char *)message->data, message->len });
+  g_byte_array_unref (message);
+}
+
+/* Sends BODY, which is freed, to one host alone. */
+static void
+send_alone (coordinator_t *self, const name_t *address, GByteArray *body)
+{
+  send_body (self, address, body, NULL, 0);
+  g_byte_array_unref (body);
 }
 
+/* All hosts that report, divided into groups. */
 static void
-send_news (coordinator_t *self, const name_t *address, const key_table_t *table)
+plan_spread (const coordinator_t *self, GArray *hosts, GArray *groups)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->reporters);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const reporter_t *reporter = value;
+      spread_host_t host = { reporter->address, reporter->heard };
+      g_array_append_val (hosts, host);
+    }
+  spread_plan (hosts, msclock_now (&self->clock), groups);
+}
+
+/* Sends BODY to all hosts that report. */
+static void
+spread_body (coordinator_t *self, const GByteArray *body)
+{
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
+  GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
+  GArray *pass_on = g_array_new (FALSE, FALSE, sizeof (name_t));
+
+  plan_spread (self, hosts, groups);
+  for (guint i = 0; i < groups->len; i++)
+    {
+      const spread_group_t *group = &g_array_index (groups, spread_group_t, i);
+      const spread_host_t *at = &g_array_index (hosts, spread_host_t, group->first);
+      g_array_set_size (pass_on, 0);
+      for (guint k = 1; k < group->n; k++)
+        g_array_append_val (pass_on, at[k].address);
+      send_body (self,
+                 &at->address,
+                 body,
+                 (const name_t *)(const void *)pass_on->data,
+                 pass_on->len);
+    }
+  g_array_unref (pass_on);
+  g_array_unref (groups);
+  g_array_unref (hosts);
+}
+
+/* Whether BYTES to all hosts would keep this one's link, or one that passes on, busy. */
+static bool
+is_heavy (const coordinator_t *self, size_t bytes)
+{
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
+  GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
+
+  plan_spread (self, hosts, groups);
+  bool heavy = spread_is_heavy (bytes, groups->len, self->settings->link_mbps);
+  g_array_unref (groups);
+  g_array_unref (hosts);
+  return heavy;
+}
+
+/* News for hosts; TABLE may be NULL, or what changed of one since version BEFORE. */
+static GByteArray *
+write_news (const coordinator_t *self, const key_table_t *table, uint64_t before)
 {
   link_news_t news = { .host = self->settings->host,
                        .address = self->settings->peers,
@@ -44,11 +120,12 @@
                        .hosts = self->hosts,
                        .configuration_row = self->configuration.newest,
                        .targets_row = self->targets.newest,
-                       .has_table = table != NULL };
+                       .has_table = table != NULL,
+                       .table_before = before };
 
   if (table != NULL)
     news.table = *table;
-  send_bytes (self, address, link_write_news (&news));
+  return link_write_news (&news);
 }
 
 /* Counts the hosts that reported lately, and forgets the others. */
@@ -65,6 +142,26 @@
   post_hosts (self, g_hash_table_size (self->reporters) + 1);
 }
 
+/* The newest configuration, for a host that the store doesn't answer. */
+static void
+send_configuration (coordinator_t *self, const link_report_t *report)
+{
+  const GString *bytes = self->configuration_bytes;
+  link_rows_t part = { .table = STORE_CONFIGURATION,
+                       .before = report->configuration_row,
+                       .after = self->configuration.newest,
+                       .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
+  link_row_t row = { .key = self->deployment->configuration_key,
+                     .value = { bytes->str, bytes->len },
+                     .version = self->configuration.newest };
+
+  g_array_append_val (part.rows, row);
+  if (report->configuration_row < row.version
+      && bytes->len < LINK_MESSAGE_MAX_BYTES - LINK_OVERHEAD_BYTES)
+    send_alone (self, &report->address, link_write_rows (&part));
+  g_array_unref (part.rows);
+}
+
 static void
 take_report (coordinator_t *self, const link_report_t *report)
 {
@@ -89,12 +186,74 @@
   *reporter = (reporter_t){ report->address, report->life, now };
   count_hosts (self, now);
   grants_tell (self, &msg);
-  send_news (self,
-             &report->address,
-             table != NULL && table->version > report->table_version ? table : NULL);
+  bool wants_table = table != NULL && table->version > report->table_version
+                     && (report->asks_table || report->table_version == 0
+                         || now >= self->table_told + TABLE_TOLD_MS);
+  send_alone (self, &report->address, write_news (self, wants_table ? table : NULL, 0));
+  if (report->asks_configuration && self->role.state == ROLE_HELD)
+    send_configuration (self, report);
   g_free (host);
 }
 
+/* Asks the granter for the table of SERVICE, of which changes were missed. */
+static void
+ask_table (coordinator_t *self, const name_t *service, uint64_t version, msec_t now)
+{
+  GArray *none = g_array_new (FALSE, FALSE, sizeof (key_load_t));
+  link_report_t report = { .host = self->settings->host,
+                           .address = self->settings->peers,
+                           .life = self->life,
+                           .service = *service,
+                           .table_version = version,
+                           .configuration_row = self->configuration.newest,
+                           .asks_table = true,
+                           .loads = none };
+
+  if (now >= self->table_asked + TABLE_ASK_MS)
+    {
+      self->table_asked = now;
+      send_alone (self, &self->granter, link_write_report (&report));
+    }
+  g_array_unref (none);
+}
+
+/* Takes over a table, or what changed in it since the version that this host has. */
+static void
+take_table (coordinator_t *self, const link_news_t *news, msec_t now)
+{
+  const key_table_t *known = owners_table (self, &news->table.service);
+  uint64_t version = known != NULL ? known->version : 0;
+  key_table_t table;
+  fault_t fault;
+
+  if (news->table_before == 0)
+    {
+      owners_take (self, &news->table);
+      return;
+    }
+  if (news->table.version <= version)
+    return;
+  if (news->table_before != version)
+    {
+      ask_table (self, &news->table.service, version, now);
+      return;
+    }
+  key_table_copy (&table, known);
+  if (key_table_apply (&table, &news->table, &fault) == STATUS_OK)
+    owners_take (self, &table);
+  else
+    {
+      eventlog_write (EVENT_TROUBLE,
+                      "keys",
+                      "changes_rejected",
+                      "service=%.*s why=\"%.*s\"",
+                      NAME_ARG (table.service),
+                      TEXT_ARG (fault_text (&fault)));
+      ask_table (self, &table.service, 0, now);
+    }
+  key_table_finish (&table);
+}
+
 static void
 take_news (coordinator_t *self, const link_news_t *news)
 {
@@ -108,7 +267,7 @@
   post_hosts (self, news->hosts);
   news_compare (self, news->configuration_row, news->targets_row);
   if (news->has_table)
-    owners_take (self, &news->table);
+    take_table (self, news, now);
 }
 
 static void
@@ -136,17 +295,26 @@
   g_array_unref (rows);
 }
 
+/* Spreads a part of what a feed told; one that is too heavy is only announced, so that
+ * each host asks the store for it. */
 static void
 tell_part (coordinator_t *self, const link_rows_t *part)
 {
-  GByteArray *bytes = link_write_rows (part);
-  GHashTableIter iter;
-  gpointer value;
+  GByteArray *body = link_write_rows (part);
 
-  g_hash_table_iter_init (&iter, self->reporters);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    send_bytes (self, &((const reporter_t *)value)->address, g_byte_array_ref (bytes));
-  g_byte_array_unref (bytes);
+  if (body->len > LINK_MESSAGE_MAX_BYTES || is_heavy (self, body->len))
+    {
+      GArray *none = g_array_new (FALSE, FALSE, sizeof (link_row_t));
+      link_rows_t announced = { .table = part->table,
+                                .before = part->after,
+                                .after = part->after,
+                                .rows = none };
+      g_byte_array_unref (body);
+      body = link_write_rows (&announced);
+      g_array_unref (none);
+    }
+  spread_body (self, body);
+  g_byte_array_unref (body);
 }
 
 void
@@ -197,6 +365,14 @@
                       TEXT_ARG (fault_text (&fault)));
       return;
     }
+  for (guint i = 0; i < msg.pass_on->len; i++)
+    {
+      GByteArray *on = link_write_message (msg.body, NULL, 0);
+      link_send (&self->link,
+                 name_text (&g_array_index (msg.pass_on, name_t, i)),
+                 (text_t){ (const char *)on->data, on->len });
+      g_byte_array_unref (on);
+    }
   if (msg.kind == LINK_REPORT)
     take_report (self, &msg.report);
   else if (msg.kind == LINK_NEWS)
@@ -234,19 +410,28 @@
                            .life = self->life,
                            .service = from->service,
                            .table_version = table != NULL ? table->version : 0,
+                           .configuration_row = self->configuration.newest,
+                           .asks_configuration = self->configuration.pause > 0,
                            .loads = from->loads };
-  send_bytes (self, &self->granter, link_write_report (&report));
+  send_alone (self, &self->granter, link_write_report (&report));
 }
 
 void
 peers_tell_table (coordinator_t *self, const key_table_t *table)
 {
-  GHashTableIter iter;
-  gpointer value;
+  const key_table_t *before = owners_table (self, &table->service);
+  key_table_t changes;
+  GByteArray *body;
 
-  g_hash_table_iter_init (&iter, self->reporters);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    send_news (self, &((const reporter_t *)value)->address, table);
+  key_table_init (&changes, name_text (&table->service));
+  if (before != NULL)
+    key_table_diff (before, table, &changes);
+  body = before != NULL ? write_news (self, &changes, before->version)
+                        : write_news (self, table, 0);
+  spread_body (self, body);
+  g_byte_array_unref (body);
+  key_table_finish (&changes);
+  self->table_told = msclock_now (&self->clock);
 }
 
 status_t
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -244,8 +244,8 @@
     {
       keys_msg_t msg = { .kind = KEYS_COMMITTED, .service = done.table.service };
       done.table.version = version;
-      owners_take (self, &done.table);
       peers_tell_table (self, &done.table);
+      owners_take (self, &done.table);
       grants_tell (self, &msg);
       key_table_finish (&done.table);
     }
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -241,6 +241,18 @@
 #define NEWS_KEEP_MS 1300
 #define REPORT_FORGET_MS 5000 /* a host that doesn't report isn't counted any more */
 
+#define LINK_OVERHEAD_BYTES 1024 /* of a message with one row */
+/* A change of owners has arrived everywhere, on the way over a host that passes it on. */
+#define TABLE_TOLD_MS 500
+#define TABLE_ASK_MS                                                                     \
+  200 /* between asks for a missed change: a round trip and its queue */
+
+/* A message to many hosts. */
+#define SPREAD_DIRECT 16     /* the first users' hosts: without a second hop */
+#define SPREAD_HEARD_MS 1200 /* two reports of a host, and their way */
+/* A link that is busy so long delays requests and renewals noticeably. */
+#define SPREAD_BUSY_MS 200
+
 /* Feeds of the store's tables. */
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
 #define FEED_BEHIND_MS 400 /* a feed that missed a change for so long asks the store */
--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -2,20 +2,18 @@
 
 #include "../core/msclock.h"
 #include "../core/text.h"
+#include "key_table.h"
 
 #include <glib.h>
 
 /*
  * DIRECTORY: what the hosts are told about the deployment: routes and services
- * (one configuration), targets, and which target owns which keys.
+ * (one configuration), and targets.
  *
  * Plain data, made by whoever decodes it and handed to a task whole.  No
  * socket, no clock, no encoding.
  */
 
-/* Keys of a service whose keys have owners run from 0 to this, both included. */
-#define KEY_LAST 65535
-
 typedef enum
 {
   KIND_IDEMPOTENT, /* may run more than once */
@@ -96,16 +94,6 @@
   msec_t warm_up_left;
 } target_entry_t;
 
-/* Keys FIRST to LAST, both included, and the one target that owns them. */
-typedef struct
-{
-  uint32_t first, last;
-  uint64_t fence; /* 0: the keys have no owner */
-  name_t target;
-  name_t address; /* of the target, a.b.c.d:port */
-  uint64_t born;  /* the life of the target that the keys were given to */
-} key_run_t;
-
 /* Loads are counted for this many neighbouring keys at a time. */
 #define KEY_STEP 1
 #define KEY_STEPS ((KEY_LAST + 1) / KEY_STEP)
@@ -123,18 +111,3 @@
   name_t target;
   uint32_t work_ms;
 } target_speed_t;
-
-/* The owners of one service's keys. */
-typedef struct
-{
-  name_t service;
-  uint64_t version; /* of the store, when it was committed */
-  GArray *runs;     /* key_run_t, without gaps, ascending */
-} key_table_t;
-
-void key_table_init (key_table_t *self, text_t service);
-void key_table_finish (key_table_t *self);
-void key_table_copy (key_table_t *self, const key_table_t *from);
-
-/* The run that holds KEY, NULL if there is none. */
-const key_run_t *key_table_find (const key_table_t *self, uint32_t key);
--- /dev/null
+++ b/packages/directory/key_table.c
@@ -0,0 +1,150 @@
+#include "key_table.h"
+
+static const key_run_t *
+run_at (const key_table_t *self, guint i)
+{
+  return &g_array_index (self->runs, key_run_t, i);
+}
+
+void
+key_table_init (key_table_t *self, text_t service)
+{
+  *self = (key_table_t){ .runs = g_array_new (FALSE, TRUE, sizeof (key_run_t)) };
+  name_set (&self->service, service);
+}
+
+void
+key_table_finish (key_table_t *self)
+{
+  g_array_unref (self->runs);
+}
+
+void
+key_table_copy (key_table_t *self, const key_table_t *from)
+{
+  key_table_init (self, name_text (&from->service));
+  self->version = from->version;
+  g_array_append_vals (self->runs, from->runs->data, from->runs->len);
+}
+
+const key_run_t *
+key_table_find (const key_table_t *self, uint32_t key)
+{
+  guint low = 0, high = self->runs->len;
+
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      const key_run_t *run = run_at (self, middle);
+      if (key < run->first)
+        high = middle;
+      else if (key > run->last)
+        low = middle + 1;
+      else
+        return run;
+    }
+  return NULL;
+}
+
+static bool
+same_run (const key_run_t *a, const key_run_t *b)
+{
+  return a->first == b->first && a->last == b->last && a->fence == b->fence
+         && a->born == b->born && name_equal (&a->target, &b->target)
+         && name_equal (&a->address, &b->address);
+}
+
+void
+key_table_diff (const key_table_t *before, const key_table_t *after, key_table_t *changes)
+{
+  changes->version = after->version;
+  for (guint i = 0; i < after->runs->len; i++)
+    {
+      const key_run_t *run = run_at (after, i);
+      const key_run_t *old = key_table_find (before, run->first);
+      if (old == NULL || !same_run (old, run))
+        g_array_append_vals (changes->runs, run, 1);
+    }
+}
+
+static bool
+overlap (const key_run_t *a, const key_run_t *b)
+{
+  return a->first <= b->last && b->first <= a->last;
+}
+
+/* The runs of SELF that CHANGES doesn't touch, and those of CHANGES, ascending. */
+static GArray *
+merge (const key_table_t *self, const key_table_t *changes)
+{
+  GArray *runs = g_array_new (FALSE, TRUE, sizeof (key_run_t));
+  guint old = 0, new = 0;
+
+  while (old < self->runs->len || new < changes->runs->len)
+    {
+      const key_run_t *kept = old < self->runs->len ? run_at (self, old) : NULL;
+      const key_run_t *changed = new < changes->runs->len ? run_at (changes, new) : NULL;
+      if (kept != NULL && changed != NULL && overlap (kept, changed))
+        {
+          /* The one that ends first can touch no later run of the other table. */
+          if (kept->last <= changed->last)
+            old++;
+          else
+            {
+              g_array_append_vals (runs, changed, 1);
+              new ++;
+              /* What is left of KEPT beyond CHANGED has to be in CHANGES as well. */
+            }
+        }
+      else if (changed == NULL || (kept != NULL && kept->first < changed->first))
+        {
+          bool touched
+              = runs->len > 0
+                && g_array_index (runs, key_run_t, runs->len - 1).last >= kept->first;
+          if (!touched)
+            g_array_append_vals (runs, kept, 1);
+          old++;
+        }
+      else
+        {
+          g_array_append_vals (runs, changed, 1);
+          new ++;
+        }
+    }
+  return runs;
+}
+
+static bool
+is_whole (const GArray *runs)
+{
+  uint32_t next = 0;
+
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const key_run_t *run = &g_array_index (runs, key_run_t, i);
+      if (run->first != next || run->last < run->first)
+        return false;
+      next = run->last + 1;
+    }
+  return next == KEY_LAST + 1;
+}
+
+status_t
+key_table_apply (key_table_t *self, const key_table_t *changes, fault_t *fault)
+{
+  GArray *runs = merge (self, changes);
+
+  if (!is_whole (runs))
+    {
+      g_array_unref (runs);
+      return fault_raise (fault,
+                          STATUS_DECODE,
+                          "changes of version %llu don't fit version %llu",
+                          (unsigned long long)changes->version,
+                          (unsigned long long)self->version);
+    }
+  g_array_unref (self->runs);
+  self->runs = runs;
+  self->version = changes->version;
+  return STATUS_OK;
+}
--- /dev/null
+++ b/packages/directory/tests/test_key_table.c
@@ -0,0 +1,139 @@
+#include "../key_table.h"
+#include "../../core/rng.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+#include <stdio.h>
+
+static void
+add_run (key_table_t *self, uint32_t first, uint32_t last, uint64_t fence, unsigned owner)
+{
+  key_run_t run = { .first = first, .last = last, .fence = fence, .born = 1 };
+  char id[16];
+
+  snprintf (id, sizeof id, "t%u", owner);
+  name_set (&run.target, text_from_c (id));
+  name_set (&run.address, TEXT ("10.0.0.1:80"));
+  g_array_append_val (self->runs, run);
+}
+
+/* A whole table of up to 40 runs, whose owners and fences are drawn from few. */
+static void
+draw (key_table_t *self, rng_t *rng, uint64_t version)
+{
+  uint32_t next = 0;
+
+  key_table_init (self, TEXT ("s"));
+  self->version = version;
+  while (next <= KEY_LAST)
+    {
+      uint32_t size = 1 + (uint32_t)rng_below (rng, 40) * 100;
+      uint32_t last = MIN (next + size - 1, KEY_LAST);
+      if (rng_below (rng, 40) == 0)
+        last = KEY_LAST;
+      add_run (self, next, last, 1 + rng_below (rng, 3), (unsigned)rng_below (rng, 3));
+      next = last + 1;
+    }
+}
+
+static void
+assert_same (const key_table_t *a, const key_table_t *b)
+{
+  assert_int_equal (a->version, b->version);
+  assert_int_equal (a->runs->len, b->runs->len);
+  for (guint i = 0; i < a->runs->len; i++)
+    {
+      const key_run_t *left = &g_array_index (a->runs, key_run_t, i);
+      const key_run_t *right = &g_array_index (b->runs, key_run_t, i);
+      assert_int_equal (left->first, right->first);
+      assert_int_equal (left->last, right->last);
+      assert_int_equal (left->fence, right->fence);
+      assert_true (name_equal (&left->target, &right->target));
+    }
+}
+
+static void
+test_changes_lead_from_any_table_to_any_other (void **state)
+{
+  rng_t rng;
+  fault_t fault;
+
+  (void)state;
+  rng_init (&rng, 1);
+  for (unsigned round = 0; round < 2000; round++)
+    {
+      key_table_t before, after, changes;
+      draw (&before, &rng, 5);
+      draw (&after, &rng, 6);
+      key_table_init (&changes, TEXT ("s"));
+      key_table_diff (&before, &after, &changes);
+      assert_int_equal (key_table_apply (&before, &changes, &fault), STATUS_OK);
+      assert_same (&before, &after);
+      key_table_finish (&changes);
+      key_table_finish (&before);
+      key_table_finish (&after);
+    }
+}
+
+/* One run cut out of another's middle: three runs are told, whatever else stands there.
+ */
+static void
+test_a_move_is_told_by_the_runs_that_it_touches (void **state)
+{
+  key_table_t before, after, changes;
+
+  (void)state;
+  key_table_init (&before, TEXT ("s"));
+  key_table_init (&after, TEXT ("s"));
+  key_table_init (&changes, TEXT ("s"));
+  for (uint32_t i = 0; i < 64; i++)
+    add_run (&before, i * 1024, i * 1024 + 1023, i + 1, i);
+  for (uint32_t i = 0; i < 64; i++)
+    if (i != 7)
+      add_run (&after, i * 1024, i * 1024 + 1023, i + 1, i);
+    else
+      {
+        add_run (&after, 7168, 7199, 8, 7);
+        add_run (&after, 7200, 7210, 90, 3);
+        add_run (&after, 7211, 8191, 8, 7);
+      }
+  key_table_diff (&before, &after, &changes);
+  assert_int_equal (changes.runs->len, 3);
+  key_table_finish (&changes);
+  key_table_finish (&before);
+  key_table_finish (&after);
+}
+
+static void
+test_changes_of_another_table_are_refused (void **state)
+{
+  key_table_t table, changes;
+  fault_t fault;
+
+  (void)state;
+  key_table_init (&table, TEXT ("s"));
+  table.version = 5;
+  add_run (&table, 0, 999, 1, 1);
+  add_run (&table, 1000, KEY_LAST, 2, 2);
+  key_table_init (&changes, TEXT ("s"));
+  changes.version = 6;
+  add_run (&changes, 1000, 2000, 3, 3); /* what becomes of 2001 and on isn't told */
+  assert_int_equal (key_table_apply (&table, &changes, &fault), STATUS_DECODE);
+  assert_int_equal (table.version, 5);
+  assert_int_equal (table.runs->len, 2);
+  key_table_finish (&changes);
+  key_table_finish (&table);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_changes_lead_from_any_table_to_any_other),
+    cmocka_unit_test (test_a_move_is_told_by_the_runs_that_it_touches),
+    cmocka_unit_test (test_changes_of_another_table_are_refused),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -9,10 +9,11 @@
  * claim to have.
  */
 
-#define CODEC_VERSION 3
+#define CODEC_VERSION 4
 #define LOADS_MAX 8192
 #define RUNS_MAX 8192
 #define ROWS_MAX 8192
+#define PASS_ON_MAX 1024
 
 /* First bytes of the values that messages are made of. */
 #define LEAD_FIXINT_MAX 0x7f
@@ -43,7 +44,6 @@
   GByteArray *bytes = g_byte_array_new ();
 
   msgpack_packer_init (packer, bytes, write_bytes);
-  msgpack_pack_uint8 (packer, CODEC_VERSION);
   msgpack_pack_uint8 (packer, (uint8_t)kind);
   return bytes;
 }
@@ -59,6 +59,9 @@
   msgpack_pack_uint64 (&packer, report->life);
   pack_name (&packer, &report->service);
   msgpack_pack_uint64 (&packer, report->table_version);
+  msgpack_pack_uint64 (&packer, report->configuration_row);
+  msgpack_pack_uint8 (&packer, report->asks_table);
+  msgpack_pack_uint8 (&packer, report->asks_configuration);
   msgpack_pack_uint32 (&packer, MIN (report->loads->len, LOADS_MAX));
   for (guint i = 0; i < MIN (report->loads->len, LOADS_MAX); i++)
     {
@@ -102,7 +105,10 @@
   msgpack_pack_uint64 (&packer, news->targets_row);
   msgpack_pack_uint8 (&packer, news->has_table);
   if (news->has_table)
-    pack_table (&packer, &news->table);
+    {
+      msgpack_pack_uint64 (&packer, news->table_before);
+      pack_table (&packer, &news->table);
+    }
   return bytes;
 }
 
@@ -134,6 +140,21 @@
   return bytes;
 }
 
+GByteArray *
+link_write_message (text_t body, const name_t *pass_on, guint n)
+{
+  msgpack_packer packer;
+  GByteArray *bytes = g_byte_array_new ();
+
+  msgpack_packer_init (&packer, bytes, write_bytes);
+  msgpack_pack_uint8 (&packer, CODEC_VERSION);
+  msgpack_pack_uint32 (&packer, n);
+  for (guint i = 0; i < n; i++)
+    pack_name (&packer, &pass_on[i]);
+  g_byte_array_append (bytes, (const guint8 *)body.at, (guint)body.len);
+  return bytes;
+}
+
 /* Values in order; OK turns false at the first that doesn't fit. */
 typedef struct
 {
@@ -191,6 +212,9 @@
   report->life = take_number (self, UINT64_MAX);
   take_name (self, &report->service);
   report->table_version = take_number (self, UINT64_MAX);
+  report->configuration_row = take_number (self, UINT64_MAX);
+  report->asks_table = take_number (self, 1) == 1;
+  report->asks_configuration = take_number (self, 1) == 1;
   report->loads = g_array_new (FALSE, FALSE, sizeof (key_load_t));
   for (uint64_t n = take_number (self, LOADS_MAX); n > 0 && self->ok; n--)
     {
@@ -234,7 +258,10 @@
   news->targets_row = take_number (self, UINT64_MAX);
   news->has_table = take_number (self, 1) == 1;
   if (news->has_table)
-    take_table (self, &news->table);
+    {
+      news->table_before = take_number (self, UINT64_MAX);
+      take_table (self, &news->table);
+    }
 }
 
 static text_t
@@ -264,6 +291,21 @@
     }
 }
 
+static void
+take_envelope (cursor_t *self, link_msg_t *msg)
+{
+  self->ok = take_number (self, UINT8_MAX) == CODEC_VERSION && self->ok;
+  msg->pass_on = g_array_new (FALSE, FALSE, sizeof (name_t));
+  for (uint64_t n = take_number (self, PASS_ON_MAX); n > 0 && self->ok; n--)
+    {
+      name_t address = { 0 };
+      take_name (self, &address);
+      g_array_append_val (msg->pass_on, address);
+    }
+  if (self->ok)
+    msg->body = (text_t){ self->bytes.at + self->at, self->bytes.len - self->at };
+}
+
 status_t
 link_read (link_msg_t *msg, text_t bytes, fault_t *fault)
 {
@@ -271,9 +313,8 @@
 
   *msg = (link_msg_t){ 0 };
   msgpack_unpacked_init (&cursor.value);
-  uint64_t version = take_number (&cursor, UINT8_MAX);
+  take_envelope (&cursor, msg);
   msg->kind = (link_kind_t)take_number (&cursor, LINK_ROWS);
-  cursor.ok = cursor.ok && version == CODEC_VERSION;
   if (msg->kind == LINK_REPORT)
     take_report (&cursor, &msg->report);
   else if (msg->kind == LINK_NEWS)
@@ -293,6 +334,8 @@
 void
 link_msg_finish (link_msg_t *self)
 {
+  if (self->pass_on != NULL)
+    g_array_unref (self->pass_on);
   if (self->report.loads != NULL)
     g_array_unref (self->report.loads);
   if (self->rows.rows != NULL)
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -7,7 +7,10 @@
  * LINK_CODEC: what hosts tell one another, in MessagePack.
  *
  * A host reports to the granter; the granter answers with its news, and sends
- * them unasked when a table of owners changes.
+ * them unasked when a table of owners changes.  What goes to many hosts is sent
+ * to some of them, with the addresses of those that they pass it on to.
+ *
+ * A message is an envelope, which holds these addresses, and a body.
  */
 
 typedef struct
@@ -17,7 +20,10 @@
   uint64_t life;
   name_t service; /* a keyed one */
   uint64_t table_version;
-  GArray *loads; /* key_load_t */
+  uint64_t configuration_row; /* version of the newest row that it knows */
+  bool asks_table;            /* it missed changes of the table of owners */
+  bool asks_configuration;    /* the store doesn't answer it */
+  GArray *loads;              /* key_load_t */
 } link_report_t;
 
 typedef struct
@@ -29,6 +35,7 @@
   uint32_t hosts;                          /* that it hears of, itself included */
   uint64_t configuration_row, targets_row; /* versions of the newest rows that it knows */
   bool has_table;
+  uint64_t table_before; /* TABLE is what changed since that version; 0: it is whole */
   key_table_t table;
 } link_news_t;
 
@@ -42,7 +49,7 @@
 } link_row_t;
 
 /* Rows that the granter's feed of TABLE told after the row of version BEFORE: all changes
- * up to the store's version AFTER. */
+ * up to the store's version AFTER.  Without rows: the host has to ask the store. */
 typedef struct
 {
   uint32_t table;
@@ -59,17 +66,22 @@
 
 typedef struct
 {
+  GArray *pass_on; /* name_t: hosts that the body is to be passed on to */
+  text_t body;     /* points into the message's bytes */
   link_kind_t kind;
   link_report_t report;
   link_news_t news;
   link_rows_t rows;
 } link_msg_t;
 
-/* All make a GByteArray to be freed by the caller. */
+/* All make a body, to be freed by the caller. */
 GByteArray *link_write_report (const link_report_t *report);
 GByteArray *link_write_news (const link_news_t *news);
 GByteArray *link_write_rows (const link_rows_t *rows);
 
+/* A message with BODY, to be passed on to the hosts at the N addresses PASS_ON. */
+GByteArray *link_write_message (text_t body, const name_t *pass_on, guint n);
+
 /* On STATUS_OK the message is to be freed by link_msg_finish. */
 status_t link_read (link_msg_t *msg, text_t bytes, fault_t *fault);
 void link_msg_finish (link_msg_t *self);
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -10,7 +10,7 @@
 static link_report_t
 make_report (void)
 {
-  link_report_t report = { .life = 3, .table_version = 9 };
+  link_report_t report = { .life = 3, .table_version = 9, .asks_table = true };
   const key_load_t loads[] = { { 1, 5 }, { 4000, 70000 } };
 
   name_set (&report.host, TEXT ("host"));
@@ -27,6 +27,7 @@
   link_news_t news = { .life = 3, .role_left = 900, .hosts = 8, .has_table = true };
   key_run_t run = { .last = KEY_LAST, .fence = 4, .born = 5 };
 
+  news.table_before = 70;
   news.configuration_row = 11;
   news.targets_row = 12;
   name_set (&news.host, TEXT ("host"));
@@ -47,11 +48,22 @@
   return link_read (msg, (text_t){ (const char *)bytes->data, len }, &fault);
 }
 
+/* The whole message for one host; frees BODY. */
+static GByteArray *
+alone (GByteArray *body)
+{
+  GByteArray *message
+      = link_write_message ((text_t){ (const char *)body->data, body->len }, NULL, 0);
+
+  g_byte_array_unref (body);
+  return message;
+}
+
 static void
 test_a_report_comes_back (void **state)
 {
   link_report_t report = make_report ();
-  GByteArray *bytes = link_write_report (&report);
+  GByteArray *bytes = alone (link_write_report (&report));
   link_msg_t msg;
 
   (void)state;
@@ -66,6 +78,8 @@
       assert_int_equal (got->count, sent->count);
     }
   assert_int_equal (msg.report.table_version, 9);
+  assert_true (msg.report.asks_table);
+  assert_false (msg.report.asks_configuration);
   link_msg_finish (&msg);
   for (size_t len = 0; len < bytes->len; len++)
     assert_int_equal (read_bytes (&msg, bytes, len), STATUS_DECODE);
@@ -77,7 +91,7 @@
 test_news_come_back (void **state)
 {
   link_news_t news = make_news ();
-  GByteArray *bytes = link_write_news (&news);
+  GByteArray *bytes = alone (link_write_news (&news));
   link_msg_t msg;
 
   (void)state;
@@ -86,6 +100,7 @@
   assert_int_equal (msg.news.role_left, 900);
   assert_int_equal (msg.news.targets_row, 12);
   assert_int_equal (msg.news.table.version, 77);
+  assert_int_equal (msg.news.table_before, 70);
   assert_memory_equal (msg.news.table.runs->data,
                        news.table.runs->data,
                        sizeof (key_run_t));
@@ -108,7 +123,7 @@
   (void)state;
   rows.rows = g_array_new (FALSE, FALSE, sizeof (link_row_t));
   g_array_append_vals (rows.rows, sent, G_N_ELEMENTS (sent));
-  GByteArray *bytes = link_write_rows (&rows);
+  GByteArray *bytes = alone (link_write_rows (&rows));
   assert_int_equal (read_bytes (&msg, bytes, bytes->len), STATUS_OK);
   assert_int_equal (msg.kind, LINK_ROWS);
   assert_int_equal (msg.rows.after, 9);
@@ -124,11 +139,35 @@
   g_free (large);
 }
 
+static void
+test_what_is_passed_on_is_the_same_body (void **state)
+{
+  link_news_t news = make_news ();
+  GByteArray *body = link_write_news (&news);
+  text_t text = { (const char *)body->data, body->len };
+  name_t hosts[2];
+  link_msg_t msg;
+
+  (void)state;
+  name_set (&hosts[0], TEXT ("10.0.0.3:70"));
+  name_set (&hosts[1], TEXT ("10.0.0.4:70"));
+  GByteArray *bytes = link_write_message (text, hosts, 2);
+  assert_int_equal (read_bytes (&msg, bytes, bytes->len), STATUS_OK);
+  assert_int_equal (msg.pass_on->len, 2);
+  assert_true (name_equal (&g_array_index (msg.pass_on, name_t, 1), &hosts[1]));
+  assert_true (text_equal (msg.body, text));
+  assert_int_equal (msg.kind, LINK_NEWS);
+  link_msg_finish (&msg);
+  g_byte_array_unref (bytes);
+  g_byte_array_unref (body);
+  key_table_finish (&news.table);
+}
+
 static void
 test_any_changed_byte_is_read_or_rejected (void **state)
 {
   link_news_t news = make_news ();
-  GByteArray *bytes = link_write_news (&news);
+  GByteArray *bytes = alone (link_write_news (&news));
   link_msg_t msg;
 
   (void)state;
@@ -197,6 +236,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_report_comes_back),
     cmocka_unit_test (test_news_come_back),
+    cmocka_unit_test (test_what_is_passed_on_is_the_same_body),
     cmocka_unit_test (test_rows_come_back),
     cmocka_unit_test (test_any_changed_byte_is_read_or_rejected),
     cmocka_unit_test (test_a_message_arrives_at_the_other_end),
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -17,6 +17,7 @@
   FIELD ("ready", FORM_NAME, ready, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("peers", FORM_NAME, peers, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("metrics", FORM_NAME, metrics, false, 0, 0, ENDPOINT_EXPECTED),
+  FIELD ("link_mbps", FORM_REAL, link_mbps, false, 1, 1000000, "megabits/s, 1 or more"),
 };
 
 static const form_field_t store_fields[] = {
@@ -80,6 +81,8 @@
   .retry_extra = 50,
 };
 
+static const double default_link_mbps = 100; /* the slowest of usual hosts' links */
+
 status_t
 router_settings_load (router_settings_t *self,
                       const char *file,
@@ -88,7 +91,7 @@
 {
   toml_doc_t doc;
 
-  *self = (router_settings_t){ .bounds = default_bounds };
+  *self = (router_settings_t){ .bounds = default_bounds, .link_mbps = default_link_mbps };
   form_init (form, file);
   status_t status = toml_doc_init (&doc, file, fault);
   if (status == STATUS_OK)
--- a/packages/settings/router_settings.h
+++ b/packages/settings/router_settings.h
@@ -27,11 +27,12 @@
 {
   name_t host;
   name_t data_centre;
-  name_t callers; /* address:port */
-  name_t ready;   /* address:port */
-  name_t peers;   /* address:port, for other hosts */
-  name_t metrics; /* address:port; empty: none are served */
-  name_t store;   /* address:port */
+  name_t callers;   /* address:port */
+  name_t ready;     /* address:port */
+  name_t peers;     /* address:port, for other hosts */
+  name_t metrics;   /* address:port; empty: none are served */
+  name_t store;     /* address:port */
+  double link_mbps; /* of the host's network link */
   struct sockaddr_in callers_address;
   struct sockaddr_in ready_address;
   struct sockaddr_in peers_address;
