Spread a hot run over many targets in one plan; keep to a share of connections

With 3 requests a plan and target, loads that differ by chance were moved all the time (6 moves in each half second of calm).

Ruled out: single keys told too coarsely (they are told one by one).

Change: a host holds no more connections to a target than its part of what the target accepts; a new connection that is reset before any answer counts like a refusal. A plan makes up to a quarter of the targets' moves, each of what fills the taker; loads beyond the mean by less than two deviations stay; a block of keys with three times the usual requests counts at once by what came last.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -202,7 +202,20 @@
 #define KEYS_MOVE_SAMPLES 100 /* fewer requests say too little */
 #define KEYS_MOVE_USE_PERCENT 130 /* of the mean use: such a target gives keys away */
 #define KEYS_MOVE_GAP_PERCENT 50  /* of the mean use, between giver and taker */
-#define KEYS_MOVES_MAX 6          /* under way at a time: requests for them wait */
+/* Under way at a time, since requests for them wait; of many targets, a part. */
+#define KEYS_MOVES_MAX 6
+#define KEYS_MOVES_PERCENT 25
+/* Beyond the mean by so many standard deviations is not chance: 1 plan in 40 at most. */
+#define KEYS_MOVE_DEVIATIONS 2
+#define KEYS_MOVE_FILL_PERCENT 110 /* of the mean use: so far a taker is filled */
+#define KEYS_MOVE_PIECE_PERCENT 25 /* of the mean use: the least that is worth a move */
+/* Of the load that evens two targets: a single key may be as much, and both gain. */
+#define KEYS_MOVE_GAIN 1.8
+/* A block of keys is hot at once if so many requests came, so many times the usual. */
+#define KEYS_SHIFT_BLOCK 64 /* the users' hot keys are 60 to 200 neighbours */
+#define KEYS_SHIFT_SAMPLES 8
+#define KEYS_SHIFT_FACTOR 3
+#define KEYS_SHIFT_HISTORY 3 /* plans' worth of requests before: the usual is known */
 #define KEYS_RUNS_MAX 8           /* a target, on average; each is granted on its own */
 #define KEYS_JOIN_KEYS_MIN 64     /* a joining target's share isn't cut finer */
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -321,7 +321,7 @@
   uint32_t service = request->service;
 
   leave_target (self, request);
-  target_failed (target_at (self, (uint32_t)request->target), msg->connected, now);
+  target_failed (target_at (self, (uint32_t)request->target), msg, now);
   if (!msg->sent)
     request->runs--;
   send_again (self,
@@ -401,7 +401,7 @@
     }
   else if (is_silent (self, request, now))
     {
-      target_failed (target_at (self, (uint32_t)request->target), true, now);
+      target_silent (target_at (self, (uint32_t)request->target), now);
       cancel (self, request, out);
       send_again (self, request, REASON_LOST, now, now, out);
     }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -56,6 +56,7 @@
   uint32_t retry_percent; /* sends beyond the first, for 100 requests */
   uint32_t retry_extra;   /* such sends besides, in a window */
   msec_t drain;           /* a leaving target gets nothing after this */
+  uint32_t hosts;         /* that send to the same targets, this one included */
 } dispatch_bounds_t;
 
 typedef struct
@@ -76,6 +77,7 @@
   dispatch_bounds_t bounds;    /* BOUNDS */
   bool sent;                   /* FAILED: a byte may have left */
   bool connected;              /* FAILED: there was a connection */
+  bool turned_away;            /* FAILED: a new connection was reset before any answer */
 } dispatch_msg_t;
 
 typedef enum
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -71,6 +71,13 @@
                       >> AVERAGE_SHIFT);
 }
 
+static void
+take_for_full (dispatch_target_t *self, msec_t now)
+{
+  self->others = MAX (self->entry.slots, 1) + DISPATCH_TARGET_LOAD_MAX;
+  self->reported_at = now;
+}
+
 void
 target_answered (dispatch_target_t *self,
                  const dispatch_request_t *request,
@@ -89,10 +96,7 @@
       average (&self->usual, self->others * 1000);
     }
   else if (msg->answer == ANSWER_FULL)
-    {
-      self->others = slots + DISPATCH_TARGET_LOAD_MAX;
-      self->reported_at = now;
-    }
+    take_for_full (self, now);
   if (run && msg->status < 500)
     {
       msec_t spent = now - request->sent_at;
@@ -105,17 +109,32 @@
            (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
 }
 
-void
-target_failed (dispatch_target_t *self, bool connected, msec_t now)
+static void
+count_failure (dispatch_target_t *self, bool avoid, msec_t now)
 {
   msec_t pause = DISPATCH_AVOID_MS << MIN (self->failures, 5);
 
   self->failures++;
   average (&self->errors_permille, 1000);
-  if (!connected || self->failures > 1)
+  if (avoid || self->failures > 1)
     self->avoid_until = now + MIN (pause, DISPATCH_AVOID_MAX_MS);
 }
 
+void
+target_failed (dispatch_target_t *self, const dispatch_msg_t *msg, msec_t now)
+{
+  /* It accepts no more connections while it has many, or a long queue. */
+  if (msg->turned_away)
+    take_for_full (self, now);
+  count_failure (self, !msg->connected, now);
+}
+
+void
+target_silent (dispatch_target_t *self, msec_t now)
+{
+  count_failure (self, false, now);
+}
+
 static int
 find (const dispatch_t *self, text_t id, uint64_t born)
 {
@@ -244,6 +263,17 @@
   return target->used && target->listed && !target->entry.leaving && !target->replaced;
 }
 
+/* Whether this host may hold one more connection to TARGET, of those that it accepts from
+ * all hosts together. */
+static bool
+within_share (const dispatch_t *self, const dispatch_target_t *target)
+{
+  const dispatch_service_t *service = g_ptr_array_index (self->services, target->service);
+  uint32_t share = service->connections / MAX (self->bounds.hosts, 1);
+
+  return service->connections == 0 || target->in_flight < MAX (share, 1);
+}
+
 static msec_t
 remote_percent (request_kind_t kind)
 {
@@ -295,7 +325,8 @@
         continue;
       if (*reason == REASON_NO_TARGET)
         *reason = REASON_OVERLOAD;
-      if (!target_has_room (target, request->objective, now))
+      if (!within_share (self, target)
+          || !target_has_room (target, request->objective, now))
         continue;
       msec_t cost = weighed (self, target, request, now);
       if ((int)i == request->last_failed)
@@ -351,5 +382,7 @@
           && now > target->leaving_at + self->bounds.drain / 2))
     return -1;
   *reason = REASON_OVERLOAD;
-  return target_has_room (target, request->objective, now) ? i : -1;
+  return within_share (self, target) && target_has_room (target, request->objective, now)
+             ? i
+             : -1;
 }
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -26,7 +26,10 @@
                       const dispatch_request_t *request,
                       const dispatch_msg_t *msg,
                       msec_t now);
-void target_failed (dispatch_target_t *self, bool connected, msec_t now);
+void target_failed (dispatch_target_t *self, const dispatch_msg_t *msg, msec_t now);
+
+/* No answer came, though there was a connection. */
+void target_silent (dispatch_target_t *self, msec_t now);
 
 /* Takes over the entries of all listed targets; those gone are told in OUT. */
 void targets_update (dispatch_t *self, const GArray *entries, msec_t now, GArray *out);
--- a/packages/dispatch/tests/test_dispatch_load.c
+++ b/packages/dispatch/tests/test_dispatch_load.c
@@ -174,6 +174,56 @@
   end (&world);
 }
 
+/* Many hosts share the connections that a target accepts; this one keeps to its part. */
+static void
+test_a_host_keeps_to_its_share_of_connections (void **state)
+{
+  world_t world;
+  dispatch_request_t requests[4];
+  dispatch_msg_t hosts = { .kind = DISPATCH_BOUNDS };
+
+  (void)state;
+  begin (&world);
+  hosts.bounds = world.dispatch.bounds;
+  hosts.bounds.hosts = 40;
+  tell (&world, &hosts);
+  for (guint i = 0; i < world.dispatch.services->len; i++)
+    ((dispatch_service_t *)g_ptr_array_index (world.dispatch.services, i))->connections
+        = 80;
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    arrive (&world, &requests[i], TEXT ("/keyed/"));
+  assert_int_equal (requests[1].state, REQUEST_SENT);
+  assert_int_equal (requests[2].state, REQUEST_WAITING);
+  answer (&world, &requests[0], ANSWER_RUN, 200);
+  assert_int_equal (requests[2].state, REQUEST_SENT);
+  assert_int_equal (requests[3].state, REQUEST_WAITING);
+  end (&world);
+}
+
+/* A target over its connections resets new ones: it gets nothing more at once. */
+static void
+test_a_target_that_turns_connections_away_is_full (void **state)
+{
+  world_t world;
+  dispatch_request_t first, second;
+
+  (void)state;
+  begin (&world);
+  arrive (&world, &first, TEXT ("/keyed/"));
+  const dispatch_msg_t reset = { .kind = DISPATCH_FAILED,
+                                 .request = &first,
+                                 .sent = true,
+                                 .connected = true,
+                                 .turned_away = true };
+  tell (&world, &reset);
+  arrive (&world, &second, TEXT ("/keyed/"));
+  assert_int_equal (second.state, REQUEST_WAITING);
+  world.now += DISPATCH_REPORT_KEEP_MS;
+  come_due (&world, &second, world.now);
+  assert_true (second.state != REQUEST_WAITING);
+  end (&world);
+}
+
 int
 main (void)
 {
@@ -186,6 +236,8 @@
     cmocka_unit_test (test_a_target_that_is_usually_busy_gets_less),
     cmocka_unit_test (test_too_much_waits_and_is_refused_by_the_objective),
     cmocka_unit_test (test_a_short_queue_waits_for_its_turn),
+    cmocka_unit_test (test_a_host_keeps_to_its_share_of_connections),
+    cmocka_unit_test (test_a_target_that_turns_connections_away_is_full),
   };
 
   return cmocka_run_group_tests_name ("dispatch_load", tests, NULL, NULL);
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -1,5 +1,6 @@
 #include "key_plan.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Keys without requests count too, all together this much of the load. */
@@ -12,6 +13,7 @@
   double load;
   double work; /* for one request, times the mean target's */
   uint32_t keys;
+  bool stuck; /* nothing of it can be moved now */
 } key_bearer_t;
 
 static int
@@ -165,24 +167,32 @@
 static GArray *
 list_bearers (const keys_t *keys, const key_service_t *self)
 {
+  const target_entry_t *targets
+      = (const target_entry_t *)(const void *)keys->targets->data;
   GArray *bearers = g_array_new (FALSE, FALSE, sizeof (key_bearer_t));
+  int *bearer_of_target = g_new (int, keys->targets->len + 1);
 
   for (guint i = 0; i < keys->targets->len; i++)
     {
-      const target_entry_t *target = &g_array_index (keys->targets, target_entry_t, i);
-      key_bearer_t bearer = { .target = target };
-      if (!key_plan_usable (target, self))
+      key_bearer_t bearer = { .target = &targets[i] };
+      bearer_of_target[i] = -1;
+      if (!key_plan_usable (&targets[i], self))
         continue;
-      for (guint j = 0; j < self->spans->len; j++)
-        {
-          const key_span_t *span = &g_array_index (self->spans, key_span_t, j);
-          if (!name_equal (bearer_of (span), &target->id))
-            continue;
-          bearer.load += load_of (self, span->first, span->last);
-          bearer.keys += span->last - span->first + 1;
-        }
+      bearer_of_target[i] = (int)bearers->len;
       g_array_append_val (bearers, bearer);
     }
+  for (guint i = 0; i < self->spans->len; i++)
+    {
+      const key_span_t *span = &g_array_index (self->spans, key_span_t, i);
+      const target_entry_t *target = key_plan_find (keys, bearer_of (span));
+      int at = target != NULL ? bearer_of_target[target - targets] : -1;
+      if (at < 0)
+        continue;
+      key_bearer_t *bearer = &g_array_index (bearers, key_bearer_t, at);
+      bearer->load += load_of (self, span->first, span->last);
+      bearer->keys += span->last - span->first + 1;
+    }
+  g_free (bearer_of_target);
   weigh_work (self, bearers);
   return bearers;
 }
@@ -277,9 +287,13 @@
   return heaviest;
 }
 
-/* Moves about WANTED load from FROM's heaviest run to TO.  Returns what it moved. */
+/*
+ * Moves about WANTED load from FROM's heaviest run to TO, MOST at most: a single key may
+ * be more than what is wanted, and moving it still gain.  Returns what it moved.
+ */
 static double
-move_load (key_service_t *self, const name_t *from, const name_t *to, double wanted)
+move_load (
+    key_service_t *self, const name_t *from, const name_t *to, double wanted, double most)
 {
   int heaviest = heaviest_span (self, from);
   guint i = (guint)heaviest;
@@ -287,16 +301,17 @@
   if (heaviest < 0)
     return 0;
   const key_span_t *span = &g_array_index (self->spans, key_span_t, i);
-  uint32_t at = cut_point (self, span, wanted);
-  /* A key that alone is more than wanted may still be worth it; the rest of its run,
-   * which is below it, then moves instead. */
-  if (at > span->last)
-    at = span->last;
+  uint32_t at = MIN (cut_point (self, span, wanted), span->last);
   double moved = load_of (self, at, span->last);
-  if (moved > 2 * wanted)
+  if (moved < wanted / 2 && at > span->first
+      && load_of (self, at - 1, span->last) <= most)
+    moved = load_of (self, --at, span->last);
+  if (moved > most)
     {
+      /* The last key alone is too much; the rest of its run, which is below it, may go.
+       */
       double below = at > span->first ? load_of (self, span->first, at - 1) : 0;
-      if (below <= 0 || below > 2 * wanted)
+      if (below <= 0 || below > most)
         return 0;
       cut (self, i, at);
       key_plan_take_back (&g_array_index (self->spans, key_span_t, i), to);
@@ -308,14 +323,6 @@
   return moved;
 }
 
-static int
-by_use (const void *left, const void *right)
-{
-  double a = use_of (left), b = use_of (right);
-
-  return a < b ? -1 : a > b;
-}
-
 static guint
 moves_under_way (const key_service_t *self)
 {
@@ -326,46 +333,124 @@
   return n;
 }
 
+/* The use, in units of the mean, above which a target bears more than chance explains. */
+static double
+use_limit (const key_service_t *self, guint bearers)
+{
+  double samples = total_of (self) / bearers;
+  double limit = KEYS_MOVE_USE_PERCENT / 100.0;
+
+  return MAX (limit, 1 + KEYS_MOVE_DEVIATIONS / sqrt (MAX (samples, 1)));
+}
+
 /* Whether MOST bears so much more than LEAST that a move is worth its price. */
 static bool
 is_worth_moving (const key_service_t *self,
                  const key_bearer_t *least,
                  const key_bearer_t *most,
-                 double mean)
+                 double mean,
+                 guint bearers)
 {
   if (least->keys == 0 && most->keys >= 2 * KEYS_JOIN_KEYS_MIN)
     return true;
   return total_of (self) >= KEYS_MOVE_SAMPLES
-         && use_of (most) > mean * KEYS_MOVE_USE_PERCENT / 100
+         && use_of (most) > mean * use_limit (self, bearers)
          && use_of (most) - use_of (least) > mean * KEYS_MOVE_GAP_PERCENT / 100;
 }
 
+/*
+ * Counts what came since the last plan.  Where much more came than before, a hot key has
+ * appeared or shifted: what came then counts as if it had come all the time.
+ */
+static void
+count_recent (key_service_t *self)
+{
+  double before = 0, now = 0;
+
+  for (uint32_t i = 0; i < KEY_STEPS; i++)
+    {
+      before += self->loads[i];
+      now += self->recent[i];
+    }
+  bool known = before > now * KEYS_SHIFT_HISTORY;
+  for (uint32_t first = 0; first < KEY_STEPS; first += KEYS_SHIFT_BLOCK)
+    {
+      double held = 0, came = 0;
+      for (uint32_t i = first; i < first + KEYS_SHIFT_BLOCK; i++)
+        {
+          held += self->loads[i];
+          came += self->recent[i];
+        }
+      double usual = held * (1 - KEYS_LOAD_KEEP) / KEYS_LOAD_KEEP;
+      bool shifted
+          = known && came >= KEYS_SHIFT_SAMPLES && came > KEYS_SHIFT_FACTOR * (usual + 1);
+      for (uint32_t i = first; i < first + KEYS_SHIFT_BLOCK; i++)
+        self->loads[i] = shifted ? self->recent[i] / (1 - KEYS_LOAD_KEEP)
+                                 : self->loads[i] * KEYS_LOAD_KEEP + self->recent[i];
+    }
+  memset (self->recent, 0, sizeof self->recent);
+}
+
+/* The bearers with the least and the most use; MOST may be NULL if all were passed over.
+ */
+static void
+find_ends (GArray *bearers, key_bearer_t **least, key_bearer_t **most)
+{
+  *least = *most = NULL;
+  for (guint i = 0; i < bearers->len; i++)
+    {
+      key_bearer_t *bearer = &g_array_index (bearers, key_bearer_t, i);
+      if (*least == NULL || use_of (bearer) < use_of (*least))
+        *least = bearer;
+      if (!bearer->stuck && (*most == NULL || use_of (bearer) > use_of (*most)))
+        *most = bearer;
+    }
+}
+
+/* One move from the bearer with the most use to the one with the least.  False if none is
+ * worth while. */
+static bool
+plan_move (key_service_t *self, GArray *bearers, double mean)
+{
+  key_bearer_t *least, *most;
+
+  find_ends (bearers, &least, &most);
+  if (most == NULL || !is_worth_moving (self, least, most, mean, bearers->len))
+    return false;
+  /* So much that both bear the same use afterwards, or that fills the taker: a hot run
+   * goes to many targets at once. */
+  double even = (use_of (most) - use_of (least)) / (most->work + least->work);
+  double room = mean * KEYS_MOVE_FILL_PERCENT / 100 - use_of (least);
+  double least_piece = mean * KEYS_MOVE_PIECE_PERCENT / 100;
+  double wanted = MIN (even, MAX (room, least_piece) / least->work);
+  double moved = move_load (self,
+                            &most->target->id,
+                            &least->target->id,
+                            wanted,
+                            KEYS_MOVE_GAIN * even);
+  most->load -= moved;
+  least->load += moved;
+  least->keys += moved > 0;
+  most->stuck = moved == 0;
+  return true;
+}
+
 void
 key_plan_moves (const keys_t *keys, key_service_t *self, msec_t now)
 {
   if (now < self->plan_at)
     return;
   self->plan_at = now + KEYS_PLAN_MS;
+  count_recent (self);
   sum_loads (self);
   GArray *bearers = list_bearers (keys, self);
   guint n = bearers->len;
+  guint moves_max = MAX (KEYS_MOVES_MAX, n * KEYS_MOVES_PERCENT / 100);
   double mean = 0;
   for (guint i = 0; i < n; i++)
     mean += use_of (&g_array_index (bearers, key_bearer_t, i)) / n;
-  g_array_sort (bearers, by_use);
-  for (guint i = 0; i < n / 2 && moves_under_way (self) < KEYS_MOVES_MAX
-                    && self->spans->len < n * KEYS_RUNS_MAX;
-       i++)
-    {
-      const key_bearer_t *least = &g_array_index (bearers, key_bearer_t, i);
-      const key_bearer_t *most = &g_array_index (bearers, key_bearer_t, n - 1 - i);
-      if (!is_worth_moving (self, least, most, mean))
-        break;
-      /* So much that both bear the same use afterwards. */
-      double wanted = (use_of (most) - use_of (least)) / (most->work + least->work);
-      move_load (self, &most->target->id, &least->target->id, wanted);
-    }
+  while (n >= 2 && moves_under_way (self) < moves_max
+         && self->spans->len < n * KEYS_RUNS_MAX && plan_move (self, bearers, mean))
+    ;
   g_array_unref (bearers);
-  for (uint32_t i = 0; i < KEY_STEPS; i++)
-    self->loads[i] *= KEYS_LOAD_KEEP;
 }
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -341,7 +341,7 @@
   for (guint i = 0; i < loads->len; i++)
     {
       const key_load_t *load = &g_array_index (loads, key_load_t, i);
-      service->loads[load->step] += load->count;
+      service->recent[load->step] += load->count;
     }
 }
 
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -115,7 +115,8 @@
   msec_t joined_at; /* the last target joined */
   msec_t plan_at;
   GArray *spans;              /* key_span_t, without gaps, ascending */
-  double loads[KEY_STEPS];    /* decayed counts of requests */
+  double loads[KEY_STEPS];    /* decayed counts of requests, as of the last plan */
+  uint32_t recent[KEY_STEPS]; /* requests since then */
   double sums[KEY_STEPS + 1]; /* of the loads below a step, as of the last plan */
   GHashTable *work_ms;        /* target's id to what it takes for one request */
 } key_service_t;
--- a/packages/keys/tests/test_key_moves.c
+++ b/packages/keys/tests/test_key_moves.c
@@ -131,6 +131,51 @@
   end (&world);
 }
 
+/* The same of a grown fleet: 154 targets, of which each of 60 hot keys fills one. */
+static void
+test_hot_keys_reach_many_targets_at_once (void **state)
+{
+  world_t world;
+
+  (void)state;
+  begin (&world, 154);
+  settle (&world);
+  assert_true (play_hot_keys (&world, 300, world.now) > 0.4);
+  assert_true (play_hot_keys (&world, 300, world.now + 1600) < 0.03);
+  end (&world);
+}
+
+/* Even load of which a plan sees few requests a target: nothing is moved for chance. */
+static void
+test_chance_moves_nothing (void **state)
+{
+  world_t world;
+  rng_t rng;
+  uint64_t fences;
+
+  (void)state;
+  rng_init (&rng, 7);
+  begin (&world, 154);
+  settle (&world);
+  fences = world.keys.next_fence;
+  for (guint plan = 0; plan < 40; plan++)
+    {
+      GArray *loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
+      for (guint i = 0; i < 470; i++)
+        g_array_append_val (loads,
+                            ((key_load_t){ (uint16_t)rng_below (&rng, KEY_STEPS), 1 }));
+      world.now += KEYS_PLAN_MS;
+      hold_role (&world);
+      obey (&world);
+      tell (&world, (keys_msg_t){ .kind = KEYS_LOADS, .loads = loads });
+      tick (&world, world.now);
+      obey (&world);
+      g_array_unref (loads);
+    }
+  assert_true (world.keys.next_fence - fences <= 40); /* not even one a plan */
+  end (&world);
+}
+
 /* A key hotter than any target's share, among targets of unequal speed. */
 static void
 test_the_hottest_key_goes_to_a_fast_target (void **state)
@@ -284,6 +329,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_target_that_joins_gets_a_share),
     cmocka_unit_test (test_hot_keys_are_spread_within_seconds),
+    cmocka_unit_test (test_hot_keys_reach_many_targets_at_once),
+    cmocka_unit_test (test_chance_moves_nothing),
     cmocka_unit_test (test_the_hottest_key_goes_to_a_fast_target),
     cmocka_unit_test (test_nothing_moves_by_load_while_the_store_refuses),
     cmocka_unit_test (test_a_refused_commit_gives_released_keys_back),
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -25,14 +25,15 @@
 }
 
 static void
-fail (call_t *self, const char *why)
+fail_with (call_t *self, const char *why, bool turned_away)
 {
   proxy_t *proxy = self->proxy;
   exchange_t *exchange = detach (self);
   dispatch_msg_t msg = { .kind = DISPATCH_FAILED,
                          .request = &exchange->request,
                          .sent = has_left (self),
-                         .connected = self->connected };
+                         .connected = self->connected,
+                         .turned_away = turned_away };
   const dispatch_target_t *target = dispatch_target (&proxy->dispatch, self->target);
 
   eventlog_write (EVENT_TROUBLE,
@@ -49,6 +50,12 @@
   proxy_decide (proxy, &msg);
 }
 
+static void
+fail (call_t *self, const char *why)
+{
+  fail_with (self, why, false);
+}
+
 static bool
 on_head (void *owner)
 {
@@ -236,6 +243,7 @@
       /* The status would promise the caller what the target doesn't say. */
       exchange_answer (exchange, 502, TEXT ("The target failed.\n"), 0);
     }
+  self->answered = true;
   pool_keep (self, extra);
   proxy_decide (proxy, &msg);
 }
@@ -326,10 +334,12 @@
       complete (self);
       return;
     }
-  fail (self,
-        what & BEV_EVENT_EOF ? "closed"
-        : self->connected    ? "reset"
-                             : "no_connection");
+  if (what & BEV_EVENT_EOF)
+    fail (self, "closed");
+  else if (self->connected)
+    fail_with (self, "reset", !self->answered && self->status == 0);
+  else
+    fail (self, "no_connection");
 }
 
 static void
--- a/packages/proxy/call_parts.h
+++ b/packages/proxy/call_parts.h
@@ -19,7 +19,8 @@
   size_t to_write;      /* bytes of the request that were queued */
   answer_facts_t facts; /* its texts point into the reader's head */
   unsigned status;
-  bool alive; /* the target keeps the connection */
+  bool alive;    /* the target keeps the connection */
+  bool answered; /* it carried a whole answer before */
   struct evbuffer *body;
   msec_t idle_until;
   msec_t idle_span;
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -220,9 +220,9 @@
   g_free (msg);
 }
 
-/* This host's share of what all hosts may send again. */
+/* Tells dispatch the bounds, and its share of what holds for all hosts together. */
 static void
-share_budget (proxy_t *self)
+share_bounds (proxy_t *self)
 {
   dispatch_msg_t msg = { .kind = DISPATCH_BOUNDS };
 
@@ -231,6 +231,7 @@
     .retry_percent = (uint32_t)(self->bounds.retry_ratio * BUDGET_SAFETY_PERCENT),
     .retry_extra = self->bounds.retry_extra / MAX (self->hosts, 1) / 2,
     .drain = self->bounds.drain_ms,
+    .hosts = self->hosts,
   };
   proxy_decide (self, &msg);
 }
@@ -263,11 +264,11 @@
       break;
     case PROXY_HOSTS:
       self->hosts = msg->hosts;
-      share_budget (self);
+      share_bounds (self);
       break;
     case PROXY_BOUNDS:
       self->bounds = msg->bounds;
-      share_budget (self);
+      share_bounds (self);
       break;
     case PROXY_DRAIN:
       start_draining (self);
@@ -395,7 +396,7 @@
   dispatch_init (&self->dispatch,
                  name_text (&settings->data_centre),
                  text_hash (name_text (&settings->host)));
-  share_budget (self);
+  share_bounds (self);
   if (!mailbox_init (&self->inbox,
                      self->base,
                      PROXY_MAILBOX,
