Refuse requests that crash targets on the platform

Cause: the suspects served the stand-ins' router alone; on the platform a request that ends each target that runs it was sent again for ever.

Change: a request is known by a fingerprint of its method, path, headers and body, without what differs between a caller's attempts. A send that broke off is remembered with its target, and counts once that target is known to have ended: its connections are refused, it has a new life, or its entry is gone. At three targets without an answer between it is refused with 503. Losses and answers to suspects go to all hosts over the granter.

Four unit cases of dispatch, one of suspect.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -12,6 +12,8 @@
 
   if (report->ended)
     event_base_loopbreak (self->base);
+  else if (report->is_suspect)
+    peers_suspect (self, &report->suspect);
   else
     {
       self->counts = report->counts;
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -55,6 +55,9 @@
 /* Passes the proxy's report on to the granter, which may be this host. */
 void peers_report (coordinator_t *self, const proxy_report_t *report);
 
+/* Has all hosts told of a request that may crash targets, or of one that doesn't. */
+void peers_suspect (coordinator_t *self, const suspect_out_t *suspect);
+
 /* Tells all hosts that report to this one of a new table, before owners_take has it. */
 void peers_tell_table (coordinator_t *self, const key_table_t *table);
 
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -349,6 +349,33 @@
   g_array_unref (part.rows);
 }
 
+void
+peers_suspect (coordinator_t *self, const suspect_out_t *suspect)
+{
+  const link_suspect_t told = { suspect->fingerprint, suspect->target, suspect->cleared };
+  GByteArray *body = link_write_suspect (&told);
+
+  /* The granter spreads it, to the host that told it as well: it is no second loss. */
+  if (self->role.state == ROLE_HELD)
+    spread_body (self, body);
+  else if (self->granter.len > 0)
+    send_body (self, &self->granter, body, NULL, 0);
+  g_byte_array_unref (body);
+}
+
+static void
+take_suspect (coordinator_t *self, const link_suspect_t *from)
+{
+  const suspect_out_t suspect = { from->fingerprint, from->target, from->cleared };
+  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
+
+  if (self->role.state == ROLE_HELD)
+    peers_suspect (self, &suspect);
+  msg->kind = PROXY_SUSPECT;
+  msg->suspect = suspect;
+  news_post (self, msg);
+}
+
 static void
 on_message (void *owner, text_t bytes)
 {
@@ -377,8 +404,10 @@
     take_report (self, &msg.report);
   else if (msg.kind == LINK_NEWS)
     take_news (self, &msg.news);
-  else
+  else if (msg.kind == LINK_ROWS)
     take_rows (self, &msg.rows);
+  else
+    take_suspect (self, &msg.suspect);
   link_msg_finish (&msg);
 }
 
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -102,6 +102,10 @@
 /* Requests that crash targets. */
 #define SUSPECT_MAX 256
 #define SUSPECT_KEEP_MS (60 * 1000)
+#define SUSPECT_TARGETS_MAX 4
+/* The users allow three crashes; with fewer a popular look-up that is merely in flight at
+ * the ends of two targets would be refused. */
+#define SUSPECT_TARGETS 3
 
 /* Order claims grouped into one store transaction. */
 #define CLAIM_GROUP_MS 4
@@ -145,6 +149,12 @@
 /* A target answers at its deadline; the answer may take so long to arrive. */
 #define DISPATCH_LAST_ANSWER_MS 40
 
+/* Broken requests that are remembered of a target: some run at the same time. */
+#define DISPATCH_LOSSES 8
+/* A target that ended is known to have ended within this: its entry lapses, or it is
+ * back. */
+#define DISPATCH_LOSS_KEEP_MS 8000
+
 /* Another data centre's target is taken if it is this much faster, by kind of request:
  * large answers cost the links between data centres most. */
 #define DISPATCH_REMOTE_PERCENT_DOWNLOAD 200
@@ -215,9 +225,9 @@
 #define KEYS_SHIFT_BLOCK 64 /* the users' hot keys are 60 to 200 neighbours */
 #define KEYS_SHIFT_SAMPLES 8
 #define KEYS_SHIFT_FACTOR 3
-#define KEYS_SHIFT_HISTORY 3 /* plans' worth of requests before: the usual is known */
-#define KEYS_RUNS_MAX 8           /* a target, on average; each is granted on its own */
-#define KEYS_JOIN_KEYS_MIN 64     /* a joining target's share isn't cut finer */
+#define KEYS_SHIFT_HISTORY 3  /* plans' worth of requests before: the usual is known */
+#define KEYS_RUNS_MAX 8       /* a target, on average; each is granted on its own */
+#define KEYS_JOIN_KEYS_MIN 64 /* a joining target's share isn't cut finer */
 
 /* The granter's role. */
 /* Two renewals may be lost; a take-over has to fit into what a grant's hold has left. */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -1,6 +1,7 @@
 #include "dispatch.h"
 
 #include "dispatch_parts.h"
+#include "losses.h"
 #include "services.h"
 #include "targets.h"
 #include "waits.h"
@@ -109,6 +110,11 @@
       end (self, request, REASON_TIME, now, out);
       return;
     }
+  if (losses_is_condemned (self, request, now))
+    {
+      end (self, request, REASON_SUSPECT, now, out);
+      return;
+    }
   if (now < request->not_before)
     {
       wait_for (self, request, reason, MIN (request->not_before, request->deadline));
@@ -217,6 +223,7 @@
   request->keyed = service->keyed && msg->has_key && msg->key <= KEY_LAST;
   request->key = msg->key;
   request->once = msg->once;
+  request->fingerprint = msg->fingerprint;
   if (request->keyed)
     service->key_loads[request->key / KEY_STEP]++;
   budget_request (&service->budget, now);
@@ -294,6 +301,7 @@
     {
       dispatch_service_t *of = service_at (self, service);
       of->work_ms = (of->work_ms * 15 + target->work_ms) / 16;
+      losses_clear (self, request, now, out);
       if (msg->status >= 500 && is_worth_again (self, request, now))
         send_again (self, request, REASON_LOST, now, now, out);
       else
@@ -320,8 +328,14 @@
   dispatch_request_t *request = msg->request;
   uint32_t service = request->service;
 
+  dispatch_target_t *target = target_at (self, (uint32_t)request->target);
+
   leave_target (self, request);
-  target_failed (target_at (self, (uint32_t)request->target), msg, now);
+  target_failed (target, msg, now);
+  if (msg->refused)
+    losses_confirm (self, target, now, out);
+  else if (msg->sent)
+    losses_note (target, request, now);
   if (!msg->sent)
     request->runs--;
   send_again (self,
@@ -451,6 +465,9 @@
                     msg->bounds.retry_percent,
                     msg->bounds.retry_extra);
       break;
+    case DISPATCH_SUSPECT:
+      losses_hear (self, &msg->suspect, now);
+      break;
     case DISPATCH_DRAIN:
       self->draining = true;
       break;
@@ -467,6 +484,7 @@
     .targets = g_ptr_array_new_with_free_func (g_free),
   };
   name_set (&self->data_centre, data_centre);
+  suspect_init (&self->suspects, SUSPECT_TARGETS);
   rng_init (&self->rng, seed);
 }
 
@@ -478,6 +496,7 @@
       directory_finish (self->directory);
       g_free (self->directory);
     }
+  suspect_finish (&self->suspects);
   g_array_unref (self->service_of);
   g_array_unref (self->credits);
   g_ptr_array_unref (self->services);
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -2,6 +2,7 @@
 
 #include "../core/rng.h"
 #include "../directory/directory.h"
+#include "../suspect/suspect.h"
 #include "budget.h"
 
 /*
@@ -31,6 +32,7 @@
   DISPATCH_GONE,      /* the caller left */
   DISPATCH_DUE,       /* the request's time `due` has come */
   DISPATCH_BOUNDS,    /* BOUNDS are in force */
+  DISPATCH_SUSPECT,   /* another host tells of SUSPECT */
   DISPATCH_DRAIN,     /* the process leaves: what was sent isn't given up any more */
 } dispatch_msg_kind_t;
 
@@ -69,6 +71,8 @@
   text_t host, path;           /* ARRIVE */
   bool has_key;                /* ARRIVE */
   uint32_t key;                /* ARRIVE */
+  uint64_t fingerprint;        /* ARRIVE: the same for the same request; 0: not known */
+  suspect_out_t suspect;       /* SUSPECT */
   bool once;                   /* ARRIVE: its body can't be sent a second time */
   msec_t wait;                 /* ARRIVE: the caller waits this long; -1: not told */
   dispatch_answer_t answer;    /* ANSWERED */
@@ -77,16 +81,18 @@
   dispatch_bounds_t bounds;    /* BOUNDS */
   bool sent;                   /* FAILED: a byte may have left */
   bool connected;              /* FAILED: there was a connection */
+  bool refused;                /* FAILED: nothing listens at the target's address */
   bool turned_away;            /* FAILED: a new connection was reset before any answer */
 } dispatch_msg_t;
 
 typedef enum
 {
-  DISPATCH_SEND,    /* to TARGET, which may work on it for WAIT */
-  DISPATCH_CANCEL,  /* give up the send under way */
-  DISPATCH_DELIVER, /* pass the answer at hand on to the caller */
-  DISPATCH_END,     /* answer the caller by FATE */
-  DISPATCH_FORGET,  /* TARGET isn't listed any more: close idle connections to it */
+  DISPATCH_SEND,         /* to TARGET, which may work on it for WAIT */
+  DISPATCH_CANCEL,       /* give up the send under way */
+  DISPATCH_DELIVER,      /* pass the answer at hand on to the caller */
+  DISPATCH_END,          /* answer the caller by FATE */
+  DISPATCH_TELL_SUSPECT, /* all hosts of SUSPECT */
+  DISPATCH_FORGET,       /* TARGET isn't listed any more: close idle connections to it */
 } dispatch_out_kind_t;
 
 typedef enum
@@ -107,6 +113,7 @@
   REASON_OVERLOAD,  /* its turn would come too late */
   REASON_NOT_TAKEN, /* targets refused it, and nothing more may be sent */
   REASON_LOST,      /* the answer was lost or spoilt */
+  REASON_SUSPECT,   /* it crashes each target that runs it */
   REASON_TIME,      /* its time is over */
   REASON_CALLER_LEFT,
   REASON_ANSWERED,
@@ -120,7 +127,8 @@
   msec_t wait;
   dispatch_fate_t fate;
   dispatch_reason_t reason;
-  msec_t retry_after; /* END with FATE_NOT_RUN */
+  msec_t retry_after;    /* END with FATE_NOT_RUN */
+  suspect_out_t suspect; /* TELL_SUSPECT */
 } dispatch_out_t;
 
 typedef enum
@@ -140,7 +148,8 @@
   bool keyed;
   uint32_t key;
   uint32_t rank;
-  uint32_t runs_max; /* sends that may run */
+  uint64_t fingerprint; /* 0: not known */
+  uint32_t runs_max;    /* sends that may run */
   msec_t arrived;
   msec_t objective; /* end of the time that earns full credit */
   msec_t deadline;
@@ -160,6 +169,13 @@
   GList link;                 /* in its service's queue */
 };
 
+/* A request whose connection to a target broke before an answer. */
+typedef struct
+{
+  uint64_t fingerprint; /* 0: none */
+  msec_t at;
+} dispatch_loss_t;
+
 typedef struct
 {
   bool used;
@@ -176,6 +192,8 @@
   bool replaced;            /* another target has its address; it is over */
   uint32_t errors_permille; /* moving average of failures among its answers */
   msec_t warm_at;
+  dispatch_loss_t losses[DISPATCH_LOSSES]; /* the last ones, in a ring */
+  uint32_t next_loss;
   msec_t leaving_at; /* it was first seen to leave; MSEC_NEVER: it isn't leaving */
 } dispatch_target_t;
 
@@ -202,6 +220,7 @@
   GArray *credits;        /* double, one a share: smooth weighted round robin */
   GPtrArray *services;    /* dispatch_service_t */
   GPtrArray *targets;     /* dispatch_target_t, never moved; unused ones are used again */
+  suspect_t suspects;
   rng_t rng;
   bool draining;
 } dispatch_t;
--- a/packages/dispatch/services.c
+++ b/packages/dispatch/services.c
@@ -86,11 +86,17 @@
 dispatch_reason_name (dispatch_reason_t reason)
 {
   static const char *const names[] = {
-    [REASON_NONE] = "none",           [REASON_NO_CONFIGURATION] = "no-configuration",
-    [REASON_NO_ROUTE] = "no-route",   [REASON_NO_TARGET] = "no-target",
-    [REASON_NO_OWNER] = "no-owner",   [REASON_OVERLOAD] = "overload",
-    [REASON_NOT_TAKEN] = "not-taken", [REASON_LOST] = "answer-lost",
-    [REASON_TIME] = "time-over",      [REASON_CALLER_LEFT] = "caller-left",
+    [REASON_NONE] = "none",
+    [REASON_NO_CONFIGURATION] = "no-configuration",
+    [REASON_NO_ROUTE] = "no-route",
+    [REASON_NO_TARGET] = "no-target",
+    [REASON_NO_OWNER] = "no-owner",
+    [REASON_OVERLOAD] = "overload",
+    [REASON_NOT_TAKEN] = "not-taken",
+    [REASON_LOST] = "answer-lost",
+    [REASON_TIME] = "time-over",
+    [REASON_CALLER_LEFT] = "caller-left",
+    [REASON_SUSPECT] = "crashes-targets",
     [REASON_ANSWERED] = "answered",
   };
 
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -1,5 +1,7 @@
 #include "targets.h"
 
+#include "losses.h"
+
 /* Moving averages keep 7/8 of what they were. */
 #define AVERAGE_SHIFT 3
 
@@ -251,6 +253,8 @@
       dispatch_target_t *target = at (self, i);
       if (!target->used || target->listed)
         continue;
+      if (!target->entry.leaving)
+        losses_confirm (self, target, now, out);
       dispatch_out_t forget = { .kind = DISPATCH_FORGET, .target = i };
       g_array_append_val (out, forget);
       target->used = target->in_flight > 0;
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -279,6 +279,140 @@
   end (&world);
 }
 
+/* Sends REQUEST once, whose connection then breaks; the target has ended by ENDED. */
+static void
+crash (world_t *world, uint64_t fingerprint, bool refused)
+{
+  dispatch_request_t request, next;
+  const dispatch_msg_t arrival = { .kind = DISPATCH_ARRIVE,
+                                   .request = &request,
+                                   .host = TEXT ("h"),
+                                   .path = TEXT ("/order/"),
+                                   .fingerprint = fingerprint,
+                                   .wait = WAIT };
+
+  dispatch_request_init (&request);
+  tell (world, &arrival);
+  assert_int_equal (request.state, REQUEST_SENT);
+  const dispatch_target_t *target
+      = dispatch_target (&world->dispatch, (uint32_t)request.target);
+  name_t id = target->entry.id;
+  lose_send (world, &request, true);
+  if (!refused)
+    {
+      for (guint i = 0; i < world->targets->len; i++)
+        if (name_equal (&g_array_index (world->targets, target_entry_t, i).id, &id))
+          g_array_index (world->targets, target_entry_t, i).born++;
+      list_targets (world);
+      return;
+    }
+  /* Whoever comes next finds that nothing listens there. */
+  arrive (world, &next, TEXT ("/order/"));
+  while (next.state == REQUEST_SENT)
+    {
+      const dispatch_msg_t fail
+          = { .kind = DISPATCH_FAILED, .request = &next, .refused = true };
+      tell (world, &fail);
+    }
+  const dispatch_msg_t gone = { .kind = DISPATCH_GONE, .request = &next };
+  tell (world, &gone);
+}
+
+static bool
+is_refused (world_t *world, uint64_t fingerprint)
+{
+  dispatch_request_t request;
+  const dispatch_msg_t arrival = { .kind = DISPATCH_ARRIVE,
+                                   .request = &request,
+                                   .host = TEXT ("h"),
+                                   .path = TEXT ("/order/"),
+                                   .fingerprint = fingerprint,
+                                   .wait = WAIT };
+
+  dispatch_request_init (&request);
+  tell (world, &arrival);
+  if (request.state == REQUEST_SENT)
+    {
+      answer (world, &request, ANSWER_RUN, 200);
+      return false;
+    }
+  assert_ended (world, FATE_NOT_RUN, REASON_SUSPECT);
+  return true;
+}
+
+static void
+test_a_request_that_ends_three_targets_is_refused (void **state)
+{
+  world_t world;
+
+  (void)state;
+  begin (&world);
+  for (unsigned i = 0; i < SUSPECT_TARGETS; i++)
+    {
+      crash (&world, 7, false);
+      world.now += 1000;
+    }
+  assert_true (is_refused (&world, 7));
+  assert_false (is_refused (&world, 8));
+  end (&world);
+}
+
+static void
+test_a_refused_connection_shows_a_targets_end (void **state)
+{
+  world_t world;
+
+  (void)state;
+  begin (&world);
+  crash (&world, 7, true);
+  assert_int_equal (world.dispatch.suspects.entries[0].fingerprint, 7);
+  assert_int_equal (world.dispatch.suspects.entries[0].n_targets, 1);
+  end (&world);
+}
+
+/* Answers are lost on the way too: only a target's end counts, and an answer absolves. */
+static void
+test_lost_answers_condemn_nothing (void **state)
+{
+  world_t world;
+
+  (void)state;
+  begin (&world);
+  for (unsigned i = 0; i < 3 * SUSPECT_TARGETS; i++)
+    {
+      dispatch_request_t request;
+      arrive (&world, &request, TEXT ("/order/"));
+      lose_send (&world, &request, true);
+      world.now += 3000;
+    }
+  for (unsigned i = 0; i < 3 * SUSPECT_TARGETS; i++)
+    {
+      crash (&world, 7, false);
+      assert_false (is_refused (&world, 7));
+      world.now += 1000;
+    }
+  end (&world);
+}
+
+/* Other hosts' losses count as well. */
+static void
+test_a_request_that_other_hosts_condemn_is_refused (void **state)
+{
+  world_t world;
+
+  (void)state;
+  begin (&world);
+  for (uint64_t target = 1; target <= SUSPECT_TARGETS; target++)
+    {
+      const dispatch_msg_t told
+          = { .kind = DISPATCH_SUSPECT, .suspect = { 7, target, false } };
+      tell (&world, &told);
+      tell (&world, &told);
+    }
+  assert_true (is_refused (&world, 7));
+  end (&world);
+}
+
 int
 main (void)
 {
@@ -299,6 +433,10 @@
     cmocka_unit_test (test_a_leaving_owner_gets_nothing_once_its_time_is_over),
     cmocka_unit_test (test_a_caller_that_leaves_cancels_what_may_run_again),
     cmocka_unit_test (test_requests_in_flight_outlive_their_target),
+    cmocka_unit_test (test_a_request_that_ends_three_targets_is_refused),
+    cmocka_unit_test (test_a_refused_connection_shows_a_targets_end),
+    cmocka_unit_test (test_lost_answers_condemn_nothing),
+    cmocka_unit_test (test_a_request_that_other_hosts_condemn_is_refused),
   };
 
   return cmocka_run_group_tests_name ("dispatch", tests, NULL, NULL);
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -140,6 +140,18 @@
   return bytes;
 }
 
+GByteArray *
+link_write_suspect (const link_suspect_t *suspect)
+{
+  msgpack_packer packer;
+  GByteArray *bytes = pack_start (&packer, LINK_SUSPECT);
+
+  msgpack_pack_uint64 (&packer, suspect->fingerprint);
+  msgpack_pack_uint64 (&packer, suspect->target);
+  msgpack_pack_uint8 (&packer, suspect->cleared);
+  return bytes;
+}
+
 GByteArray *
 link_write_message (text_t body, const name_t *pass_on, guint n)
 {
@@ -291,6 +303,14 @@
     }
 }
 
+static void
+take_suspect (cursor_t *self, link_suspect_t *suspect)
+{
+  suspect->fingerprint = take_number (self, UINT64_MAX);
+  suspect->target = take_number (self, UINT64_MAX);
+  suspect->cleared = take_number (self, 1) == 1;
+}
+
 static void
 take_envelope (cursor_t *self, link_msg_t *msg)
 {
@@ -314,13 +334,15 @@
   *msg = (link_msg_t){ 0 };
   msgpack_unpacked_init (&cursor.value);
   take_envelope (&cursor, msg);
-  msg->kind = (link_kind_t)take_number (&cursor, LINK_ROWS);
+  msg->kind = (link_kind_t)take_number (&cursor, LINK_SUSPECT);
   if (msg->kind == LINK_REPORT)
     take_report (&cursor, &msg->report);
   else if (msg->kind == LINK_NEWS)
     take_news (&cursor, &msg->news);
-  else
+  else if (msg->kind == LINK_ROWS)
     take_rows (&cursor, &msg->rows);
+  else
+    take_suspect (&cursor, &msg->suspect);
   msgpack_unpacked_destroy (&cursor.value);
   if (cursor.ok && cursor.at == bytes.len)
     return STATUS_OK;
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -57,11 +57,20 @@
   GArray *rows; /* link_row_t; read ones point into the message's bytes */
 } link_rows_t;
 
+/* A request that was in flight at a target's end, or that a target answered. */
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t target;
+  bool cleared;
+} link_suspect_t;
+
 typedef enum
 {
   LINK_REPORT,
   LINK_NEWS,
   LINK_ROWS,
+  LINK_SUSPECT,
 } link_kind_t;
 
 typedef struct
@@ -72,12 +81,14 @@
   link_report_t report;
   link_news_t news;
   link_rows_t rows;
+  link_suspect_t suspect;
 } link_msg_t;
 
 /* All make a body, to be freed by the caller. */
 GByteArray *link_write_report (const link_report_t *report);
 GByteArray *link_write_news (const link_news_t *news);
 GByteArray *link_write_rows (const link_rows_t *rows);
+GByteArray *link_write_suspect (const link_suspect_t *suspect);
 
 /* A message with BODY, to be passed on to the hosts at the N addresses PASS_ON. */
 GByteArray *link_write_message (text_t body, const name_t *pass_on, guint n);
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -24,8 +24,16 @@
   return exchange;
 }
 
+/* What a failed send says of its target besides. */
+typedef enum
+{
+  SIGN_NONE,
+  SIGN_REFUSED,     /* nothing listens there */
+  SIGN_TURNED_AWAY, /* it takes no more connections */
+} sign_t;
+
 static void
-fail_with (call_t *self, const char *why, bool turned_away)
+fail_with (call_t *self, const char *why, sign_t sign)
 {
   proxy_t *proxy = self->proxy;
   exchange_t *exchange = detach (self);
@@ -33,7 +41,8 @@
                          .request = &exchange->request,
                          .sent = has_left (self),
                          .connected = self->connected,
-                         .turned_away = turned_away };
+                         .refused = sign == SIGN_REFUSED,
+                         .turned_away = sign == SIGN_TURNED_AWAY };
   const dispatch_target_t *target = dispatch_target (&proxy->dispatch, self->target);
 
   eventlog_write (EVENT_TROUBLE,
@@ -53,7 +62,7 @@
 static void
 fail (call_t *self, const char *why)
 {
-  fail_with (self, why, false);
+  fail_with (self, why, SIGN_NONE);
 }
 
 static bool
@@ -337,9 +346,11 @@
   if (what & BEV_EVENT_EOF)
     fail (self, "closed");
   else if (self->connected)
-    fail_with (self, "reset", !self->answered && self->status == 0);
+    fail_with (self,
+               "reset",
+               self->answered || self->status != 0 ? SIGN_NONE : SIGN_TURNED_AWAY);
   else
-    fail (self, "no_connection");
+    fail_with (self, "no_connection", SIGN_REFUSED);
 }
 
 static void
--- a/packages/proxy/dialect.h
+++ b/packages/proxy/dialect.h
@@ -37,6 +37,9 @@
   /* Whether a caller's header NAME goes on to the target as it is. */
   bool (*passes) (text_t name);
 
+  /* Whether a caller's header NAME differs between its attempts at one request. */
+  bool (*is_of_attempt) (text_t name);
+
   /* Appends the headers of one send: the target's ID, the time it may take. */
   void (*write_send) (GString *head, text_t target, msec_t wait);
 
--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -22,9 +22,16 @@
   proxy_decide (self->proxy, &msg);
 }
 
-/* The text of the start line and headers that the target gets on each send. */
+static uint64_t
+mix (uint64_t hash, text_t text)
+{
+  return hash * 0x9e3779b97f4a7c15u + text_hash (text); /* the golden ratio, odd */
+}
+
+/* The text of the start line and headers that the target gets on each send.  FINGERPRINT
+ * is the same for each attempt of a caller at the same request. */
 static GString *
-forwarded_head (const proxy_t *proxy, const http_head_t *head)
+forwarded_head (const proxy_t *proxy, const http_head_t *head, uint64_t *fingerprint)
 {
   GString *text = g_string_sized_new (256);
   text_t path = http_head_start (head);
@@ -34,6 +41,7 @@
   g_string_append_c (text, ' ');
   g_string_append_len (text, path.at, (gssize)path.len);
   g_string_append (text, " HTTP/1.1\r\n");
+  *fingerprint = mix (head->method, path);
   for (guint i = 0; i < head->fields->len; i++)
     {
       text_t name = http_head_name (head, i);
@@ -41,6 +49,8 @@
       if (http_header_is_hop (name) || !proxy->dialect->passes (name)
           || http_list_has (connection, name))
         continue;
+      if (!proxy->dialect->is_of_attempt (name))
+        *fingerprint = mix (mix (*fingerprint, name), value);
       g_string_append_len (text, name.at, (gssize)name.len);
       g_string_append (text, ": ");
       g_string_append_len (text, value.at, (gssize)value.len);
@@ -80,7 +90,7 @@
   proxy->dialect->read_request (head, &self->facts);
   if (!name_set (&self->id, self->facts.id))
     self->id.len = 0;
-  self->head = forwarded_head (proxy, head);
+  self->head = forwarded_head (proxy, head, &self->fingerprint);
   self->body = evbuffer_new ();
   self->timer = evtimer_new (proxy->base, on_due, self);
   return self;
@@ -100,6 +110,16 @@
   g_free (self);
 }
 
+/* The body of an upload isn't held, so that such a request is not known again. */
+static uint64_t
+whole_fingerprint (const exchange_t *self)
+{
+  size_t len = evbuffer_get_length (self->body);
+  const char *body = len > 0 ? (const char *)evbuffer_pullup (self->body, -1) : "";
+
+  return self->uploading ? 0 : mix (self->fingerprint, (text_t){ body, len });
+}
+
 void
 exchange_begin (exchange_t *self)
 {
@@ -111,6 +131,7 @@
           .path = { self->path, self->path_len },
           .has_key = self->facts.has_key,
           .key = self->facts.key,
+          .fingerprint = whole_fingerprint (self),
           .once = self->uploading,
           .wait = self->facts.wait < 0 ? -1 : MAX (self->facts.wait - read_for, 0) };
 
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -19,8 +19,10 @@
   caller_t *caller; /* NULL once it left */
   call_t *call;     /* the send under way */
   name_t id;
-  GString *head; /* for the target: start line and the headers that pass */
-  char *host;    /* both for dispatch; they don't end in a 0 byte that counts */
+  uint64_t
+      fingerprint; /* of the head, without what differs between a caller's attempts */
+  GString *head;   /* for the target: start line and the headers that pass */
+  char *host;      /* both for dispatch; they don't end in a 0 byte that counts */
   size_t host_len, path_len;
   char *path;
   struct evbuffer *body; /* of the request; what is still to be sent of an upload */
@@ -97,6 +99,9 @@
 void report_answer (proxy_t *self, const dispatch_request_t *request);
 void report_tell (proxy_t *self);
 
+/* Has all hosts told of a request that may crash targets, or of one that doesn't. */
+void report_suspect (proxy_t *self, const suspect_out_t *suspect);
+
 /* stream.c */
 
 /* Passes PIECE of the answer on to the caller. */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -131,6 +131,9 @@
       answer_by_fate (exchange, out);
       conclude (exchange, out);
       break;
+    case DISPATCH_TELL_SUSPECT:
+      report_suspect (self, &out->suspect);
+      break;
     case DISPATCH_FORGET:
       call_forget (self, out->target);
       break;
@@ -270,6 +273,11 @@
       self->bounds = msg->bounds;
       share_bounds (self);
       break;
+    case PROXY_SUSPECT:
+      decide.kind = DISPATCH_SUSPECT;
+      decide.suspect = msg->suspect;
+      proxy_decide (self, &decide);
+      break;
     case PROXY_DRAIN:
       start_draining (self);
       break;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -25,6 +25,7 @@
   PROXY_KEYS,      /* KEYS passes on */
   PROXY_HOSTS,     /* HOSTS share the budget of repeats */
   PROXY_BOUNDS,    /* BOUNDS changed */
+  PROXY_SUSPECT,   /* another host tells of SUSPECT */
   PROXY_DRAIN,     /* take nothing new, end what is there */
 } proxy_msg_kind_t;
 
@@ -36,6 +37,7 @@
   key_table_t keys;
   uint32_t hosts;
   router_bounds_t bounds;
+  suspect_out_t suspect;
 } proxy_msg_t;
 
 /* How requests of one service ended. */
@@ -60,7 +62,9 @@
 /* To the coordinator. */
 typedef struct
 {
-  bool ended; /* the proxy has drained; nothing else is told */
+  bool ended;      /* the proxy has drained; nothing else is told */
+  bool is_suspect; /* SUSPECT is to be told to all hosts; nothing else is told */
+  suspect_out_t suspect;
   proxy_counts_t counts;
   name_t service;
   GArray *loads;  /* key_load_t since the last report; passes on */
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -125,3 +125,19 @@
   report->counts = self->counts;
   post_report (self, report);
 }
+
+void
+report_suspect (proxy_t *self, const suspect_out_t *suspect)
+{
+  proxy_report_t *report = g_new0 (proxy_report_t, 1);
+
+  eventlog_write (EVENT_BELIEF,
+                  "dispatch",
+                  suspect->cleared ? "request_cleared" : "request_suspected",
+                  "fingerprint=%016llx target_life=%016llx",
+                  (unsigned long long)suspect->fingerprint,
+                  (unsigned long long)suspect->target);
+  report->is_suspect = true;
+  report->suspect = *suspect;
+  post_report (self, report);
+}
--- a/packages/suspect/suspect.c
+++ b/packages/suspect/suspect.c
@@ -35,14 +35,15 @@
 
   if (entry == NULL)
     {
-      *find_room (self, now) = (suspect_entry_t){ .fingerprint = msg->fingerprint,
-                                                  .target = msg->target,
-                                                  .until = now + SUSPECT_KEEP_MS };
-      return;
+      entry = find_room (self, now);
+      *entry = (suspect_entry_t){ .fingerprint = msg->fingerprint };
     }
-  if (entry->target == msg->target)
-    return;
-  entry->condemned = true;
+  for (uint32_t i = 0; i < entry->n_targets; i++)
+    if (entry->targets[i] == msg->target)
+      return;
+  if (entry->n_targets < SUSPECT_TARGETS_MAX)
+    entry->targets[entry->n_targets++] = msg->target;
+  entry->condemned = entry->n_targets >= self->targets;
   entry->until = now + SUSPECT_KEEP_MS;
 }
 
@@ -59,9 +60,11 @@
 }
 
 void
-suspect_init (suspect_t *self)
+suspect_init (suspect_t *self, uint32_t targets)
 {
+  g_assert (targets > 0 && targets <= SUSPECT_TARGETS_MAX);
   memset (self, 0, sizeof *self);
+  self->targets = targets;
 }
 
 void
@@ -91,7 +94,7 @@
 void
 suspect_finish (suspect_t *self)
 {
-  suspect_init (self);
+  memset (self, 0, sizeof *self);
 }
 
 bool
--- a/packages/suspect/suspect.h
+++ b/packages/suspect/suspect.h
@@ -11,7 +11,7 @@
  * SUSPECT: recognises requests that crash each target that runs them.
  *
  * Decision part, one a worker.  A request is known by its fingerprint.  One
- * that was in flight at the loss of two different targets, on any hosts, and
+ * that was in flight at the loss of so many different targets, on any hosts, and
  * was answered by none since, is condemned for SUSPECT_KEEP_MS.  Requests that
  * were merely in flight beside it are answered by another target at their
  * retry, or when the next caller asks the same, and so are forgotten again.
@@ -43,17 +43,20 @@
 typedef struct
 {
   uint64_t fingerprint;
-  uint64_t target; /* at whose loss it was in flight first */
-  msec_t until;    /* kept so long; 0: the entry is free */
+  uint64_t targets[SUSPECT_TARGETS_MAX]; /* at whose loss it was in flight */
+  uint32_t n_targets;
+  msec_t until; /* kept so long; 0: the entry is free */
   bool condemned;
 } suspect_entry_t;
 
 typedef struct
 {
+  uint32_t targets; /* lost ones that condemn */
   suspect_entry_t entries[SUSPECT_MAX];
 } suspect_t;
 
-void suspect_init (suspect_t *self);
+/* Condemns a request at the loss of TARGETS targets, SUSPECT_TARGETS_MAX at most. */
+void suspect_init (suspect_t *self, uint32_t targets);
 
 /* Takes MSG at time NOW and appends suspect_out_t to OUT. */
 void suspect_handle (suspect_t *self, const suspect_msg_t *msg, msec_t now, GArray *out);
--- a/packages/suspect/tests/test_suspect.c
+++ b/packages/suspect/tests/test_suspect.c
@@ -27,7 +27,7 @@
   suspect_t self;
 
   (void)state;
-  suspect_init (&self);
+  suspect_init (&self, 2);
   feed (&self, SUSPECT_LOST, 7, 1, START);
   assert_int_equal (out->len, 1);
   assert_false (suspect_is_condemned (&self, 7, START));
@@ -45,7 +45,7 @@
   suspect_t self;
 
   (void)state;
-  suspect_init (&self);
+  suspect_init (&self, 2);
   feed (&self, SUSPECT_LOST, 7, 1, START);
   feed (&self, SUSPECT_ANSWERED, 7, 0, START);
   assert_true (g_array_index (out, suspect_out_t, 0).cleared);
@@ -65,20 +65,35 @@
   suspect_t self;
 
   (void)state;
-  suspect_init (&self);
+  suspect_init (&self, 2);
   feed (&self, SUSPECT_LOST, 7, 1, START);
   feed (&self, SUSPECT_LOST, 7, 2, START);
   assert_true (suspect_is_condemned (&self, 7, START + SUSPECT_KEEP_MS - 1));
   assert_false (suspect_is_condemned (&self, 7, START + SUSPECT_KEEP_MS));
 }
 
+static void
+test_as_many_targets_condemn_as_was_asked_for (void **state)
+{
+  suspect_t self;
+
+  (void)state;
+  suspect_init (&self, 3);
+  feed (&self, SUSPECT_LOST, 7, 1, START);
+  feed (&self, SUSPECT_LOST, 7, 2, START);
+  feed (&self, SUSPECT_HEARD, 7, 2, START);
+  assert_false (suspect_is_condemned (&self, 7, START));
+  feed (&self, SUSPECT_HEARD, 7, 3, START);
+  assert_true (suspect_is_condemned (&self, 7, START));
+}
+
 static void
 test_many_losses_dont_push_out_the_condemned (void **state)
 {
   suspect_t self;
 
   (void)state;
-  suspect_init (&self);
+  suspect_init (&self, 2);
   feed (&self, SUSPECT_LOST, 7, 1, START);
   feed (&self, SUSPECT_LOST, 7, 2, START);
   for (uint64_t i = 0; i < 3 * SUSPECT_MAX; i++)
@@ -93,6 +108,7 @@
     cmocka_unit_test (test_second_target_condemns),
     cmocka_unit_test (test_an_answer_clears),
     cmocka_unit_test (test_the_condemned_are_released),
+    cmocka_unit_test (test_as_many_targets_condemn_as_was_asked_for),
     cmocka_unit_test (test_many_losses_dont_push_out_the_condemned),
   };
   out = g_array_new (FALSE, FALSE, sizeof (suspect_out_t));
--- a/packages/worker/worker.c
+++ b/packages/worker/worker.c
@@ -393,7 +393,7 @@
   self->timer = evtimer_new (self->base, on_timer, self);
   self->out = g_array_new (FALSE, FALSE, sizeof (route_out_t));
   self->jobs = g_new0 (job_t, QUEUE_MAX);
-  suspect_init (&self->suspect);
+  suspect_init (&self->suspect, 2);
   self->suspect_out = g_array_new (FALSE, FALSE, sizeof (suspect_out_t));
   if (!mailbox_init (&self->inbox,
                      self->base,
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -414,6 +414,15 @@
         sock.sendall(self._ok("somebody-elses"))
         return False
 
+    def _act_crash(self, sock, ident, body, headers):
+        """The process ends at once, and starts again a little later."""
+        self.runs.append(ident)
+        self.born += 1
+        self.held = []
+        threading.Timer(0.1, self.announce, ["ready"]).start()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        return False
+
     def _act_full(self, sock, ident, body, headers):
         sock.sendall(
             self._head(ident, "503 Busy", Not_Executed=1) + b"Content-Length: 0\r\n\r\n"
