--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -14,13 +14,45 @@
   g_array_append_val (out, *one);
 }
 
+/* The owner whose room REQUEST waits for is now OWNER, or -1. */
+static void
+wait_at (dispatch_t *self, dispatch_request_t *request, int32_t owner)
+{
+  if (request->owner == owner)
+    return;
+  if (request->owner >= 0)
+    {
+      dispatch_target_t *before = target_at (self, (uint32_t)request->owner);
+      before->waiting -= before->waiting > 0 ? 1 : 0; /* its place may be another's now */
+    }
+  request->owner = owner;
+  if (owner >= 0)
+    target_at (self, (uint32_t)owner)->waiting++;
+}
+
 static void
 leave_queue (dispatch_t *self, dispatch_request_t *request)
 {
+  wait_at (self, request, -1);
   if (request->state == REQUEST_WAITING)
     g_queue_unlink (&service_at (self, request->service)->waiting, &request->link);
 }
 
+/*
+ * Whether a request that finds no room at its key's owner would wait in vain: the last
+ * one did, and another waits to see whether that has changed.
+ */
+static bool
+is_crowded_out (const dispatch_t *self, const dispatch_request_t *request, int32_t owner)
+{
+  const dispatch_target_t *target;
+
+  if (owner < 0 || request->state == REQUEST_WAITING)
+    return false;
+  target = target_at (self, (uint32_t)owner);
+  return target->crowded && target->waiting > 0;
+}
+
 static void
 leave_target (dispatch_t *self, dispatch_request_t *request)
 {
@@ -120,22 +152,34 @@
       wait_for (self, request, reason, MIN (request->not_before, request->deadline));
       return;
     }
-  int target = request->keyed ? targets_owner (self, request, now, &reason)
+  int32_t owner = -1;
+  int target = request->keyed ? targets_owner (self, request, now, &owner, &reason)
                               : targets_pick (self, request, now, &reason);
+  if (target >= 0 && request->state == REQUEST_WAITING)
+    target_at (self, (uint32_t)target)->crowded = false;
   if (target >= 0
       && (request->sends == 0
           || budget_spend (&service_at (self, request->service)->budget, now)))
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_NOT_TAKEN, now, out);
-  else if (now >= waits_patience (self, request, reason)
+  else if (is_crowded_out (self, request, owner)
            || waits_is_hopeless (self, request, now))
     end (self, request, reason, now, out);
+  else if (now >= waits_patience (self, request, reason))
+    {
+      if (owner >= 0)
+        target_at (self, (uint32_t)owner)->crowded = true;
+      end (self, request, reason, now, out);
+    }
   else
-    wait_for (self,
-              request,
-              reason,
-              MIN (now + DISPATCH_POLL_MS, waits_patience (self, request, reason)));
+    {
+      wait_at (self, request, owner);
+      wait_for (self,
+                request,
+                reason,
+                MIN (now + DISPATCH_POLL_MS, waits_patience (self, request, reason)));
+    }
 }
 
 /* Looks again at the waiting requests of SERVICE, the most urgent first. */
@@ -506,5 +550,8 @@
 void
 dispatch_request_init (dispatch_request_t *self)
 {
-  *self = (dispatch_request_t){ .due = MSEC_NEVER, .target = -1, .last_failed = -1 };
+  *self = (dispatch_request_t){ .due = MSEC_NEVER,
+                                .target = -1,
+                                .owner = -1,
+                                .last_failed = -1 };
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -160,6 +160,7 @@
   bool once;           /* not sent again, whatever became of the first send */
   bool caller_left;    /* a mutating request that was sent runs on without its caller */
   int32_t target;      /* of the last send, or -1 */
+  int32_t owner;       /* whose room it waits for, or -1 */
   int32_t last_failed; /* target of a failed send, not to be picked at once again */
   msec_t sent_at;
   uint32_t load_at_send;      /* requests at the target then, this one included */
@@ -192,6 +193,8 @@
   bool replaced;            /* another target has its address; it is over */
   uint32_t errors_permille; /* moving average of failures among its answers */
   msec_t warm_at;
+  uint32_t waiting; /* requests for its keys that wait for room */
+  bool crowded;     /* the last of them that ended waiting did so in vain */
   dispatch_loss_t losses[DISPATCH_LOSSES]; /* the last ones, in a ring */
   uint32_t next_loss;
   msec_t leaving_at; /* it was first seen to leave; MSEC_NEVER: it isn't leaving */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -366,6 +366,7 @@
 targets_owner (dispatch_t *self,
                dispatch_request_t *request,
                msec_t now,
+               int32_t *owner,
                dispatch_reason_t *reason)
 {
   const dispatch_service_t *service
@@ -373,6 +374,7 @@
   const key_run_t *run = key_table_find (&service->keys, request->key);
 
   request->key_version = service->keys.version;
+  *owner = -1;
   *reason = REASON_NO_OWNER;
   if (run == NULL || run->fence == 0
       || now < g_array_index (service->denied, msec_t, run_index (service, run)))
@@ -386,6 +388,7 @@
           && now > target->leaving_at + self->bounds.drain / 2))
     return -1;
   *reason = REASON_OVERLOAD;
+  *owner = i;
   return within_share (self, target) && target_has_room (target, request->objective, now)
              ? i
              : -1;
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -46,8 +46,12 @@
 /* The owner says that it doesn't hold the request's key: it isn't asked for a while. */
 void targets_denied (dispatch_t *self, const dispatch_request_t *request, msec_t now);
 
-/* The owner of the request's key, or -1. */
+/*
+ * The owner of the request's key, or -1.  *REASON is REASON_OVERLOAD if it only has no
+ * room; *OWNER is the owner then, else -1.
+ */
 int targets_owner (dispatch_t *self,
                    dispatch_request_t *request,
                    msec_t now,
+                   int32_t *owner,
                    dispatch_reason_t *reason);
--- a/packages/dispatch/tests/test_dispatch_load.c
+++ b/packages/dispatch/tests/test_dispatch_load.c
@@ -224,6 +224,40 @@
   end (&world);
 }
 
+/* A hot key beyond what its owner bears: once a wait was in vain, one request waits at a
+ * time and the others hear at once that they can't be served. */
+static void
+test_requests_for_a_crowded_owner_are_refused_at_once (void **state)
+{
+  world_t world;
+  dispatch_request_t running[DISPATCH_TARGET_LOAD_MAX + 3], first, second, third;
+  guint sent = 0;
+
+  (void)state;
+  begin (&world);
+  for (guint i = 0; i < G_N_ELEMENTS (running); i++)
+    {
+      arrive (&world, &running[i], TEXT ("/keyed/"));
+      sent += running[i].state == REQUEST_SENT;
+    }
+  arrive (&world, &first, TEXT ("/keyed/"));
+  assert_int_equal (first.state, REQUEST_WAITING);
+  for (guint i = sent; i < G_N_ELEMENTS (running); i++)
+    come_due (&world, &running[i], START + OBJECTIVE);
+  come_due (&world, &first, START + OBJECTIVE);
+  assert_int_equal (first.state, REQUEST_ENDED);
+  arrive (&world, &second, TEXT ("/keyed/"));
+  assert_int_equal (second.state, REQUEST_WAITING);
+  arrive (&world, &third, TEXT ("/keyed/"));
+  assert_ended (&world, FATE_NOT_RUN, REASON_OVERLOAD);
+  for (guint i = 0; i < sent; i++)
+    answer (&world, &running[i], ANSWER_RUN, 200);
+  assert_int_equal (second.state, REQUEST_SENT);
+  arrive (&world, &third, TEXT ("/keyed/"));
+  assert_int_equal (third.state, REQUEST_SENT);
+  end (&world);
+}
+
 int
 main (void)
 {
@@ -238,6 +272,7 @@
     cmocka_unit_test (test_a_short_queue_waits_for_its_turn),
     cmocka_unit_test (test_a_host_keeps_to_its_share_of_connections),
     cmocka_unit_test (test_a_target_that_turns_connections_away_is_full),
+    cmocka_unit_test (test_requests_for_a_crowded_owner_are_refused_at_once),
   };
 
   return cmocka_run_group_tests_name ("dispatch_load", tests, NULL, NULL);
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -359,8 +359,8 @@
 }
 
 /*
- * Counts what came since the last plan.  Where much more came than before, a hot key has
- * appeared or shifted: what came then counts as if it had come all the time.
+ * Counts what came since the last plan.  Where much more or much less came than before, a
+ * hot key has appeared or gone: what came then counts as if it had come all the time.
  */
 static void
 count_recent (key_service_t *self)
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -206,12 +206,12 @@
 class Target:
     """One process of a service; RUNS has the id of each request that it worked on."""
 
-    def __init__(self, store, name, service):
+    def __init__(self, store, name, service, port=0):
         self.store, self.name, self.service = store, name, service
         self.runs, self.gone, self.bodies, self.waits = [], [], [], []
         self.held = []
         self.fences = []
-        self.server = socket.create_server(("127.0.0.1", 0))
+        self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
         self.born = int(time.time() * 1000)
         threading.Thread(target=self._accept, daemon=True).start()
