--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -66,6 +66,7 @@
   struct event_base *base;
   store_t *store;
   bool store_away;      /* the last call about the role got no answer */
+  msec_t store_lost;    /* ... and that was last found out, monotonic */
   msec_t role_regained; /* the first one after such a call did, monotonic */
   proxy_t *proxy;
   mailbox_t inbox;        /* proxy_report_t */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -25,6 +25,9 @@
 /* The store answers again: whatever was asked while it was away is asked anew. */
 void news_ask_anew (coordinator_t *self);
 
+/* Whether the store doesn't answer this host, by the last try. */
+bool news_store_is_away (const coordinator_t *self);
+
 /* Whether all that the granter needs was read. */
 bool news_complete (const coordinator_t *self);
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -53,12 +53,24 @@
     call (self);
 }
 
+static bool
+is_deferred (const feed_t *self)
+{
+  return self->pause > 0 && self->ops->deferred != NULL
+         && self->ops->deferred (self->owner);
+}
+
 static void
 on_retry (evutil_socket_t fd, short what, void *arg)
 {
+  feed_t *self = arg;
+
   (void)fd;
   (void)what;
-  go_on (arg);
+  if (is_deferred (self))
+    self->defer_until = now_ms () + FEED_DEFER_MAX_MS;
+  else
+    go_on (self);
 }
 
 static void
@@ -199,6 +211,7 @@
     return;
   evtimer_del (self->retry);
   self->resting = false;
+  self->defer_until = 0;
   call (self);
 }
 
@@ -207,6 +220,9 @@
 {
   if (self->resting && self->ops->wanted (self->owner))
     feed_wake (self);
+  else if (self->defer_until != 0
+           && (now_ms () >= self->defer_until || !is_deferred (self)))
+    feed_wake (self);
 }
 
 void
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -133,10 +133,15 @@
     ((known_target_t *)value)->told = false;
 }
 
-/* When the store answered this host again: the first sign of it, by whichever call. */
+/* When the store answered this host again: the first sign of it, by whichever call.  If
+ * another call found it away and wasn't answered since, the sign is what comes NOW. */
 static msec_t
-store_back_at (const coordinator_t *self)
+store_back_at (const coordinator_t *self, msec_t now)
 {
+  bool role_lost = self->store_away && now - self->store_lost < STORE_SIGNS_MS;
+
+  if (role_lost || self->configuration.pause > 0 || self->owners.pause > 0)
+    return now;
   const msec_t signs[]
       = { self->configuration.regained, self->owners.regained, self->role_regained };
   msec_t first = self->targets.regained;
@@ -155,7 +160,7 @@
 
   if (target->gone_at != MSEC_NEVER)
     return;
-  target->gone_at = MAX (now, store_back_at (self) + STORE_LAPSE_MS);
+  target->gone_at = MAX (now, store_back_at (self, now) + STORE_LAPSE_MS);
   eventlog_write (EVENT_BELIEF,
                   "targets",
                   "entry_gone",
@@ -292,6 +297,13 @@
   return !peers_have_news (owner);
 }
 
+/* The configuration's feed, whose news are due soonest, tries the store for all. */
+static bool
+is_deferred (void *owner)
+{
+  return news_store_is_away (owner);
+}
+
 static void
 configuration_changed (void *owner, uint64_t before, const store_reply_t *reply)
 {
@@ -310,8 +322,10 @@
                                         .row = targets_row,
                                         .settled = targets_settled,
                                         .changed = targets_changed,
-                                        .wanted = is_wanted };
-static const feed_ops_t owners_ops = { .row = owners_row, .wanted = owners_wanted };
+                                        .wanted = is_wanted,
+                                        .deferred = is_deferred };
+static const feed_ops_t owners_ops
+    = { .row = owners_row, .wanted = owners_wanted, .deferred = is_deferred };
 
 void
 news_step (coordinator_t *self, msec_t now)
@@ -381,11 +395,20 @@
 {
   msec_t now = g_get_monotonic_time () / 1000;
 
+  /* A watch that hung through the outage failed nowhere; entries lapsed all the same. */
+  if (self->targets.call != NULL)
+    self->targets.regained = now;
   feed_ask_anew (&self->configuration, now);
   feed_ask_anew (&self->targets, now);
   feed_ask_anew (&self->owners, now);
 }
 
+bool
+news_store_is_away (const coordinator_t *self)
+{
+  return self->configuration.pause > 0;
+}
+
 bool
 news_complete (const coordinator_t *self)
 {
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -440,7 +440,7 @@
                            .service = from->service,
                            .table_version = table != NULL ? table->version : 0,
                            .configuration_row = self->configuration.newest,
-                           .asks_configuration = self->configuration.pause > 0,
+                           .asks_configuration = news_store_is_away (self),
                            .loads = from->loads };
   send_alone (self, &self->granter, link_write_report (&report));
 }
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -30,6 +30,7 @@
                         reply->why,
                         (unsigned long long)role->version);
       self->store_away = true;
+      self->store_lost = g_get_monotonic_time () / 1000;
     }
   else if (self->store_away)
     {
@@ -419,7 +420,7 @@
   if (role->state == ROLE_ELSEWHERE)
     {
       if (!role->looking && now >= role->next_look && news_complete (self)
-          && self->keyed->len > 0 && !self->stopping)
+          && self->keyed->len > 0 && !self->stopping && !news_store_is_away (self))
         look (self, now);
       return;
     }
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -378,13 +378,24 @@
 
   (void)state;
   begin (&world);
+  add_target (&world, TEXT ("p3"), TEXT ("plain"));
+  add_target (&world, TEXT ("p4"), TEXT ("plain"));
+  list_targets (&world);
   for (unsigned i = 0; i < 3 * SUSPECT_TARGETS; i++)
     {
       dispatch_request_t request;
-      arrive (&world, &request, TEXT ("/order/"));
+      const dispatch_msg_t arrival = { .kind = DISPATCH_ARRIVE,
+                                       .request = &request,
+                                       .host = TEXT ("h"),
+                                       .path = TEXT ("/order/"),
+                                       .fingerprint = 9,
+                                       .wait = WAIT };
+      dispatch_request_init (&request);
+      tell (&world, &arrival);
       lose_send (&world, &request, true);
       world.now += 3000;
     }
+  assert_false (is_refused (&world, 9));
   for (unsigned i = 0; i < 3 * SUSPECT_TARGETS; i++)
     {
       crash (&world, 7, false);
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -389,6 +389,7 @@
                                  : self->loads[i] * KEYS_LOAD_KEEP + self->recent[i];
     }
   memset (self->recent, 0, sizeof self->recent);
+  self->n_recent = 0;
 }
 
 /* The bearers with the least and the most use; MOST may be NULL if all were passed over.
@@ -441,8 +442,11 @@
   if (now < self->plan_at)
     return;
   self->plan_at = now + KEYS_PLAN_MS;
-  count_recent (self);
-  sum_loads (self);
+  if (self->n_recent > 0 || total_of (self) > 0)
+    {
+      count_recent (self);
+      sum_loads (self);
+    }
   GArray *bearers = list_bearers (keys, self);
   guint n = bearers->len;
   guint moves_max = MAX (KEYS_MOVES_MAX, n * KEYS_MOVES_PERCENT / 100);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -86,6 +86,23 @@
     }
 }
 
+/* Has a leaving owner refuse what a predecessor may have sent it. */
+static void
+fence_off (const key_service_t *service, key_span_t *span, msec_t now, GArray *out)
+{
+  span->call_after = now + KEYS_RETRY_MS;
+  span->held_until = MAX (span->held_until, now + on_slow_clock (KEYS_FENCE_HOLD_MS));
+  emit_call (KEYS_GRANT, service, span, KEYS_FENCE_HOLD_MS, out);
+}
+
+/* Not if that could make the keys rest longer than they would anyhow. */
+static bool
+may_be_fenced_off (const key_span_t *span, const target_entry_t *same_id, msec_t now)
+{
+  return span->inherited && same_id != NULL
+         && now + on_slow_clock (KEYS_FENCE_HOLD_MS) < span->held_until;
+}
+
 static void
 take_back (
     keys_t *self, const key_service_t *service, key_span_t *span, msec_t now, GArray *out)
@@ -101,7 +118,14 @@
       if (!span->released)
         span->handover.len = 0;
     }
-  else if (now >= span->call_after && !span->released && may_grant (self, now))
+  else if (now < span->call_after || span->released || !may_grant (self, now))
+    return;
+  else if (may_be_fenced_off (span, same_id, now))
+    {
+      if (!service->wants_fences && span->new_fence == 0)
+        fence_off (service, span, now, out);
+    }
+  else
     {
       span->call_after = now + KEYS_RETRY_MS * (1 + MIN (span->tries, 4));
       span->tries++;
@@ -111,6 +135,28 @@
     }
 }
 
+/* Asks for the commit of the runs as they are, under their new fences. */
+static void
+emit_commit (const keys_t *self, const key_service_t *service, GArray *out)
+{
+  keys_out_t commit
+      = { .kind = KEYS_COMMIT, .service = service->name, .next_fence = self->next_fence };
+
+  key_table_init (&commit.table, name_text (&service->name));
+  for (guint i = 0; i < service->spans->len; i++)
+    {
+      const key_span_t *span = span_at (service, i);
+      key_run_t run = { .first = span->first,
+                        .last = span->last,
+                        .fence = span->new_fence != 0 ? span->new_fence : span->fence,
+                        .target = span->owner,
+                        .address = span->address,
+                        .born = span->born };
+      g_array_append_val (commit.table.runs, run);
+    }
+  g_array_append_val (out, commit);
+}
+
 /* Gives free runs to targets and asks for the commit. */
 static void
 commit_free (keys_t *self, key_service_t *service, GArray *out)
@@ -145,21 +191,21 @@
   if (!any)
     return;
   service->committing = true;
-  keys_out_t commit
-      = { .kind = KEYS_COMMIT, .service = service->name, .next_fence = self->next_fence };
-  key_table_init (&commit.table, name_text (&service->name));
+  emit_commit (self, service, out);
+}
+
+/* Asks for the commit of new fences for the owners as they are. */
+static void
+commit_fences (keys_t *self, key_service_t *service, GArray *out)
+{
+  if (service->committing || !service->wants_fences)
+    return;
+  service->wants_fences = false;
+  service->committing = true;
   for (guint i = 0; i < service->spans->len; i++)
-    {
-      const key_span_t *span = span_at (service, i);
-      key_run_t run = { .first = span->first,
-                        .last = span->last,
-                        .fence = span->fence,
-                        .target = span->owner,
-                        .address = span->address,
-                        .born = span->born };
-      g_array_append_val (commit.table.runs, run);
-    }
-  g_array_append_val (out, commit);
+    if (span_at (service, i)->inherited)
+      span_at (service, i)->new_fence = self->next_fence++;
+  emit_commit (self, service, out);
 }
 
 static void
@@ -179,8 +225,10 @@
       if (span->state == RUN_LEAVING && !self->resigning)
         take_back (self, service, span, now, out);
     }
-  if (!self->resigning && may_grant (self, now))
-    commit_free (self, service, out);
+  if (self->resigning || !may_grant (self, now))
+    return;
+  commit_fences (self, service, out);
+  commit_free (self, service, out);
 }
 
 static void
@@ -233,6 +281,7 @@
     return;
   service->known = true;
   service->committing = false;
+  service->wants_fences = msg->table != NULL && msg->held_for > 0;
   g_array_set_size (service->spans, 0);
   for (guint i = 0; msg->table != NULL && i < msg->table->runs->len; i++)
     {
@@ -245,7 +294,9 @@
                           .address = run->address,
                           .born = run->born,
                           .warm = true,
-                          .held_until = now + msg->held_for };
+                          .inherited = msg->held_for > 0,
+                          .held_until = now + msg->held_for,
+                          .doubt_until = now + msg->held_for };
       g_array_append_val (service->spans, span);
     }
 }
@@ -257,9 +308,18 @@
   for (guint i = 0; i < service->spans->len; i++)
     {
       key_span_t *span = span_at (service, i);
+      if (span->new_fence != 0)
+        {
+          /* Answers to calls under the old fence say nothing any more. */
+          span->fence = span->new_fence;
+          span->new_fence = 0;
+          span->calling = false;
+          span->call_after = 0;
+        }
       if (span->state != RUN_COMMITTING)
         continue;
       span->state = RUN_HELD;
+      span->inherited = false;
       span->call_after = 0;
       span->held_until = 0;
       span->doubt_until = 0;
@@ -276,6 +336,8 @@
   for (guint i = 0; i < service->spans->len; i++)
     {
       key_span_t *span = span_at (service, i);
+      service->wants_fences |= span->new_fence != 0;
+      span->new_fence = 0;
       if (span->state != RUN_COMMITTING)
         continue;
       const target_entry_t *before = key_plan_find (self, &span->owner_before);
@@ -310,6 +372,11 @@
         {
           span->warm = true;
           span->handover.len = 0;
+          if (span->inherited && !service->wants_fences && span->new_fence == 0)
+            {
+              span->inherited = false;
+              span->doubt_until = 0;
+            }
         }
       else if (msg->kind == KEYS_RELEASED && span->state == RUN_LEAVING)
         {
@@ -342,6 +409,7 @@
     {
       const key_load_t *load = &g_array_index (loads, key_load_t, i);
       service->recent[load->step] += load->count;
+      service->n_recent += load->count;
     }
 }
 
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -15,7 +15,9 @@
  * only after the old one has given it back, has started anew, or can't hold it
  * any more: the last moment at which a grant of it can have arrived, plus the
  * grant's length on a slow clock, is over.  A granter that takes over doesn't
- * know its predecessor's last grants and takes the longest possible.
+ * know its predecessor's last grants and takes the longest possible.  One of them may
+ * even be carried out after a release; so it commits new fences for all runs, and a
+ * target that took a grant under one refuses whatever is left of the old ones.
  */
 
 typedef enum
@@ -102,6 +104,8 @@
   msec_t call_after;  /* not called before */
   msec_t held_until;  /* no grant of it can run longer */
   msec_t doubt_until; /* a grant that got no answer may still be carried out till then */
+  bool inherited;     /* ... of a predecessor, until the owner takes a new fence */
+  uint64_t new_fence; /* for the same owner, by the commit under way; 0: none */
   msec_t last_hold;   /* length of the grant under way */
   bool released;      /* the owner gave it back */
   uint32_t tries;     /* of the release */
@@ -112,11 +116,13 @@
   name_t name;
   bool known; /* the store's table was read */
   bool committing;
-  msec_t joined_at; /* the last target joined */
+  bool wants_fences; /* a predecessor's runs are to get new ones */
+  msec_t joined_at;  /* the last target joined */
   msec_t plan_at;
   GArray *spans;              /* key_span_t, without gaps, ascending */
   double loads[KEY_STEPS];    /* decayed counts of requests, as of the last plan */
   uint32_t recent[KEY_STEPS]; /* requests since then */
+  uint64_t n_recent;          /* all of them */
   double sums[KEY_STEPS + 1]; /* of the loads below a step, as of the last plan */
   GHashTable *work_ms;        /* target's id to what it takes for one request */
 } key_service_t;
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -18,6 +18,26 @@
   hold_role (self);
 }
 
+/* A successor first commits new fences, above all before, for the owners as they are. */
+static void
+take_fences (world_t *self, const key_table_t *stored)
+{
+  const keys_out_t *commit = find (self, KEYS_COMMIT);
+
+  assert_int_equal (count (self, KEYS_COMMIT), 1);
+  assert_int_equal (commit->table.runs->len, stored->runs->len);
+  for (guint i = 0; i < stored->runs->len; i++)
+    {
+      const key_run_t *before = &g_array_index (stored->runs, key_run_t, i);
+      const key_run_t *after = &g_array_index (commit->table.runs, key_run_t, i);
+      assert_true (name_equal (&after->target, &before->target));
+      assert_int_equal (after->first, before->first);
+      assert_true (after->fence > before->fence);
+      assert_true (commit->next_fence > after->fence);
+    }
+  tell (self, (keys_msg_t){ .kind = KEYS_COMMITTED });
+}
+
 static void
 test_nothing_is_done_without_the_role (void **state)
 {
@@ -257,9 +277,11 @@
         (keys_msg_t){ .kind = KEYS_TABLE,
                       .table = &table,
                       .held_for = keys_held_after (&world.keys, 0) });
-  key_table_finish (&table);
   assert_int_equal (count (&world, KEYS_GRANT), 1);
   assert_int_equal (find (&world, KEYS_GRANT)->fence, 20);
+  take_fences (&world, &table);
+  key_table_finish (&table);
+  assert_int_equal (find (&world, KEYS_GRANT)->fence, 30);
   while (world.now < START + HOLD_MAX + ORDER_CALL_MS)
     {
       assert_int_equal (count (&world, KEYS_COMMIT), 0);
@@ -269,7 +291,7 @@
          && count (&world, KEYS_COMMIT) == 0)
     step_with_silent_owner (&world);
   assert_int_equal (count (&world, KEYS_COMMIT), 1);
-  assert_int_equal (find (&world, KEYS_COMMIT)->next_fence, 31);
+  assert_int_equal (find (&world, KEYS_COMMIT)->next_fence, 33);
   end (&world);
 }
 
@@ -286,11 +308,13 @@
   table = stored_table (&world, 2);
   g_array_remove_index (world.targets, 1);
   list_targets (&world);
+  keys_set_fence (&world.keys, 30);
   hold_role (&world);
   tell (&world,
         (keys_msg_t){ .kind = KEYS_TABLE,
                       .table = &table,
                       .held_for = keys_held_after (&world.keys, HOLD_MAX - 1000) });
+  take_fences (&world, &table);
   key_table_finish (&table);
   assert_int_equal (count (&world, KEYS_COMMIT), 0);
   while (world.now < START + 4000 && count (&world, KEYS_COMMIT) == 0)
@@ -311,6 +335,71 @@
   end (&world);
 }
 
+/* A grant of a predecessor may be carried out after a release. */
+static void
+test_a_successor_has_a_leaver_refuse_old_grants_before_it_moves_keys (void **state)
+{
+  world_t world;
+  key_table_t table;
+
+  (void)state;
+  begin (&world, 2);
+  table = stored_table (&world, 2);
+  target (&world, 0)->leaving = true;
+  list_targets (&world);
+  keys_set_fence (&world.keys, 30);
+  hold_role (&world);
+  tell (&world,
+        (keys_msg_t){ .kind = KEYS_TABLE, .table = &table, .held_for = HOLD_MAX });
+  assert_int_equal (count (&world, KEYS_RELEASE), 0);
+  take_fences (&world, &table);
+  key_table_finish (&table);
+  assert_int_equal (count (&world, KEYS_RELEASE), 0);
+  keys_out_t fenced = *find (&world, KEYS_GRANT);
+  assert_true (name_equal (&fenced.target, &target (&world, 0)->id));
+  assert_int_equal (fenced.fence, 30);
+  assert_int_equal (fenced.hold, KEYS_FENCE_HOLD_MS);
+  reply (&world, &fenced, KEYS_GRANTED, true);
+  assert_true (run_until (&world, KEYS_RELEASE, world.now + 2 * KEYS_RETRY_MS));
+  keys_out_t release = *find (&world, KEYS_RELEASE);
+  reply (&world, &release, KEYS_RELEASED, true);
+  assert_int_equal (count (&world, KEYS_COMMIT), 1);
+  end (&world);
+}
+
+/* It isn't listed, so that no new fence reaches it; it gives its keys back all the same.
+ */
+static void
+test_a_successor_lets_keys_rest_that_an_unlisted_owner_gives_back (void **state)
+{
+  world_t world;
+  key_table_t table;
+
+  (void)state;
+  begin (&world, 2);
+  table = stored_table (&world, 2);
+  g_array_remove_index (world.targets, 1);
+  list_targets (&world);
+  keys_set_fence (&world.keys, 30);
+  hold_role (&world);
+  tell (&world, (keys_msg_t){ .kind = KEYS_TABLE, .table = &table, .held_for = 5000 });
+  take_fences (&world, &table);
+  key_table_finish (&table);
+  if (count (&world, KEYS_RELEASE) == 0)
+    assert_true (run_until (&world, KEYS_RELEASE, world.now + 2 * KEYS_RETRY_MS));
+  keys_out_t release = *find (&world, KEYS_RELEASE);
+  reply (&world, &release, KEYS_RELEASED, true);
+  while (world.now < START + 5000)
+    {
+      assert_int_equal (count (&world, KEYS_COMMIT), 0);
+      take_grants (&world);
+      world.now += 50;
+      hold_role (&world);
+    }
+  assert_int_equal (count (&world, KEYS_COMMIT), 1);
+  end (&world);
+}
+
 static void
 test_a_resigning_granter_makes_one_long_round_and_moves_nothing (void **state)
 {
@@ -367,6 +456,9 @@
     cmocka_unit_test (test_a_successor_counts_the_time_that_the_role_was_vacant),
     cmocka_unit_test (test_a_resigning_granter_makes_one_long_round_and_moves_nothing),
     cmocka_unit_test (test_nothing_is_granted_after_the_role_is_given_up),
+    cmocka_unit_test (
+        test_a_successor_has_a_leaver_refuse_old_grants_before_it_moves_keys),
+    cmocka_unit_test (test_a_successor_lets_keys_rest_that_an_unlisted_owner_gives_back),
   };
 
   return cmocka_run_group_tests_name ("keys", tests, NULL, NULL);
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -32,6 +32,7 @@
         self.log = []
         self.ver = 0
         self.away = False
+        self.silent = False  # calls that come are never answered
         self.calls = 0
 
     def put(self, table, key, value):
@@ -97,6 +98,8 @@
                     for ver, t, key, value in self.log
                     if t == table and ver > after
                 ]
+                if self.silent:
+                    rows = []
                 left = until - time.monotonic()
                 if rows or left <= 0:
                     return 200, self._reply(rows=rows)
@@ -118,8 +121,16 @@
             self.end_headers()
             self.wfile.write(data)
 
-        def do_GET(self):
+        def is_lost(self):
             store.calls += 1
+            self.close_connection = store.silent
+            if store.silent:
+                self.rfile.read()  # until the caller gives up
+            return self.close_connection
+
+        def do_GET(self):
+            if self.is_lost():
+                return
             url = urlsplit(self.path)
             query = parse_qs(url.query)
             if store.away:
@@ -132,8 +143,9 @@
                 self.answer(404, {})
 
         def do_POST(self):
-            store.calls += 1
             call = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+            if self.is_lost():
+                return
             self.answer(*((503, {}) if store.away else store.tx(call)))
 
     server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
