Keep the owners' row small; let keys of an unreadable table rest

Cause: a row named each run's target and address anew, some 85 bytes a run. A grown fleet's 188 targets with 8 runs each come to 125 KB, the store's rows hold 64 KiB, so that commits would be refused from then on. And a table that couldn't be read was taken for none: its keys were given out at once, though the targets that it named may hold them.

Ruled out: MessagePack for rows (they are read by people in an incident).

Change: owners stand in the row once each, runs refer to them. The granter tells an unreadable table as such, and its keys rest for the longest grant first.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -178,12 +178,17 @@
           owners_take (self, &table);
         }
       else
-        eventlog_write (EVENT_BELIEF,
-                        "role",
-                        "table_rejected",
-                        "service=%.*s why=\"%.*s\"",
-                        NAME_ARG (*service),
-                        TEXT_ARG (fault_text (&fault)));
+        {
+          msg.unreadable = true;
+          msg.held_for = keys_held_after (&self->keys, 0);
+          eventlog_write (EVENT_BELIEF,
+                          "role",
+                          "table_rejected",
+                          "service=%.*s keys_rest_ms=%lld why=\"%.*s\"",
+                          NAME_ARG (*service),
+                          (long long)msg.held_for,
+                          TEXT_ARG (fault_text (&fault)));
+        }
     }
   grants_tell (self, &msg);
   key_table_finish (&table);
--- a/packages/keys/key_rows.c
+++ b/packages/keys/key_rows.c
@@ -13,60 +13,89 @@
   return bytes;
 }
 
-/* A run: [first, last, fence, target, born, address]. */
+/* The owner of RUN among OWNERS, which are listed once each; adds it if it's new. */
+static json_int_t
+owner_index (json_t *owners, GHashTable *known, const key_run_t *run)
+{
+  char *id = g_strdup_printf ("%.*s %llu",
+                              NAME_ARG (run->target),
+                              (unsigned long long)run->born);
+  gpointer found;
+
+  if (g_hash_table_lookup_extended (known, id, NULL, &found))
+    {
+      g_free (id);
+      return GPOINTER_TO_INT (found);
+    }
+  json_int_t index = (json_int_t)json_array_size (owners);
+  g_hash_table_insert (known, id, GINT_TO_POINTER (index));
+  json_array_append_new (owners,
+                         json_pack ("[o,o,I]",
+                                    json_from_name (&run->target),
+                                    json_from_name (&run->address),
+                                    (json_int_t)run->born));
+  return index;
+}
+
+/*
+ * Owners: [target, address, born], once each.  Runs: [first key, fence, index of the
+ * owner], each up to the key before the next one's first.  A row holds 64 KiB.
+ */
 GString *
 key_rows_write_table (const key_table_t *table)
 {
+  GHashTable *known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  json_t *owners = json_array ();
   json_t *runs = json_array ();
 
   for (guint i = 0; i < table->runs->len; i++)
     {
       const key_run_t *run = &g_array_index (table->runs, key_run_t, i);
       json_array_append_new (runs,
-                             json_pack ("[I,I,I,o,I,o]",
+                             json_pack ("[I,I,I]",
                                         (json_int_t)run->first,
-                                        (json_int_t)run->last,
                                         (json_int_t)run->fence,
-                                        json_from_name (&run->target),
-                                        (json_int_t)run->born,
-                                        json_from_name (&run->address)));
+                                        owner_index (owners, known, run)));
     }
-  return dump (json_pack ("{s:o}", "runs", runs));
+  g_hash_table_unref (known);
+  return dump (json_pack ("{s:o,s:o}", "owners", owners, "runs", runs));
 }
 
 static bool
-read_run (const json_t *value, key_run_t *run)
+read_owner (const json_t *value, key_run_t *run)
 {
-  json_int_t first, last, fence, born;
+  json_int_t born;
   json_t *target, *address;
 
-  if (json_unpack ((json_t *)value,
-                   "[I,I,I,o,I,o]",
-                   &first,
-                   &last,
-                   &fence,
-                   &target,
-                   &born,
-                   &address)
-      != 0)
+  if (json_unpack ((json_t *)value, "[o,o,I]", &target, &address, &born) != 0)
     return false;
-  *run = (key_run_t){ .first = (uint32_t)first,
-                      .last = (uint32_t)last,
-                      .fence = (uint64_t)fence,
-                      .born = (uint64_t)born };
-  return first >= 0 && last >= first && last <= KEY_LAST && fence > 0 && born >= 0
-         && json_string_length (target) > 0 && json_string_length (address) > 0
+  run->born = (uint64_t)born;
+  return born >= 0 && json_string_length (target) > 0 && json_string_length (address) > 0
          && name_set (&run->target, json_text (target))
          && name_set (&run->address, json_text (address));
 }
 
+static bool
+read_run (const json_t *value, const json_t *owners, key_run_t *run)
+{
+  json_int_t first, fence, owner;
+
+  *run = (key_run_t){ 0 };
+  if (json_unpack ((json_t *)value, "[I,I,I]", &first, &fence, &owner) != 0 || first < 0
+      || first > KEY_LAST || fence <= 0 || owner < 0)
+    return false;
+  run->first = (uint32_t)first;
+  run->fence = (uint64_t)fence;
+  return read_owner (json_array_get (owners, (size_t)owner), run);
+}
+
 status_t
 key_rows_read_table (key_table_t *table, text_t bytes, fault_t *fault)
 {
   json_error_t error;
   json_t *root = json_loadb (bytes.at, bytes.len, 0, &error);
+  const json_t *owners = json_object_get (root, "owners");
   const json_t *runs = json_object_get (root, "runs");
-  uint32_t next = 0;
   status_t status = STATUS_OK;
   size_t i;
   json_t *value;
@@ -75,16 +104,20 @@
   json_array_foreach (runs, i, value)
     {
       key_run_t run;
-      if (!read_run (value, &run) || run.first != next)
+      key_run_t *before = i > 0 ? &g_array_index (table->runs, key_run_t, i - 1) : NULL;
+      if (!read_run (value, owners, &run)
+          || (before == NULL ? run.first != 0 : run.first <= before->first))
         {
           status = fault_raise (fault, STATUS_DECODE, "run %zu is malformed", i);
           break;
         }
-      next = run.last + 1;
+      if (before != NULL)
+        before->last = run.first - 1;
+      run.last = KEY_LAST;
       g_array_append_val (table->runs, run);
     }
-  if (status == STATUS_OK && next != KEY_LAST + 1)
-    status = fault_raise (fault, STATUS_DECODE, "the runs end at key %u", next);
+  if (status == STATUS_OK && table->runs->len == 0)
+    status = fault_raise (fault, STATUS_DECODE, "there are no runs");
   json_decref (root);
   return status;
 }
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -281,6 +281,8 @@
     return;
   service->known = true;
   service->committing = false;
+  if (msg->unreadable)
+    service->joined_at = now + msg->held_for; /* nobody holds a key by then */
   service->wants_fences = msg->table != NULL && msg->held_for > 0;
   g_array_set_size (service->spans, 0);
   for (guint i = 0; msg->table != NULL && i < msg->table->runs->len; i++)
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -48,6 +48,7 @@
   const GArray *targets;    /* TARGETS: target_entry_t */
   const key_table_t *table; /* TABLE */
   msec_t held_for;          /* TABLE: no grant of a predecessor lasts longer */
+  bool unreadable;          /* TABLE: there is one, which can't be read */
   name_t service;           /* TABLE, and of GRANTED to FAILED */
   uint32_t first;           /* GRANTED to FAILED: the run's first key */
   uint64_t fence;           /* GRANTED to FAILED */
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -400,6 +400,27 @@
   end (&world);
 }
 
+/* Whoever the lost table named may still hold its keys. */
+static void
+test_keys_of_an_unreadable_table_rest_before_they_are_given_out (void **state)
+{
+  world_t world;
+
+  (void)state;
+  begin (&world, 2);
+  hold_role (&world);
+  tell (&world,
+        (keys_msg_t){ .kind = KEYS_TABLE, .unreadable = true, .held_for = HOLD_MAX });
+  while (world.now < START + HOLD_MAX)
+    {
+      assert_int_equal (world.out->len, 0);
+      world.now += 50;
+      hold_role (&world);
+    }
+  assert_true (run_until (&world, KEYS_COMMIT, START + HOLD_MAX + 2 * KEYS_SETTLE_MS));
+  end (&world);
+}
+
 static void
 test_a_resigning_granter_makes_one_long_round_and_moves_nothing (void **state)
 {
@@ -459,6 +480,7 @@
     cmocka_unit_test (
         test_a_successor_has_a_leaver_refuse_old_grants_before_it_moves_keys),
     cmocka_unit_test (test_a_successor_lets_keys_rest_that_an_unlisted_owner_gives_back),
+    cmocka_unit_test (test_keys_of_an_unreadable_table_rest_before_they_are_given_out),
   };
 
   return cmocka_run_group_tests_name ("keys", tests, NULL, NULL);
