Reset connections whose call is given up, so that no grant arrives late

What the code allowed: a grant that got no answer for 1.2 s was given up by closing its connection in order, after which the kernel goes on sending it; when a broken link is back it arrives, long after its granter's role.

Ruled out: TCP_USER_TIMEOUT alone (it drops such bytes after 1.2 s as well, but not those of a connection that the link came back for just before).

Change: connections to the store and to targets' grants are reset unless their last call ended whole; so are sends that are given up.

Tests: unit httpc a_call_that_is_given_up_resets_its_connection failed before.

--- a/packages/http/sockets.c
+++ b/packages/http/sockets.c
@@ -16,3 +16,12 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap_s, sizeof gap_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
+
+void
+socket_reset_at_close (evutil_socket_t fd, bool reset)
+{
+  const struct linger none = { .l_onoff = reset, .l_linger = 0 };
+
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
--- a/packages/http/sockets.h
+++ b/packages/http/sockets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <event2/util.h>
+#include <stdbool.h>
 
 /*
  * SOCKETS: options of every TCP connection.
@@ -10,3 +11,9 @@
  * that one which has gone silent is noticed.
  */
 void socket_tune (evutil_socket_t fd, unsigned silent_ms);
+
+/*
+ * Whether closing FD resets the connection: bytes that were written and not delivered are
+ * then dropped instead of arriving when a broken link is back.
+ */
+void socket_reset_at_close (evutil_socket_t fd, bool reset);
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -56,6 +56,16 @@
   event_active (pool->reaper, EV_TIMEOUT, 0);
 }
 
+/* Nothing is under way on the connection, so that its end needs no reset. */
+static void
+end_in_order (httpc_conn_t *conn)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (conn->evcon);
+
+  socket_reset_at_close (bufferevent_getfd (bev), false);
+  bury (conn);
+}
+
 static void
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *arg)
 {
@@ -68,7 +78,12 @@
       evutil_socket_t fd
           = bufferevent_getfd (evhttp_connection_get_bufferevent (self->evcon));
       if (fd >= 0)
-        socket_tune (fd, (unsigned)self->pool->timeout);
+        {
+          socket_tune (fd, (unsigned)self->pool->timeout);
+          /* A call that is given up must not arrive later: its time may be over by then.
+           * The library closes the socket before it tells of a failure. */
+          socket_reset_at_close (fd, true);
+        }
       self->tuned = fd >= 0;
     }
   if (info->n_added > 0)
@@ -147,7 +162,7 @@
 
   if (value != NULL && g_ascii_strcasecmp (value, "close") == 0)
     {
-      bury (self);
+      end_in_order (self);
       return;
     }
   self->ops = NULL;
@@ -270,6 +285,7 @@
 void
 httpc_pool_finish (httpc_pool_t *self)
 {
+  httpc_pool_close_idle (self);
   GList *open = g_hash_table_get_keys (self->open);
 
   for (GList *at = open; at != NULL; at = at->next)
@@ -288,7 +304,7 @@
   httpc_conn_t *conn;
 
   while ((conn = g_queue_pop_head (&self->idle)) != NULL)
-    bury (conn);
+    end_in_order (conn);
 }
 
 struct evhttp_request *
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -1,6 +1,7 @@
 #include "../httpc.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <cmocka.h>
@@ -19,6 +20,7 @@
   bool stays; /* open after the answer */
   bool answers_twice;
   int client;
+  int last_error; /* of the connection's end; 0: it was closed in order */
 } server_t;
 
 typedef struct
@@ -48,8 +50,17 @@
   if (!self->stays)
     shutdown (self->client, SHUT_RDWR);
   /* Until the caller closes. */
-  while (recv (self->client, bytes, sizeof bytes, 0) > 0)
+  ssize_t got;
+  while ((got = recv (self->client, bytes, sizeof bytes, 0)) > 0)
     ;
+  self->last_error = got < 0 ? errno : 0;
+  if (self->stays && self->last_error == 0)
+    {
+      /* A reset may follow the end of the bytes. */
+      socklen_t len = sizeof self->last_error;
+      usleep (50 * 1000);
+      getsockopt (self->client, SOL_SOCKET, SO_ERROR, &self->last_error, &len);
+    }
   close (self->client);
   return NULL;
 }
@@ -201,6 +212,23 @@
   expect_failure ("HTTP/1.1 2", false, false, HTTPC_LOST);
 }
 
+/* Bytes of a call that was given up must not arrive once a broken link is back. */
+static void
+test_a_call_that_is_given_up_resets_its_connection (void **state)
+{
+  server_t silent = { .stays = true };
+  server_t whole = { .answer = SIZED "hello", .stays = true };
+  caller_t caller = { 0 };
+
+  (void)state;
+  call_server (&caller, &silent);
+  assert_int_equal (caller.failure, HTTPC_SILENT);
+  assert_int_not_equal (silent.last_error, 0);
+  call_server (&caller, &whole);
+  assert_true (caller.done);
+  assert_int_equal (whole.last_error, 0);
+}
+
 static void
 test_silent_connection (void **state)
 {
@@ -247,6 +275,7 @@
     cmocka_unit_test (test_cut_answers),
     cmocka_unit_test (test_lost_before_the_head),
     cmocka_unit_test (test_silent_connection),
+    cmocka_unit_test (test_a_call_that_is_given_up_resets_its_connection),
     cmocka_unit_test (test_refused_connection_sent_nothing),
     cmocka_unit_test (test_connection_is_used_again),
   };
--- a/packages/proxy/call.c
+++ b/packages/proxy/call.c
@@ -24,6 +24,14 @@
   return exchange;
 }
 
+/* Closes the connection; what is still to be delivered of a request never arrives. */
+static void
+drop (call_t *self)
+{
+  socket_reset_at_close (bufferevent_getfd (self->bev), true);
+  call_free (self);
+}
+
 /* What a failed send says of its target besides. */
 typedef enum
 {
@@ -55,7 +63,7 @@
                   msg.sent,
                   exchange->request.sends,
                   (long long)(msclock_now (&proxy->clock) - exchange->request.sent_at));
-  call_free (self);
+  drop (self);
   proxy_decide (proxy, &msg);
 }
 
@@ -475,5 +483,5 @@
 call_cancel (call_t *self)
 {
   detach (self);
-  call_free (self);
+  drop (self);
 }
