--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -218,10 +218,11 @@
 void
 feed_step (feed_t *self)
 {
-  if (self->resting && self->ops->wanted (self->owner))
-    feed_wake (self);
-  else if (self->defer_until != 0
-           && (now_ms () >= self->defer_until || !is_deferred (self)))
+  bool wanted = self->resting && self->ops->wanted (self->owner);
+  bool waited
+      = self->defer_until != 0 && (now_ms () >= self->defer_until || !is_deferred (self));
+
+  if (wanted || waited)
     feed_wake (self);
 }
 
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -201,7 +201,7 @@
 #define KEYS_RENEW_MS 1000        /* three renewals may be lost before a grant runs out */
 #define KEYS_SLOW_CLOCK_PERCENT 2 /* a target's clock may run so much slow */
 #define KEYS_MARGIN_MS 100        /* a grant's bytes on the way */
-#define KEYS_FENCE_HOLD_MS 200 /* of a grant that only has a new fence seen */
+#define KEYS_FENCE_HOLD_MS 200    /* of a grant that only has a new fence seen */
 #define KEYS_SETTLE_MS 1200       /* first split: no target joined for so long */
 #define KEYS_RETRY_MS 150         /* between tries of a call that failed */
 /* Before the role ends the longest holds are granted, to outlast a store that is away. */
@@ -278,8 +278,8 @@
 #define SPREAD_BUSY_MS 200
 
 /* Feeds of the store's tables. */
-/* A feed tries the store by itself after so long, should another's tries fail for a reason
- * of their own. */
+/* A feed tries the store by itself after so long, should another's tries fail for a
+ * reason of their own. */
 #define FEED_DEFER_MAX_MS 2000
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
 #define FEED_BEHIND_MS 400 /* a feed that missed a change for so long asks the store */
--- a/packages/directory/key_table.c
+++ b/packages/directory/key_table.c
@@ -73,44 +73,34 @@
   return a->first <= b->last && b->first <= a->last;
 }
 
+static bool
+is_touched (const key_run_t *run, const key_table_t *changes)
+{
+  for (guint i = 0; i < changes->runs->len; i++)
+    if (overlap (run, run_at (changes, i)))
+      return true;
+  return false;
+}
+
+static int
+by_first (const void *left, const void *right)
+{
+  const key_run_t *a = left, *b = right;
+
+  return a->first < b->first ? -1 : a->first > b->first;
+}
+
 /* The runs of SELF that CHANGES doesn't touch, and those of CHANGES, ascending. */
 static GArray *
 merge (const key_table_t *self, const key_table_t *changes)
 {
   GArray *runs = g_array_new (FALSE, TRUE, sizeof (key_run_t));
-  guint old = 0, new = 0;
 
-  while (old < self->runs->len || new < changes->runs->len)
-    {
-      const key_run_t *kept = old < self->runs->len ? run_at (self, old) : NULL;
-      const key_run_t *changed = new < changes->runs->len ? run_at (changes, new) : NULL;
-      if (kept != NULL && changed != NULL && overlap (kept, changed))
-        {
-          /* The one that ends first can touch no later run of the other table. */
-          if (kept->last <= changed->last)
-            old++;
-          else
-            {
-              g_array_append_vals (runs, changed, 1);
-              new ++;
-              /* What is left of KEPT beyond CHANGED has to be in CHANGES as well. */
-            }
-        }
-      else if (changed == NULL || (kept != NULL && kept->first < changed->first))
-        {
-          bool touched
-              = runs->len > 0
-                && g_array_index (runs, key_run_t, runs->len - 1).last >= kept->first;
-          if (!touched)
-            g_array_append_vals (runs, kept, 1);
-          old++;
-        }
-      else
-        {
-          g_array_append_vals (runs, changed, 1);
-          new ++;
-        }
-    }
+  for (guint i = 0; i < self->runs->len; i++)
+    if (!is_touched (run_at (self, i), changes))
+      g_array_append_vals (runs, run_at (self, i), 1);
+  g_array_append_vals (runs, changes->runs->data, changes->runs->len);
+  g_array_sort (runs, by_first);
   return runs;
 }
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -2,6 +2,7 @@
 
 #include "dispatch_parts.h"
 #include "losses.h"
+#include "repeats.h"
 #include "services.h"
 #include "targets.h"
 #include "waits.h"
@@ -14,45 +15,14 @@
   g_array_append_val (out, *one);
 }
 
-/* The owner whose room REQUEST waits for is now OWNER, or -1. */
-static void
-wait_at (dispatch_t *self, dispatch_request_t *request, int32_t owner)
-{
-  if (request->owner == owner)
-    return;
-  if (request->owner >= 0)
-    {
-      dispatch_target_t *before = target_at (self, (uint32_t)request->owner);
-      before->waiting -= before->waiting > 0 ? 1 : 0; /* its place may be another's now */
-    }
-  request->owner = owner;
-  if (owner >= 0)
-    target_at (self, (uint32_t)owner)->waiting++;
-}
-
 static void
 leave_queue (dispatch_t *self, dispatch_request_t *request)
 {
-  wait_at (self, request, -1);
+  waits_at (self, request, -1);
   if (request->state == REQUEST_WAITING)
     g_queue_unlink (&service_at (self, request->service)->waiting, &request->link);
 }
 
-/*
- * Whether a request that finds no room at its key's owner would wait in vain: the last
- * one did, and another waits to see whether that has changed.
- */
-static bool
-is_crowded_out (const dispatch_t *self, const dispatch_request_t *request, int32_t owner)
-{
-  const dispatch_target_t *target;
-
-  if (owner < 0 || request->state == REQUEST_WAITING)
-    return false;
-  target = target_at (self, (uint32_t)owner);
-  return target->crowded && target->waiting > 0;
-}
-
 static void
 leave_target (dispatch_t *self, dispatch_request_t *request)
 {
@@ -163,8 +133,7 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_NOT_TAKEN, now, out);
-  else if (is_crowded_out (self, request, owner)
-           || waits_is_hopeless (self, request, now))
+  else if (waits_in_vain (self, request, owner) || waits_is_hopeless (self, request, now))
     end (self, request, reason, now, out);
   else if (now >= waits_patience (self, request, reason))
     {
@@ -174,7 +143,7 @@
     }
   else
     {
-      wait_at (self, request, owner);
+      waits_at (self, request, owner);
       wait_for (self,
                 request,
                 reason,
@@ -311,27 +280,6 @@
   emit (out, &out_deliver);
 }
 
-/* A failure that another target may do better, while there is time and budget. */
-static bool
-is_worth_again (dispatch_t *self, const dispatch_request_t *request, msec_t now)
-{
-  dispatch_service_t *service = service_at (self, request->service);
-
-  return request->kind != KIND_MUTATING && !request->keyed && !request->once
-         && request->runs < request->runs_max && request->sends < DISPATCH_SENDS_MAX
-         && now + service->work_ms < request->deadline
-         && budget_left (&service->budget, now) > 0;
-}
-
-/* A newer table than the one that named the owner is tried at once, or when it comes. */
-static msec_t
-owner_pause (const dispatch_t *self, const dispatch_request_t *request)
-{
-  uint64_t newest = service_at (self, request->service)->keys.version;
-
-  return newest > request->key_version ? DISPATCH_GRANT_MS : DISPATCH_OWNER_RETRY_MS;
-}
-
 static void
 answered (dispatch_t *self, const dispatch_msg_t *msg, msec_t now, GArray *out)
 {
@@ -346,7 +294,7 @@
       dispatch_service_t *of = service_at (self, service);
       of->work_ms = (of->work_ms * 15 + target->work_ms) / 16;
       losses_clear (self, request, now, out);
-      if (msg->status >= 500 && is_worth_again (self, request, now))
+      if (msg->status >= 500 && repeats_are_worth (self, request, now))
         send_again (self, request, REASON_LOST, now, now, out);
       else
         deliver (request, out);
@@ -359,7 +307,7 @@
       send_again (self,
                   request,
                   msg->answer == ANSWER_FULL ? REASON_OVERLOAD : REASON_NO_OWNER,
-                  request->keyed ? now + owner_pause (self, request) : now,
+                  request->keyed ? now + repeats_pause (self, request) : now,
                   now,
                   out);
     }
@@ -385,7 +333,7 @@
   send_again (self,
               request,
               msg->sent ? REASON_LOST : REASON_NO_TARGET,
-              request->keyed ? now + owner_pause (self, request) : now,
+              request->keyed ? now + repeats_pause (self, request) : now,
               now,
               out);
   pump (self, service, now, out);
@@ -425,25 +373,6 @@
     pump (self, service, now, out);
 }
 
-/* Whether the answer is taken for lost, and a send to another target promises more. */
-static bool
-is_silent (dispatch_t *self, const dispatch_request_t *request, msec_t now)
-{
-  dispatch_reason_t reason;
-  dispatch_request_t probe = *request;
-
-  if (self->draining || request->kind == KIND_MUTATING || request->keyed || request->once
-      || request->runs >= request->runs_max
-      || now < waits_silent_from (self, request, now))
-    return false;
-  probe.last_failed = request->target;
-  int other = targets_pick (self, &probe, now, &reason);
-  return other >= 0 && other != request->target
-         && now + target_expected (target_at (self, (uint32_t)other), now)
-                < request->deadline
-         && budget_left (&service_at (self, request->service)->budget, now) > 0;
-}
-
 /* A waiting request looks again; one that was sent has waited long enough. */
 static void
 come_due (dispatch_t *self, dispatch_request_t *request, msec_t now, GArray *out)
@@ -457,7 +386,7 @@
       cancel (self, request, out);
       end (self, request, REASON_TIME, now, out);
     }
-  else if (is_silent (self, request, now))
+  else if (repeats_silent (self, request, now))
     {
       target_silent (target_at (self, (uint32_t)request->target), now);
       cancel (self, request, out);
--- a/packages/dispatch/waits.c
+++ b/packages/dispatch/waits.c
@@ -63,3 +63,29 @@
 
   return now + work / 2 >= request->deadline;
 }
+
+void
+waits_at (dispatch_t *self, dispatch_request_t *request, int32_t owner)
+{
+  if (request->owner == owner)
+    return;
+  if (request->owner >= 0)
+    {
+      dispatch_target_t *before = target_at (self, (uint32_t)request->owner);
+      before->waiting -= before->waiting > 0 ? 1 : 0; /* its place may be another's now */
+    }
+  request->owner = owner;
+  if (owner >= 0)
+    target_at (self, (uint32_t)owner)->waiting++;
+}
+
+bool
+waits_in_vain (const dispatch_t *self, const dispatch_request_t *request, int32_t owner)
+{
+  const dispatch_target_t *target;
+
+  if (owner < 0 || request->state == REQUEST_WAITING)
+    return false;
+  target = target_at (self, (uint32_t)owner);
+  return target->crowded && target->waiting > 0;
+}
--- a/packages/dispatch/waits.h
+++ b/packages/dispatch/waits.h
@@ -31,3 +31,13 @@
 /* Whether the work on a request that begins now can't end by its deadline. */
 bool
 waits_is_hopeless (const dispatch_t *self, const dispatch_request_t *request, msec_t now);
+
+/* The owner whose room REQUEST waits for is now OWNER, or -1. */
+void waits_at (dispatch_t *self, dispatch_request_t *request, int32_t owner);
+
+/*
+ * Whether a request that finds no room at its key's owner would wait in vain: the last
+ * one did, and another waits to see whether that has changed.
+ */
+bool
+waits_in_vain (const dispatch_t *self, const dispatch_request_t *request, int32_t owner);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -1,5 +1,6 @@
 #include "keys.h"
 
+#include "key_commits.h"
 #include "key_plan.h"
 
 static key_service_t *
@@ -135,79 +136,6 @@
     }
 }
 
-/* Asks for the commit of the runs as they are, under their new fences. */
-static void
-emit_commit (const keys_t *self, const key_service_t *service, GArray *out)
-{
-  keys_out_t commit
-      = { .kind = KEYS_COMMIT, .service = service->name, .next_fence = self->next_fence };
-
-  key_table_init (&commit.table, name_text (&service->name));
-  for (guint i = 0; i < service->spans->len; i++)
-    {
-      const key_span_t *span = span_at (service, i);
-      key_run_t run = { .first = span->first,
-                        .last = span->last,
-                        .fence = span->new_fence != 0 ? span->new_fence : span->fence,
-                        .target = span->owner,
-                        .address = span->address,
-                        .born = span->born };
-      g_array_append_val (commit.table.runs, run);
-    }
-  g_array_append_val (out, commit);
-}
-
-/* Gives free runs to targets and asks for the commit. */
-static void
-commit_free (keys_t *self, key_service_t *service, GArray *out)
-{
-  bool any = false;
-
-  if (service->committing)
-    return;
-  for (guint i = 0; i < service->spans->len; i++)
-    {
-      key_span_t *span = span_at (service, i);
-      if (span->state != RUN_FREE)
-        continue;
-      const target_entry_t *next = key_plan_find (self, &span->next);
-      if (!key_plan_usable (next, service))
-        {
-          if (!key_plan_owner (self, service, &span->next))
-            return; /* no target is left */
-          next = key_plan_find (self, &span->next);
-        }
-      span->state = RUN_COMMITTING;
-      span->owner_before = span->owner;
-      span->fence_before = span->fence;
-      span->born_before = span->born;
-      span->owner = span->next;
-      span->born = next->born;
-      span->address = next->address;
-      span->fence = self->next_fence++;
-      span->warm = false;
-      any = true;
-    }
-  if (!any)
-    return;
-  service->committing = true;
-  emit_commit (self, service, out);
-}
-
-/* Asks for the commit of new fences for the owners as they are. */
-static void
-commit_fences (keys_t *self, key_service_t *service, GArray *out)
-{
-  if (service->committing || !service->wants_fences)
-    return;
-  service->wants_fences = false;
-  service->committing = true;
-  for (guint i = 0; i < service->spans->len; i++)
-    if (span_at (service, i)->inherited)
-      span_at (service, i)->new_fence = self->next_fence++;
-  emit_commit (self, service, out);
-}
-
 static void
 step_service (keys_t *self, key_service_t *service, msec_t now, GArray *out)
 {
@@ -227,8 +155,8 @@
     }
   if (self->resigning || !may_grant (self, now))
     return;
-  commit_fences (self, service, out);
-  commit_free (self, service, out);
+  key_commits_fences (self, service, out);
+  key_commits_free (self, service, out);
 }
 
 static void
@@ -303,62 +231,6 @@
     }
 }
 
-static void
-committed (key_service_t *service)
-{
-  service->committing = false;
-  for (guint i = 0; i < service->spans->len; i++)
-    {
-      key_span_t *span = span_at (service, i);
-      if (span->new_fence != 0)
-        {
-          /* Answers to calls under the old fence say nothing any more. */
-          span->fence = span->new_fence;
-          span->new_fence = 0;
-          span->calling = false;
-          span->call_after = 0;
-        }
-      if (span->state != RUN_COMMITTING)
-        continue;
-      span->state = RUN_HELD;
-      span->inherited = false;
-      span->call_after = 0;
-      span->held_until = 0;
-      span->doubt_until = 0;
-      span->last_hold = 0;
-    }
-}
-
-/* Gives runs that were released back to their owners, as the store still says; what their
- * owners can't take stays free for the next commit. */
-static void
-not_committed (keys_t *self, key_service_t *service)
-{
-  service->committing = false;
-  for (guint i = 0; i < service->spans->len; i++)
-    {
-      key_span_t *span = span_at (service, i);
-      service->wants_fences |= span->new_fence != 0;
-      span->new_fence = 0;
-      if (span->state != RUN_COMMITTING)
-        continue;
-      const target_entry_t *before = key_plan_find (self, &span->owner_before);
-      if (!span->released || !key_plan_usable (before, service)
-          || before->born != span->born_before)
-        {
-          span->state = RUN_FREE;
-          span->next.len = 0;
-          continue;
-        }
-      span->state = RUN_HELD;
-      span->owner = span->owner_before;
-      span->address = before->address;
-      span->fence = span->fence_before;
-      span->born = span->born_before;
-      span->call_after = 0;
-    }
-}
-
 static void
 call_ended (keys_t *self, const keys_msg_t *msg, msec_t now)
 {
@@ -461,11 +333,11 @@
       break;
     case KEYS_COMMITTED:
       if (service != NULL)
-        committed (service);
+        key_commits_done (service);
       break;
     case KEYS_NOT_COMMITTED:
       if (service != NULL)
-        not_committed (self, service);
+        key_commits_refused (self, service);
       break;
     case KEYS_GRANTED:
     case KEYS_REFUSED:
--- /dev/null
+++ b/tests/grants/sim.c
@@ -0,0 +1,367 @@
+#include "sim.h"
+
+#include <stdio.h>
+#include <string.h>
+
+sim_t *sim;
+name_t service;
+
+const int sim_options[] = { [POINT_STORE] = STORE_OPTIONS,
+                            [POINT_ORDER] = ORDER_OPTIONS,
+                            [POINT_HOST] = HOST_OPTIONS };
+
+void
+sim_found (const char *what, guint target, uint32_t key)
+{
+  if (sim->fault[0] == 0)
+    g_snprintf (sim->fault,
+                sizeof sim->fault,
+                "%s: target %u, key %u, at %lld ms",
+                what,
+                target,
+                key,
+                (long long)sim->now);
+}
+
+int
+sim_choose (point_kind_t kind)
+{
+  guint point;
+
+  if (sim->now < WINDOW_FROM_MS || sim->now >= WINDOW_TO_MS
+      || sim->next_point == POINTS_MAX)
+    return 0;
+  point = sim->next_point++;
+  sim->kinds[point] = kind;
+  for (guint i = 0; i < sim->n_deviations; i++)
+    if (sim->deviations[i].point == point)
+      return sim->deviations[i].option;
+  return 0;
+}
+
+sim_event_t *
+sim_schedule (event_kind_t kind, guint host, msec_t after)
+{
+  sim_event_t *event = g_new0 (sim_event_t, 1);
+
+  event->kind = kind;
+  event->at = sim->now + after;
+  event->host = host;
+  event->life = sim->hosts[host].life;
+  g_ptr_array_add (sim->events, event);
+  return event;
+}
+
+static void
+free_event (sim_event_t *event)
+{
+  if (event->role != NULL)
+    g_string_free (event->role, TRUE);
+  if (event->keys != NULL)
+    g_string_free (event->keys, TRUE);
+  if (event->reply.rows != NULL)
+    g_array_unref (event->reply.rows);
+  g_free (event);
+}
+
+static void
+tell_targets (host_t *host)
+{
+  GArray *listed = g_array_new (FALSE, TRUE, sizeof (target_entry_t));
+  keys_msg_t msg = { .kind = KEYS_TARGETS, .targets = listed };
+
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      const target_t *target = &sim->targets[i];
+      target_entry_t entry = { .service = service,
+                               .born = target->born,
+                               .slots = 3,
+                               .leaving = target->leaving };
+      char id[2] = { (char)('a' + i), 0 };
+      name_set (&entry.id, text_from_c (id));
+      name_set (&entry.address, TEXT ("127.0.0.1:9"));
+      if (target->listed)
+        g_array_append_val (listed, entry);
+    }
+  grants_tell (&host->coordinator, &msg);
+  g_array_unref (listed);
+}
+
+static void
+start_host (host_t *host, const router_settings_t *settings)
+{
+  coordinator_t *self = &host->coordinator;
+  keys_msg_t services = { .kind = KEYS_SERVICES };
+  store_t *store = &host->store;
+
+  host->up = true;
+  host->life++;
+  store->ops = &sim_store_ops;
+  *self = (coordinator_t){ .settings = settings,
+                           .deployment = &sim_deployment,
+                           .base = event_base_new (),
+                           .store = store,
+                           .life = host->life,
+                           .has_directory = true,
+                           .hosts = HOSTS,
+                           .out = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
+  msclock_init_settable (&self->clock, sim->now);
+  rng_init (&self->rng, host->index);
+  keys_init (&self->keys, HOLD_MAX_MS);
+  news_init (self);
+  g_queue_init (&self->role.tables);
+  self->role.next_look = sim->now + host->index * 100;
+  self->reporters = g_hash_table_new (g_str_hash, g_str_equal);
+  self->configuration.retry = evtimer_new (self->base, NULL, NULL);
+  self->targets.retry = evtimer_new (self->base, NULL, NULL);
+  self->owners.retry = evtimer_new (self->base, NULL, NULL);
+  self->configuration.after = g_string_new (NULL);
+  self->targets.after = g_string_new (NULL);
+  self->owners.after = g_string_new (NULL);
+  self->targets.watching = self->owners.watching = true;
+  g_array_append_val (self->keyed, service);
+  services.names = self->keyed;
+  sim->acting = host->index;
+  grants_tell (self, &services);
+  tell_targets (host);
+}
+
+static void
+stop_host (host_t *host)
+{
+  coordinator_t *self = &host->coordinator;
+  key_table_t *table;
+
+  if (!host->up)
+    return;
+  host->up = false;
+  if (self->role.write.has_table)
+    key_table_finish (&self->role.write.table);
+  while ((table = g_queue_pop_head (&self->role.tables)) != NULL)
+    {
+      key_table_finish (table);
+      g_free (table);
+    }
+  grants_finish (self);
+  owners_finish (self);
+  news_finish (self);
+  keys_finish (&self->keys);
+  g_array_unref (self->out);
+  g_hash_table_unref (self->reporters);
+  event_base_free (self->base);
+}
+
+static void
+step_host (host_t *host)
+{
+  coordinator_t *self = &host->coordinator;
+  keys_msg_t tick = { .kind = KEYS_TICK };
+
+  if (!host->up || sim->now < host->frozen_until)
+    return;
+  sim->acting = host->index;
+  msclock_set (&self->clock, sim->now);
+  role_step (self, sim->now);
+  if (self->role.state != ROLE_HELD)
+    return;
+  grants_tell (self, &tick);
+  role_step (self, sim->now);
+}
+
+static void
+harm_host (host_t *host)
+{
+  int option = sim_choose (POINT_HOST);
+
+  if (option == HOST_FROZEN)
+    host->frozen_until = sim->now + FREEZE_MS;
+  if (option != HOST_KILLED)
+    return;
+  stop_host (host);
+  host->starts_at = sim->now + RESTART_MS;
+}
+
+static void
+turn (void)
+{
+  target_t *first = &sim->targets[0];
+
+  switch (sim->scenario)
+    {
+    case SCENARIO_LEAVE:
+      first->leaving = true;
+      break;
+    case SCENARIO_REBORN:
+      first->born++;
+      g_array_set_size (first->holds, 0);
+      memset (first->seen, 0, sizeof first->seen);
+      break;
+    case SCENARIO_JOIN:
+      sim->targets[2].listed = true;
+      break;
+    case SCENARIO_RESIGN:
+      for (guint i = 0; i < HOSTS; i++)
+        if (sim->hosts[i].up && sim->hosts[i].coordinator.role.state == ROLE_HELD)
+          {
+            coordinator_t *self = &sim->hosts[i].coordinator;
+            keys_msg_t resign = { .kind = KEYS_RESIGN };
+            sim->acting = i;
+            msclock_set (&self->clock, sim->now);
+            grants_tell (self, &resign);
+            self->stopping = true;
+            role_resign (self, sim->now);
+          }
+      break;
+    case SCENARIO_CALM:
+    case SCENARIOS:
+      break;
+    }
+  for (guint i = 0; i < HOSTS; i++)
+    if (sim->hosts[i].up)
+      {
+        sim->acting = i;
+        tell_targets (&sim->hosts[i]);
+      }
+}
+
+/* Events. */
+
+static void
+handle (sim_event_t *event)
+{
+  host_t *host = &sim->hosts[event->host];
+  bool heard = host->up && host->life == event->life;
+
+  switch (event->kind)
+    {
+    case EVENT_STORE:
+      {
+        store_reply_t reply = { 0 };
+        sim_store_execute (event, &reply);
+        if (event->done == NULL)
+          {
+            g_array_unref (reply.rows);
+            break;
+          }
+        sim_event_t *answer = sim_schedule (EVENT_STORE_ANSWER, event->host, WAY_MS);
+        answer->life = event->life;
+        answer->done = event->done;
+        answer->owner = event->owner;
+        answer->reply = reply;
+        break;
+      }
+    case EVENT_ORDER:
+      {
+        order_outcome_t outcome = sim_take_order (event);
+        if (event->order_done == NULL)
+          break;
+        sim_event_t *answer = sim_schedule (EVENT_ORDER_ANSWER, event->host, WAY_MS);
+        answer->life = event->life;
+        answer->order_done = event->order_done;
+        answer->owner = event->owner;
+        answer->outcome = outcome;
+        break;
+      }
+    case EVENT_STORE_ANSWER:
+    case EVENT_ORDER_ANSWER:
+      if (!heard)
+        break;
+      sim->acting = event->host;
+      msclock_set (&host->coordinator.clock, sim->now);
+      if (event->kind == EVENT_STORE_ANSWER)
+        event->done (event->owner, &event->reply);
+      else
+        event->order_done (event->owner, event->outcome, true, TEXT ("warm"));
+      break;
+    }
+}
+
+/* Handles what is due, in the order of its time; a frozen host hears nothing. */
+static void
+handle_due (void)
+{
+  for (;;)
+    {
+      sim_event_t *next = NULL;
+      for (guint i = 0; i < sim->events->len; i++)
+        {
+          sim_event_t *event = g_ptr_array_index (sim->events, i);
+          bool answer
+              = event->kind == EVENT_STORE_ANSWER || event->kind == EVENT_ORDER_ANSWER;
+          if (event->at <= sim->now && (next == NULL || event->at < next->at)
+              && !(answer && sim->now < sim->hosts[event->host].frozen_until))
+            next = event;
+        }
+      if (next == NULL)
+        return;
+      g_ptr_array_remove (sim->events, next);
+      handle (next);
+      free_event (next);
+    }
+}
+
+static bool
+is_held (uint32_t key)
+{
+  for (guint i = 0; i < TARGETS; i++)
+    for (guint j = 0; j < sim->targets[i].holds->len; j++)
+      {
+        const hold_t *hold = &g_array_index (sim->targets[i].holds, hold_t, j);
+        if (hold->first <= key && key <= hold->last && hold->until > sim->now)
+          return true;
+      }
+  return false;
+}
+
+void
+sim_play (sim_t *self, const router_settings_t *settings)
+{
+  bool turned = false;
+
+  sim = self;
+  self->now = 1000;
+  self->events = g_ptr_array_new ();
+  self->role.bytes = g_string_new (NULL);
+  self->keys.bytes = g_string_new (NULL);
+  for (guint i = 0; i < TARGETS; i++)
+    self->targets[i] = (target_t){ .listed = i < 2,
+                                   .born = 1,
+                                   .holds = g_array_new (FALSE, TRUE, sizeof (hold_t)) };
+  for (guint i = 0; i < HOSTS; i++)
+    {
+      self->hosts[i].index = i;
+      start_host (&self->hosts[i], &settings[i]);
+    }
+  while (self->now < END_MS && self->fault[0] == 0)
+    {
+      self->now += WAY_MS;
+      handle_due ();
+      if (!turned && self->now >= TURN_MS)
+        {
+          turned = true;
+          turn ();
+        }
+      for (guint i = 0; i < HOSTS; i++)
+        {
+          host_t *host = &self->hosts[i];
+          if (self->now % MARK_MS == 0)
+            harm_host (host);
+          if (!host->up && self->now >= host->starts_at)
+            start_host (host, &settings[i]);
+          if (self->now % STEP_MS == 0)
+            step_host (host);
+        }
+    }
+  for (uint32_t key = 0; key <= KEY_LAST; key += 4095)
+    if (!is_held (key))
+      sim_found ("held by none at the end", TARGETS, key);
+  for (guint i = 0; i < HOSTS; i++)
+    stop_host (&self->hosts[i]);
+  for (guint i = 0; i < self->events->len; i++)
+    free_event (g_ptr_array_index (self->events, i));
+  g_ptr_array_unref (self->events);
+  for (guint i = 0; i < TARGETS; i++)
+    g_array_unref (self->targets[i].holds);
+  g_string_free (self->role.bytes, TRUE);
+  g_string_free (self->keys.bytes, TRUE);
+}
--- /dev/null
+++ b/tests/grants/sim_store.c
@@ -0,0 +1,111 @@
+#include "sim.h"
+
+static void
+clear_row (void *item)
+{
+  g_string_free (((store_row_t *)item)->key, TRUE);
+  g_string_free (((store_row_t *)item)->value, TRUE);
+}
+
+static void
+add_row (GArray *rows, const char *key, const row_t *row)
+{
+  store_row_t copy = { .key = g_string_new (key), .version = row->version };
+
+  copy.value = g_string_new_len (row->bytes->str, (gssize)row->bytes->len);
+  g_array_append_val (rows, copy);
+}
+
+static void
+put (row_t *row, const GString *bytes)
+{
+  if (bytes == NULL)
+    return;
+  g_string_truncate (row->bytes, 0);
+  g_string_append_len (row->bytes, bytes->str, (gssize)bytes->len);
+  row->version = sim->version;
+}
+
+void
+sim_store_execute (const sim_event_t *call, store_reply_t *reply)
+{
+  reply->rows = g_array_new (FALSE, FALSE, sizeof (store_row_t));
+  g_array_set_clear_func (reply->rows, clear_row);
+  reply->why = "played";
+  if (call->commit && call->expected != sim->role.version)
+    reply->outcome = STORE_CONFLICT;
+  else if (call->commit)
+    {
+      sim->version++;
+      put (&sim->role, call->role);
+      put (&sim->keys, call->keys);
+    }
+  else if (call->table == STORE_ROLE && sim->role.version > 0)
+    add_row (reply->rows, "granter", &sim->role);
+  else if (call->table == STORE_KEYS && sim->keys.version > 0)
+    add_row (reply->rows, "s", &sim->keys);
+  reply->version = call->commit ? sim->role.version : sim->version;
+  reply->clock = sim->now;
+}
+
+static sim_event_t *
+new_call (store_t *store, store_done_t done, void *owner, bool *answered)
+{
+  const host_t *host = (const host_t *)(void *)store;
+  int option = sim_choose (POINT_STORE);
+  sim_event_t *call = sim_schedule (EVENT_STORE, host->index, WAY_MS);
+
+  *answered = option == 0;
+  call->done = done;
+  call->owner = owner;
+  if (option == STORE_LATE)
+    call->at += STORE_LATE_MS;
+  if (option == STORE_LOST || option == STORE_TURNED_AWAY)
+    call->at = MSEC_NEVER;
+  if (*answered)
+    return call;
+  sim_event_t *silence
+      = sim_schedule (EVENT_STORE_ANSWER,
+                      host->index,
+                      option == STORE_TURNED_AWAY ? 2 * WAY_MS : STORE_CALL_MS);
+  silence->done = done;
+  silence->owner = owner;
+  silence->reply = (store_reply_t){
+    .outcome = option == STORE_TURNED_AWAY ? STORE_REFUSED : STORE_UNKNOWN,
+    .why = "played",
+    .rows = g_array_new (FALSE, FALSE, sizeof (store_row_t)),
+  };
+  call->done = NULL;
+  return call;
+}
+
+static void
+read_table (
+    store_t *store, store_table_t table, text_t after, store_done_t done, void *owner)
+{
+  bool answered;
+
+  (void)after;
+  new_call (store, done, owner, &answered)->table = table;
+}
+
+static void
+commit (store_t *store, const store_commit_t *commit, store_done_t done, void *owner)
+{
+  bool answered;
+  sim_event_t *call = new_call (store, done, owner, &answered);
+
+  call->commit = true;
+  call->expected = commit->expected;
+  for (size_t i = 0; i < commit->n_puts; i++)
+    {
+      const store_put_t *row = &commit->puts[i];
+      GString *bytes = g_string_new_len (row->value.at, (gssize)row->value.len);
+      if (row->table == STORE_ROLE)
+        call->role = bytes;
+      else
+        call->keys = bytes;
+    }
+}
+
+const store_ops_t sim_store_ops = { .read = read_table, .commit = commit };
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,3 +1,4 @@
+#!/usr/bin/env python3
 """Runs real routers, targets and a store as processes, harms them by a seed, and checks the
 promises from what callers and targets see. soak.py --help lists the options."""
 
