Each feed tries a store that is away for itself again

Its try after a failure is a watch: one that hangs, or one that is healthy and waits for changes, tells nothing for up to 10 s. Meanwhile the other feeds waited 2 s and nobody looked for the role.

Ruled out: a quick try in its place (one lost try alone is then noticed after 2.1 s in the worst case, later than a configuration may take).

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -53,24 +53,12 @@
     call (self);
 }
 
-static bool
-is_deferred (const feed_t *self)
-{
-  return self->pause > 0 && self->ops->deferred != NULL
-         && self->ops->deferred (self->owner);
-}
-
 static void
 on_retry (evutil_socket_t fd, short what, void *arg)
 {
-  feed_t *self = arg;
-
   (void)fd;
   (void)what;
-  if (is_deferred (self))
-    self->defer_until = now_ms () + FEED_DEFER_MAX_MS;
-  else
-    go_on (self);
+  go_on (arg);
 }
 
 static void
@@ -93,6 +81,7 @@
                     store_outcome_name (reply->outcome),
                     reply->why != NULL ? reply->why : "none",
                     (unsigned long long)self->version);
+  self->failed_at = now_ms ();
   self->pause = CLAMP (self->pause * 2, STORE_RETRY_MS, STORE_RETRY_MAX_MS);
   call_later (self, self->pause / 2 + (msec_t)rng_below (&self->rng, self->pause));
 }
@@ -211,18 +200,13 @@
     return;
   evtimer_del (self->retry);
   self->resting = false;
-  self->defer_until = 0;
   call (self);
 }
 
 void
 feed_step (feed_t *self)
 {
-  bool wanted = self->resting && self->ops->wanted (self->owner);
-  bool waited
-      = self->defer_until != 0 && (now_ms () >= self->defer_until || !is_deferred (self));
-
-  if (wanted || waited)
+  if (self->resting && self->ops->wanted (self->owner))
     feed_wake (self);
 }
 
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -23,9 +23,6 @@
   void (*changed) (void *owner, uint64_t before, const store_reply_t *reply);
   /* Whether a watch should begin now; NULL: always. */
   bool (*wanted) (void *owner);
-  /* Whether another feed finds out when the store answers again, so that this one waits
-   * for it; NULL: none does. */
-  bool (*deferred) (void *owner);
 } feed_ops_t;
 
 typedef struct
@@ -45,7 +42,7 @@
   msec_t behind_since; /* another host told of a newer row; MSEC_NEVER: none did */
   GString *after;      /* last key of the page before */
   msec_t pause;        /* before the next try; 0: the last call went well */
-  msec_t defer_until;  /* no longer waits for another feed's try; 0: it doesn't wait */
+  msec_t failed_at;    /* the last call that failed did so */
   msec_t last_good;    /* the last answer came */
   msec_t regained;     /* the store answered again after failures */
 } feed_t;
@@ -73,8 +70,7 @@
  */
 void feed_take (feed_t *self, uint64_t before, uint64_t after, const GArray *rows);
 
-/* Looks whether a resting feed is wanted again, or a deferred one may go on; to be called
- * often. */
+/* Looks whether a resting feed is wanted again; to be called often. */
 void feed_step (feed_t *self);
 
 /* Asks the store now if the feed rests. */
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -133,6 +133,12 @@
     ((known_target_t *)value)->told = false;
 }
 
+static bool
+failed_lately (const feed_t *feed, msec_t now)
+{
+  return feed->pause > 0 && now - feed->failed_at < STORE_SIGNS_MS;
+}
+
 /* When the store answered this host again: the first sign of it, by whichever call.  If
  * another call found it away and wasn't answered since, the sign is what comes NOW. */
 static msec_t
@@ -140,7 +146,8 @@
 {
   bool role_lost = self->store_away && now - self->store_lost < STORE_SIGNS_MS;
 
-  if (role_lost || self->configuration.pause > 0 || self->owners.pause > 0)
+  if (role_lost || failed_lately (&self->configuration, now)
+      || failed_lately (&self->owners, now))
     return now;
   const msec_t signs[]
       = { self->configuration.regained, self->owners.regained, self->role_regained };
@@ -297,13 +304,6 @@
   return !peers_have_news (owner);
 }
 
-/* The configuration's feed, whose news are due soonest, tries the store for all. */
-static bool
-is_deferred (void *owner)
-{
-  return news_store_is_away (owner);
-}
-
 static void
 configuration_changed (void *owner, uint64_t before, const store_reply_t *reply)
 {
@@ -322,10 +322,8 @@
                                         .row = targets_row,
                                         .settled = targets_settled,
                                         .changed = targets_changed,
-                                        .wanted = is_wanted,
-                                        .deferred = is_deferred };
-static const feed_ops_t owners_ops
-    = { .row = owners_row, .wanted = owners_wanted, .deferred = is_deferred };
+                                        .wanted = is_wanted };
+static const feed_ops_t owners_ops = { .row = owners_row, .wanted = owners_wanted };
 
 void
 news_step (coordinator_t *self, msec_t now)
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -425,7 +425,7 @@
   if (role->state == ROLE_ELSEWHERE)
     {
       if (!role->looking && now >= role->next_look && news_complete (self)
-          && self->keyed->len > 0 && !self->stopping && !news_store_is_away (self))
+          && self->keyed->len > 0 && !self->stopping)
         look (self, now);
       return;
     }
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -278,9 +278,6 @@
 #define SPREAD_BUSY_MS 200
 
 /* Feeds of the store's tables. */
-/* A feed tries the store by itself after so long, should another's tries fail for a
- * reason of their own. */
-#define FEED_DEFER_MAX_MS 2000
 #define FEED_GATHER_MS 150 /* changes close together are told in one answer */
 #define FEED_BEHIND_MS 400 /* a feed that missed a change for so long asks the store */
 
