--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -16,7 +16,8 @@
  * A connection carries one call at a time and is never used again after a call
  * that didn't end whole.  Such a connection is reset, so that bytes of the call
  * that a broken link holds back never arrive.  An answer is whole if its length
- * or its last chunk was seen.  A call knows whether any byte of it may have left this process.
+ * or its last chunk was seen.  A call knows whether any byte of it may have left this
+ * process.
  */
 
 typedef enum
--- a/tools/bench/place.c
+++ b/tools/bench/place.c
@@ -121,13 +121,14 @@
 {
   uint32_t n_hosts = argc > 1 ? (uint32_t)atoi (argv[1]) : 12;
   uint32_t n_targets = argc > 2 ? (uint32_t)atoi (argv[2]) : 15;
-  bench_t *self = g_new0 (bench_t, 1);
+  bench_t *self;
   gint64 round = 0, still = 0;
   size_t changed = 0;
   name_t service;
 
   if (n_hosts > HOST_MAX || n_targets > TARGET_MAX)
     return 2;
+  self = g_new0 (bench_t, 1);
   set_name (&service, "keyed", 0);
   self->out = g_array_new (FALSE, FALSE, sizeof (place_out_t));
   rng_init (&self->rng, 1);
--- a/tools/bench/placement.c
+++ b/tools/bench/placement.c
@@ -328,12 +328,13 @@
 int
 main (int argc, char **argv)
 {
+  static const double exponents[] = { 0.6, 0.9 };
   int n = argc > 1 ? atoi (argv[1]) : 15;
 
   if (n < 1 || n + 1 > TARGET_MAX)
     return 2;
-  for (double exponent = 0.6; exponent < 1.0; exponent += 0.3)
+  for (size_t e = 0; e < G_N_ELEMENTS (exponents); e++)
     for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
-      measure (&ways[i], n, exponent);
+      measure (&ways[i], n, exponents[e]);
   return 0;
 }
