Free the orders of hosts that are gone, in the explorer

Change: the simulation frees an order that nobody will hear of. Nothing outside tests/grants changed.

--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -55,6 +55,9 @@
 static void
 free_event (sim_event_t *event)
 {
+  /* An order whose host is gone before it hears the answer. */
+  if (event->order_done != NULL)
+    g_free (event->owner);
   if (event->role != NULL)
     g_string_free (event->role, TRUE);
   if (event->keys != NULL)
@@ -258,7 +261,7 @@
         sim_event_t *answer = sim_schedule (EVENT_ORDER_ANSWER, event->host, WAY_MS);
         answer->life = event->life;
         answer->order_done = event->order_done;
-        answer->owner = event->owner;
+        answer->owner = g_steal_pointer (&event->owner);
         answer->outcome = outcome;
         break;
       }
@@ -271,7 +274,10 @@
       if (event->kind == EVENT_STORE_ANSWER)
         event->done (event->owner, &event->reply);
       else
-        event->order_done (event->owner, event->outcome, true, TEXT ("warm"));
+        event->order_done (g_steal_pointer (&event->owner),
+                           event->outcome,
+                           true,
+                           TEXT ("warm"));
       break;
     }
 }
