Split the long files by duty; guard a take-over against old reads

A host that takes the granter's role reads the tables of owners again if an answer is older than its own write of the role, after a pause if the store refuses (it asked again at once, hundreds of times a second), and gives out no fence that a table names already, also without the role's row.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -55,6 +55,9 @@
   msec_t clock_asked_at; /* ... to the call that began then */
   msec_t asked_at;
   msec_t held_until; /* no grant of a predecessor lasts longer, on this host's clock */
+  uint64_t version_taken; /* of the row, when this host took the role */
+  bool wants_tables;      /* what the store holds of owners couldn't be read yet ... */
+  msec_t next_tables;     /* ... and is asked for again then */
   role_write_t write;
   GQueue tables; /* key_table_t to commit */
 } role_t;
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -95,6 +95,7 @@
                     NAME_ARG (role->row.host));
   role->state = ROLE_ELSEWHERE;
   role->until = 0;
+  role->wants_tables = false;
   role->next_look
       = now + STORE_RETRY_MS + (msec_t)rng_below (&self->rng, STORE_RETRY_MAX_MS);
   drop_write (role);
@@ -147,6 +148,7 @@
 static void
 read_tables (coordinator_t *self)
 {
+  self->role.wants_tables = false;
   self->store->ops->read (self->store, STORE_KEYS, TEXT_NONE, on_tables, self);
 }
 
@@ -201,9 +203,19 @@
 
   if (self->role.state != ROLE_HELD)
     return;
-  if (reply->outcome != STORE_DONE)
+  /* An answer from before this host took the role may lack its predecessor's last moves.
+   */
+  if (reply->outcome != STORE_DONE || reply->version < self->role.version_taken)
     {
-      read_tables (self); /* the role ends by itself if the store stays away */
+      eventlog_write (EVENT_BELIEF,
+                      "role",
+                      "tables_missing",
+                      "outcome=%s store_version=%llu taken_at=%llu",
+                      store_outcome_name (reply->outcome),
+                      (unsigned long long)reply->version,
+                      (unsigned long long)self->role.version_taken);
+      self->role.wants_tables = true;
+      self->role.next_tables = msclock_now (&self->clock) + STORE_RETRY_MS;
       return;
     }
   for (guint i = 0; i < self->keyed->len; i++)
@@ -216,6 +228,7 @@
   role_t *role = &self->role;
 
   role->state = ROLE_HELD;
+  role->version_taken = role->version;
   eventlog_write (EVENT_BELIEF,
                   "role",
                   "taken",
@@ -422,6 +435,8 @@
 
   if (role->state == ROLE_HELD && now >= role->until)
     lose (self, "lease_over", now);
+  if (role->state == ROLE_HELD && role->wants_tables && now >= role->next_tables)
+    read_tables (self);
   if (role->state == ROLE_ELSEWHERE)
     {
       if (!role->looking && now >= role->next_look && news_complete (self)
--- a/packages/front/front.c
+++ b/packages/front/front.c
@@ -1,8 +1,5 @@
-#include "front.h"
+#include "front_parts.h"
 
-#include <evhtp/evhtp.h>
-#include <glib.h>
-#include <jansson.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,27 +7,6 @@
 #include <sys/socket.h>
 
 #define BACKLOG 1024
-#define RETRY_AFTER_S "1"
-
-struct front_request
-{
-  front_t *front;
-  evhtp_request_t *req;
-  void *tag;
-  bool chunked;
-  struct evbuffer *tail; /* the last part of a streamed answer, not yet written */
-};
-
-/* One caller's connection. */
-typedef struct
-{
-  front_t *front;
-  evhtp_connection_t *conn;
-  struct event *closed;
-  front_request_t *open;
-  char *query;  /* of the request being read */
-  bool refused; /* the connection ends with the refusal already written */
-} front_conn_t;
 
 static method_t
 method_of (const evhtp_request_t *req)
@@ -111,41 +87,41 @@
   return WHY_NONE;
 }
 
-static front_conn_t *
-conn_of (evhtp_connection_t *conn)
+front_conn_t *
+front_conn_of (evhtp_connection_t *conn)
 {
   return conn->hooks != NULL ? conn->hooks->on_connection_fini_arg : NULL;
 }
 
-static void
-free_request (front_request_t *self)
+void
+front_free_request (front_request_t *self)
 {
   if (self->tail != NULL)
     evbuffer_free (self->tail);
   g_free (self);
 }
 
-static void
-forget (front_request_t *self)
+void
+front_forget (front_request_t *self)
 {
-  front_conn_t *conn = conn_of (self->req->conn);
+  front_conn_t *conn = front_conn_of (self->req->conn);
 
   if (conn != NULL && conn->open == self)
     conn->open = NULL;
   evhtp_request_unset_hook (self->req, evhtp_hook_on_request_fini);
-  free_request (self);
+  front_free_request (self);
 }
 
 static evhtp_res
 on_request_fini (evhtp_request_t *req, void *arg)
 {
   front_request_t *self = arg;
-  front_conn_t *conn = conn_of (req->conn);
+  front_conn_t *conn = front_conn_of (req->conn);
 
   if (conn != NULL && conn->open == self)
     conn->open = NULL;
   self->front->ops->gone (self->front->owner, self);
-  free_request (self);
+  front_free_request (self);
   return EVHTP_RES_OK;
 }
 
@@ -153,7 +129,7 @@
 on_request (evhtp_request_t *req, void *arg)
 {
   front_t *front = arg;
-  front_conn_t *conn = conn_of (req->conn);
+  front_conn_t *conn = front_conn_of (req->conn);
 
   if (conn != NULL && conn->refused)
     return;
@@ -208,22 +184,13 @@
     conn->front->ops->drained (conn->front->owner, conn->open);
 }
 
-/* The connection ends after this answer, and the caller is told: libevhtp doesn't say so.
- */
-static void
-close_after (front_request_t *self)
-{
-  evhtp_request_set_keepalive (self->req, 0);
-  front_add_header (self, TEXT ("Connection"), TEXT ("close"));
-}
-
 static void
 refuse_malformed (front_t *front, evhtp_request_t *req, why_t why)
 {
   front_request_t *self = g_new0 (front_request_t, 1);
 
   *self = (front_request_t){ .front = front, .req = req };
-  close_after (self);
+  front_close_after (self);
   front->ops->rejected (front->owner, why);
   front_reply_fate (self, FATE_REFUSED, why);
 }
@@ -347,7 +314,7 @@
 front_view (const front_request_t *request, request_view_t *view)
 {
   const evhtp_request_t *req = request->req;
-  const front_conn_t *conn = conn_of (req->conn);
+  const front_conn_t *conn = front_conn_of (req->conn);
 
   *view = (request_view_t){ .method = method_of (req),
                             .path = text_from_c (req->uri->path->full),
@@ -382,149 +349,3 @@
 {
   return request->tag;
 }
-
-void
-front_add_header (front_request_t *request, text_t name, text_t value)
-{
-  char *n = text_dup_c (name);
-  char *v = text_dup_c (value);
-
-  evhtp_headers_add_header (request->req->headers_out, evhtp_header_new (n, v, 1, 1));
-  g_free (n);
-  g_free (v);
-}
-
-void
-front_reply (front_request_t *request, int status, struct evbuffer *body)
-{
-  evhtp_request_t *req = request->req;
-
-  if (body != NULL)
-    evbuffer_add_buffer (req->buffer_out, body);
-  if (request->front->closing)
-    close_after (request);
-  forget (request);
-  if (req->conn->flags & EVHTP_CONN_FLAG_PAUSED)
-    evhtp_request_resume (req);
-  evhtp_send_reply (req, (evhtp_res)status);
-}
-
-static int
-fate_status (fate_t fate, why_t why)
-{
-  switch (fate)
-    {
-    case FATE_ANSWERED:
-      return 200;
-    case FATE_NOT_RUN:
-      return 503;
-    case FATE_UNKNOWN:
-      return why == WHY_REPEATED ? 409 : 504;
-    case FATE_REFUSED:
-      break;
-    }
-  if (why == WHY_NO_SERVICE)
-    return 404;
-  return why == WHY_TOO_LARGE ? 413 : 400;
-}
-
-void
-front_reply_fate (front_request_t *request, fate_t fate, why_t why)
-{
-  json_t *object
-      = json_pack ("{s:s,s:s}", "outcome", fate_name (fate), "reason", why_name (why));
-  char *dump = json_dumps (object, JSON_COMPACT | JSON_SORT_KEYS);
-
-  front_add_header (request, TEXT ("Request-Outcome"), text_from_c (fate_name (fate)));
-  front_add_header (request, TEXT ("Request-Reason"), text_from_c (why_name (why)));
-  front_add_header (request, TEXT ("Content-Type"), TEXT ("application/json"));
-  if (fate == FATE_NOT_RUN)
-    front_add_header (request, TEXT ("Retry-After"), TEXT (RETRY_AFTER_S));
-  evbuffer_add (request->req->buffer_out, dump, strlen (dump));
-  free (dump);
-  json_decref (object);
-  front_reply (request, fate_status (fate, why), NULL);
-}
-
-void
-front_stream_start (front_request_t *request, int status, bool sized)
-{
-  request->chunked = !sized;
-  request->tail = evbuffer_new ();
-  /* libevhtp ends the connection after a streamed answer in any case. */
-  close_after (request);
-  if (sized)
-    evhtp_send_reply_start (request->req, (evhtp_res)status);
-  else
-    evhtp_send_reply_chunk_start (request->req, (evhtp_res)status);
-}
-
-static void
-write_tail (evhtp_request_t *req, struct evbuffer *tail, bool chunked)
-{
-  if (evbuffer_get_length (tail) == 0)
-    return;
-  if (chunked)
-    evhtp_send_reply_chunk (req, tail);
-  else
-    evhtp_send_reply_body (req, tail);
-  evbuffer_drain (tail, evbuffer_get_length (tail));
-}
-
-/*
- * A part is written when the next one comes, the last one with the end.  A
- * caller that had the whole body before the end was marked would send its next
- * request into a connection that is still busy with this one, and be cut off.
- */
-void
-front_stream_part (front_request_t *request, struct evbuffer *part)
-{
-  write_tail (request->req, request->tail, request->chunked);
-  evbuffer_add_buffer (request->tail, part);
-}
-
-void
-front_stream_end (front_request_t *request)
-{
-  evhtp_request_t *req = request->req;
-  struct evbuffer *tail = g_steal_pointer (&request->tail);
-  bool chunked = request->chunked;
-
-  forget (request);
-  evhtp_request_resume (req);
-  write_tail (req, tail, chunked);
-  evbuffer_free (tail);
-  if (chunked)
-    evhtp_send_reply_chunk_end (req);
-  else
-    evhtp_send_reply_end (req);
-}
-
-size_t
-front_stream_backlog (const front_request_t *request)
-{
-  return evbuffer_get_length (
-      bufferevent_get_output (evhtp_request_get_bev (request->req)));
-}
-
-void
-front_cut (front_request_t *request)
-{
-  evhtp_connection_t *conn = request->req->conn;
-
-  forget (request);
-  evhtp_connection_free (conn);
-}
-
-bool
-front_is_hop_header (text_t name)
-{
-  static const char *const hop[]
-      = { "Connection", "Keep-Alive",       "Transfer-Encoding", "TE",     "Trailer",
-          "Upgrade",    "Proxy-Connection", "Content-Length",    "Expect", "Host" };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
-    if (strlen (hop[i]) == name.len && strncasecmp (hop[i], name.at, name.len) == 0)
-      return true;
-  return false;
-}
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -228,6 +228,8 @@
                           .held_until = now + msg->held_for,
                           .doubt_until = now + msg->held_for };
       g_array_append_val (service->spans, span);
+      /* Holds without the role's row as well: no fence is given out a second time. */
+      self->next_fence = MAX (self->next_fence, run->fence + 1);
     }
 }
 
--- a/packages/route/route.c
+++ b/packages/route/route.c
@@ -1,110 +1,14 @@
 #include "route.h"
 
 #include "pick.h"
+#include "route_requests.h"
 
 #include <string.h>
 
-#define NO_REQUEST (-1)
 /* Waiting requests looked at for one chance to send. */
 #define SCAN_MAX 64
 #define TICK_MS 10
 
-static void
-put (GArray *out, route_out_t effect)
-{
-  g_array_append_val (out, effect);
-}
-
-static route_id_t
-id_of (const route_t *self, const route_request_t *r)
-{
-  return (route_id_t)(r - self->requests);
-}
-
-static void
-link_request (route_t *self, route_request_t *r)
-{
-  route_service_t *service = &self->services[r->service];
-  int32_t id = (int32_t)id_of (self, r);
-
-  r->next = NO_REQUEST;
-  r->prev = service->last;
-  if (service->last == NO_REQUEST)
-    service->first = id;
-  else
-    self->requests[service->last].next = id;
-  service->last = id;
-  service->n++;
-}
-
-static void
-unlink_request (route_t *self, route_request_t *r)
-{
-  route_service_t *service = &self->services[r->service];
-
-  if (r->prev == NO_REQUEST)
-    service->first = r->next;
-  else
-    self->requests[r->prev].next = r->next;
-  if (r->next == NO_REQUEST)
-    service->last = r->prev;
-  else
-    self->requests[r->next].prev = r->prev;
-  service->n--;
-}
-
-static void
-set_state (route_t *self, route_request_t *r, request_state_t state)
-{
-  route_service_t *service = &self->services[r->service];
-
-  service->waiting -= r->state == REQUEST_WAITING;
-  service->waiting += state == REQUEST_WAITING;
-  r->state = state;
-}
-
-static void
-end_request (route_t *self, route_request_t *r)
-{
-  set_state (self, r, REQUEST_FREE);
-  unlink_request (self, r);
-  r->next = self->free;
-  self->free = (int32_t)id_of (self, r);
-  self->n_requests--;
-}
-
-static void
-refuse (route_t *self, route_request_t *r, fate_t fate, why_t why, GArray *out)
-{
-  route_id_t id = id_of (self, r);
-
-  if (r->claimed && (fate == FATE_NOT_RUN || fate == FATE_REFUSED))
-    put (out, (route_out_t){ .kind = ROUTE_RELEASE, .id = id });
-  put (out,
-       (route_out_t){ .kind = ROUTE_REFUSE,
-                      .id = id,
-                      .target = r->target,
-                      .slot = r->slot,
-                      .attempt = r->attempt,
-                      .keyed = r->keyed,
-                      .fate = fate,
-                      .why = why });
-  end_request (self, r);
-}
-
-static void
-deliver (route_t *self, route_request_t *r, GArray *out)
-{
-  put (out,
-       (route_out_t){ .kind = ROUTE_DELIVER,
-                      .id = id_of (self, r),
-                      .target = r->target,
-                      .slot = r->slot,
-                      .attempt = r->attempt,
-                      .keyed = r->keyed });
-  end_request (self, r);
-}
-
 static void
 send_request (route_t *self, route_request_t *r, int target, msec_t now, GArray *out)
 {
@@ -114,18 +18,18 @@
   r->epoch = r->keyed ? self->table.slots[r->keyed_index][r->slot].epoch : 0;
   if (r->keyed)
     self->loads[r->keyed_index][r->slot]++;
-  set_state (self, r, REQUEST_SENT);
+  requests_set_state (self, r, REQUEST_SENT);
   limit_begin (&self->targets[target].limit);
-  put (out,
-       (route_out_t){ .kind = ROUTE_SEND,
-                      .id = id_of (self, r),
-                      .target = target,
-                      .slot = r->slot,
-                      .epoch = r->epoch,
-                      .version = self->table.version,
-                      .attempt = r->attempt,
-                      .keyed = r->keyed,
-                      .deadline = r->deadline });
+  requests_put (out,
+                (route_out_t){ .kind = ROUTE_SEND,
+                               .id = requests_id (self, r),
+                               .target = target,
+                               .slot = r->slot,
+                               .epoch = r->epoch,
+                               .version = self->table.version,
+                               .attempt = r->attempt,
+                               .keyed = r->keyed,
+                               .deadline = r->deadline });
 }
 
 static void
@@ -194,7 +98,7 @@
 {
   if (self->ack_due == 0 || !old_requests_ended (self))
     return;
-  put (out, (route_out_t){ .kind = ROUTE_ACK, .version = self->ack_due });
+  requests_put (out, (route_out_t){ .kind = ROUTE_ACK, .version = self->ack_due });
   self->ack_due = 0;
 }
 
@@ -212,11 +116,11 @@
   if (was_sent)
     {
       leave_target (self, r, LIMIT_SHED);
-      put (out,
-           (route_out_t){ .kind = ROUTE_CANCEL,
-                          .id = id_of (self, r),
-                          .target = r->target });
-      refuse (self, r, FATE_UNKNOWN, WHY_DEADLINE, out);
+      requests_put (out,
+                    (route_out_t){ .kind = ROUTE_CANCEL,
+                                   .id = requests_id (self, r),
+                                   .target = r->target });
+      requests_refuse (self, r, FATE_UNKNOWN, WHY_DEADLINE, out);
       return;
     }
   if (r->state == REQUEST_CLAIMING)
@@ -225,7 +129,7 @@
   bool ran
       = r->idempotent && r->attempt > 0
         && (r->why == WHY_TARGET_LOST || r->why == WHY_CUT || r->why == WHY_DEADLINE);
-  refuse (self, r, ran ? FATE_UNKNOWN : FATE_NOT_RUN, r->why, out);
+  requests_refuse (self, r, ran ? FATE_UNKNOWN : FATE_NOT_RUN, r->why, out);
 }
 
 static void
@@ -283,12 +187,12 @@
 
   if (at == NO_REQUEST || self->draining)
     {
-      put (out,
-           (route_out_t){ .kind = ROUTE_REFUSE,
-                          .id = ROUTE_ID_NONE,
-                          .target = NOBODY,
-                          .fate = FATE_NOT_RUN,
-                          .why = self->draining ? WHY_SHUTDOWN : WHY_FULL });
+      requests_put (out,
+                    (route_out_t){ .kind = ROUTE_REFUSE,
+                                   .id = ROUTE_ID_NONE,
+                                   .target = NOBODY,
+                                   .fate = FATE_NOT_RUN,
+                                   .why = self->draining ? WHY_SHUTDOWN : WHY_FULL });
       return;
     }
   route_request_t *r = &self->requests[at];
@@ -306,15 +210,15 @@
                           .arrived = now,
                           .deadline = msg->deadline };
   self->n_requests++;
-  link_request (self, r);
-  put (out, (route_out_t){ .kind = ROUTE_ACCEPTED, .id = (route_id_t)at });
+  requests_link (self, r);
+  requests_put (out, (route_out_t){ .kind = ROUTE_ACCEPTED, .id = (route_id_t)at });
   if (r->claims)
     {
-      set_state (self, r, REQUEST_CLAIMING);
-      put (out, (route_out_t){ .kind = ROUTE_CLAIM, .id = (route_id_t)at });
+      requests_set_state (self, r, REQUEST_CLAIMING);
+      requests_put (out, (route_out_t){ .kind = ROUTE_CLAIM, .id = (route_id_t)at });
       return;
     }
-  set_state (self, r, REQUEST_WAITING);
+  requests_set_state (self, r, REQUEST_WAITING);
   try_send (self, r, now, out);
 }
 
@@ -328,18 +232,18 @@
     {
     case CLAIM_GRANTED:
       r->claimed = true;
-      set_state (self, r, REQUEST_WAITING);
+      requests_set_state (self, r, REQUEST_WAITING);
       try_send (self, r, now, out);
       break;
     case CLAIM_REPEATED:
-      refuse (self, r, FATE_UNKNOWN, WHY_REPEATED, out);
+      requests_refuse (self, r, FATE_UNKNOWN, WHY_REPEATED, out);
       break;
     case CLAIM_STORED:
-      put (out, (route_out_t){ .kind = ROUTE_REPLAY, .id = msg->id });
-      end_request (self, r);
+      requests_put (out, (route_out_t){ .kind = ROUTE_REPLAY, .id = msg->id });
+      requests_end (self, r);
       break;
     case CLAIM_FAILED:
-      refuse (self, r, FATE_NOT_RUN, WHY_STORE, out);
+      requests_refuse (self, r, FATE_NOT_RUN, WHY_STORE, out);
       break;
     }
 }
@@ -349,7 +253,7 @@
 {
   r->retry_at = at;
   r->why = why;
-  set_state (self, r, REQUEST_WAITING);
+  requests_set_state (self, r, REQUEST_WAITING);
 }
 
 /* Whether the request may be tried again at AT, after an attempt that PROVEN didn't run.
@@ -386,7 +290,7 @@
     {
       if (r->attempt == 1)
         retry_earn (&self->services[r->service].retry);
-      deliver (self, r, out);
+      requests_deliver (self, r, out);
       return;
     }
   bool proven = msg->answer != ANSWER_SHED;
@@ -394,9 +298,9 @@
   if (may_retry (self, r, proven, at))
     wait_again (self, r, at, whys[msg->answer]);
   else if (proven)
-    refuse (self, r, FATE_NOT_RUN, whys[msg->answer], out);
+    requests_refuse (self, r, FATE_NOT_RUN, whys[msg->answer], out);
   else
-    deliver (self, r, out);
+    requests_deliver (self, r, out);
 }
 
 static void
@@ -411,7 +315,7 @@
   if (may_retry (self, r, !msg->sent, at))
     wait_again (self, r, at, msg->why);
   else
-    refuse (self, r, msg->sent ? FATE_UNKNOWN : FATE_NOT_RUN, msg->why, out);
+    requests_refuse (self, r, msg->sent ? FATE_UNKNOWN : FATE_NOT_RUN, msg->why, out);
 }
 
 /* From here on it's the progress of the answer that counts, not the deadline. */
@@ -429,7 +333,11 @@
   if (r->state != REQUEST_SENT)
     return;
   leave_target (self, r, LIMIT_NEUTRAL);
-  refuse (self, r, r->attempt > 1 ? FATE_UNKNOWN : FATE_REFUSED, WHY_CRASHES, out);
+  requests_refuse (self,
+                   r,
+                   r->attempt > 1 ? FATE_UNKNOWN : FATE_REFUSED,
+                   WHY_CRASHES,
+                   out);
 }
 
 static void
@@ -438,14 +346,15 @@
   if (r->state == REQUEST_SENT)
     {
       leave_target (self, r, LIMIT_NEUTRAL);
-      put (out,
-           (route_out_t){ .kind = ROUTE_CANCEL,
-                          .id = id_of (self, r),
-                          .target = r->target });
+      requests_put (out,
+                    (route_out_t){ .kind = ROUTE_CANCEL,
+                                   .id = requests_id (self, r),
+                                   .target = r->target });
     }
   else if (r->claimed)
-    put (out, (route_out_t){ .kind = ROUTE_RELEASE, .id = id_of (self, r) });
-  end_request (self, r);
+    requests_put (out,
+                  (route_out_t){ .kind = ROUTE_RELEASE, .id = requests_id (self, r) });
+  requests_end (self, r);
 }
 
 static void
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -327,8 +327,7 @@
   sim = self;
   self->now = 1000;
   self->events = g_ptr_array_new ();
-  self->role.bytes = g_string_new (NULL);
-  self->keys.bytes = g_string_new (NULL);
+  sim_store_open ();
   for (guint i = 0; i < TARGETS; i++)
     self->targets[i] = (target_t){ .listed = i < 2,
                                    .born = 1,
@@ -368,6 +367,5 @@
   g_ptr_array_unref (self->events);
   for (guint i = 0; i < TARGETS; i++)
     g_array_unref (self->targets[i].holds);
-  g_string_free (self->role.bytes, TRUE);
-  g_string_free (self->keys.bytes, TRUE);
+  sim_store_close ();
 }
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -22,6 +22,7 @@
 #define RESTART_MS 400
 #define MARK_MS 250 /* between points at which hosts may be harmed */
 #define STORE_LATE_MS 2000
+#define STORE_STALE_MS 3000
 #define ORDER_LATE_MS 4000
 #define HOLD_MAX_MS 10000
 #define KEY_STRIDE 4096 /* between the keys of a sample */
@@ -53,6 +54,7 @@
   STORE_ANSWER_LOST,
   STORE_LATE,
   STORE_TURNED_AWAY,
+  STORE_STALE, /* a read is answered as of a while ago; a commit is done */
   STORE_OPTIONS,
   ORDER_LOST = 1,
   ORDER_ANSWER_LOST,
@@ -91,6 +93,14 @@
   uint64_t version;
 } row_t;
 
+/* What the store held from a moment on. */
+typedef struct
+{
+  msec_t from;
+  uint64_t version;
+  row_t role, keys;
+} past_t;
+
 typedef enum
 {
   EVENT_STORE,        /* a call arrives at the store */
@@ -110,6 +120,7 @@
   store_table_t table;
   bool commit;
   uint64_t expected;
+  bool stale;
   GString *role, *keys; /* to be put; KEYS may be NULL */
   store_reply_t reply;
   /* Orders. */
@@ -144,6 +155,7 @@
   target_t targets[TARGETS];
   row_t role, keys;
   uint64_t version;
+  GArray *past;                 /* past_t, a moment each commit */
   GPtrArray *events;            /* sim_event_t */
   uint64_t fences[KEY_SAMPLES]; /* the highest that any target took */
   guint fence_owners[KEY_SAMPLES];
@@ -169,6 +181,9 @@
 /* An event of HOST, AFTER from now; the caller fills it in. */
 sim_event_t *sim_schedule (event_kind_t kind, guint host, msec_t after);
 
+void sim_store_open (void);
+void sim_store_close (void);
+
 /* CALL has arrived at the store. */
 void sim_store_execute (const sim_event_t *call, store_reply_t *reply);
 
