--- a/bin/chicorywood.c
+++ b/bin/chicorywood.c
@@ -81,9 +81,7 @@
   form_t form;
 
   status_t status = settings_load (&settings, file, &form, &fault);
-  if (status == STATUS_SETTINGS)
-    form_print (&form, stderr);
-  form_finish (&form);
+  form_conclude (&form, status, stderr);
   if (status != STATUS_OK)
     {
       fprintf (stderr, "chicorywood: %.*s\n", TEXT_ARG (fault_text (&fault)));
--- a/bin/router.c
+++ b/bin/router.c
@@ -72,9 +72,7 @@
 
   fault_clear (&fault);
   status_t status = router_settings_load (&settings, settings_file, &form, &fault);
-  if (status == STATUS_SETTINGS)
-    form_print (&form, stderr);
-  form_finish (&form);
+  form_conclude (&form, status, stderr);
   if (status != STATUS_OK)
     {
       fprintf (stderr, "chicorywood: %.*s\n", TEXT_ARG (fault_text (&fault)));
--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -10,15 +10,19 @@
   coordinator_t *self = owner;
   proxy_report_t *report = item;
 
-  if (report->ended)
-    event_base_loopbreak (self->base);
-  else if (report->is_suspect)
-    peers_suspect (self, &report->suspect);
-  else
+  switch (report->kind)
     {
+    case PROXY_COUNTED:
       self->counts = report->counts;
       if (report->service.len > 0)
         peers_report (self, report);
+      break;
+    case PROXY_TOLD:
+      peers_suspect (self, &report->suspect);
+      break;
+    case PROXY_ENDED:
+      event_base_loopbreak (self->base);
+      break;
     }
   proxy_report_free (report);
 }
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -51,10 +51,13 @@
   g_byte_array_unref (body);
 }
 
-/* All hosts that report, divided into groups. */
+/* Sends BODY to all hosts that report. */
 static void
-plan_spread (const coordinator_t *self, GArray *hosts, GArray *groups)
+spread_body (coordinator_t *self, const GByteArray *body)
 {
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
+  GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
+  GArray *pass_on = g_array_new (FALSE, FALSE, sizeof (name_t));
   GHashTableIter iter;
   gpointer value;
 
@@ -66,17 +69,6 @@
       g_array_append_val (hosts, host);
     }
   spread_plan (hosts, msclock_now (&self->clock), groups);
-}
-
-/* Sends BODY to all hosts that report. */
-static void
-spread_body (coordinator_t *self, const GByteArray *body)
-{
-  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
-  GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
-  GArray *pass_on = g_array_new (FALSE, FALSE, sizeof (name_t));
-
-  plan_spread (self, hosts, groups);
   for (guint i = 0; i < groups->len; i++)
     {
       const spread_group_t *group = &g_array_index (groups, spread_group_t, i);
@@ -99,14 +91,9 @@
 static bool
 is_heavy (const coordinator_t *self, size_t bytes)
 {
-  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
-  GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
+  guint groups = spread_groups (g_hash_table_size (self->reporters));
 
-  plan_spread (self, hosts, groups);
-  bool heavy = spread_is_heavy (bytes, groups->len, self->settings->link_mbps);
-  g_array_unref (groups);
-  g_array_unref (hosts);
-  return heavy;
+  return spread_is_heavy (bytes, groups, self->settings->link_mbps);
 }
 
 /* News for hosts; TABLE may be NULL, or what changed of one since version BEFORE. */
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -143,6 +143,16 @@
   feed_step (&self->feed);
 }
 
+/* A feed that has read its table, of version 5, and watches it unless it isn't wanted. */
+static void
+begin_watching (world_t *self, bool wanted)
+{
+  begin (self);
+  self->wanted = wanted;
+  reply (self, STORE_DONE, 5);
+  pass (self, FEED_GATHER_MS + 20);
+}
+
 static void
 take (world_t *self, uint64_t before, uint64_t after)
 {
@@ -180,9 +190,7 @@
   world_t world;
 
   (void)state;
-  begin (&world);
-  reply (&world, STORE_DONE, 5);
-  pass (&world, FEED_GATHER_MS + 20);
+  begin_watching (&world, true);
   reply (&world, STORE_HISTORY_GONE, 0);
   assert_int_equal (world.fake.reads, 2);
   end (&world);
@@ -194,10 +202,7 @@
   world_t world;
 
   (void)state;
-  begin (&world);
-  world.wanted = false;
-  reply (&world, STORE_DONE, 5);
-  pass (&world, FEED_GATHER_MS + 20);
+  begin_watching (&world, false);
   assert_int_equal (world.fake.watches, 0);
   take (&world, 5, 9);
   assert_int_equal (world.rows, 2);
@@ -214,10 +219,7 @@
   world_t world;
 
   (void)state;
-  begin (&world);
-  world.wanted = false;
-  reply (&world, STORE_DONE, 5);
-  pass (&world, FEED_GATHER_MS + 20);
+  begin_watching (&world, false);
   world.wanted = true;
   feed_step (&world.feed);
   assert_int_equal (world.fake.watches, 1);
@@ -234,9 +236,7 @@
   world_t world;
 
   (void)state;
-  begin (&world);
-  reply (&world, STORE_DONE, 5);
-  pass (&world, FEED_GATHER_MS + 20);
+  begin_watching (&world, true);
   void *hanging = world.fake.owner;
   store_done_t done = world.fake.done;
   feed_ask_anew (&world.feed, g_get_monotonic_time () / 1000 + 1);
@@ -254,9 +254,7 @@
   world_t world;
 
   (void)state;
-  begin (&world);
-  reply (&world, STORE_DONE, 5);
-  pass (&world, FEED_GATHER_MS + 20);
+  begin_watching (&world, true);
   reply (&world, STORE_REFUSED, 0);
   assert_int_equal (world.fake.watches, 1);
   pass (&world, STORE_RETRY_MAX_MS);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -204,9 +204,11 @@
 #define KEYS_RENEW_MS 1000        /* three renewals may be lost before a grant runs out */
 #define KEYS_SLOW_CLOCK_PERCENT 2 /* a target's clock may run so much slow */
 #define KEYS_MARGIN_MS 100        /* a grant's bytes on the way */
-#define KEYS_FENCE_HOLD_MS 200    /* of a grant that only has a new fence seen */
-#define KEYS_SETTLE_MS 1200       /* first split: no target joined for so long */
-#define KEYS_RETRY_MS 150         /* between tries of a call that failed */
+/* Of a grant that only has a new fence seen: its answer and a release come within that.
+ */
+#define KEYS_FENCE_HOLD_MS 200
+#define KEYS_SETTLE_MS 1200 /* first split: no target joined for so long */
+#define KEYS_RETRY_MS 150   /* between tries of a call that failed */
 /* Before the role ends the longest holds are granted, to outlast a store that is away. */
 #define KEYS_LAST_ROUND_MS 900
 
@@ -271,8 +273,8 @@
 #define LINK_OVERHEAD_BYTES 1024 /* of a message with one row */
 /* A change of owners has arrived everywhere, on the way over a host that passes it on. */
 #define TABLE_TOLD_MS 500
-#define TABLE_ASK_MS                                                                     \
-  200 /* between asks for a missed change: a round trip and its queue */
+/* Between asks for a missed change: a round trip and its queue. */
+#define TABLE_ASK_MS 200
 
 /* A message to many hosts. */
 #define SPREAD_DIRECT 16     /* the first users' hosts: without a second hop */
--- a/packages/dispatch/tests/dispatch_world.c
+++ b/packages/dispatch/tests/dispatch_world.c
@@ -126,6 +126,23 @@
   tell (self, &msg);
 }
 
+void
+arrive_again (world_t *self,
+              dispatch_request_t *request,
+              text_t path,
+              uint64_t fingerprint)
+{
+  const dispatch_msg_t msg = { .kind = DISPATCH_ARRIVE,
+                               .request = request,
+                               .host = TEXT ("h"),
+                               .path = path,
+                               .fingerprint = fingerprint,
+                               .wait = WAIT };
+
+  dispatch_request_init (request);
+  tell (self, &msg);
+}
+
 void
 answer (world_t *self,
         dispatch_request_t *request,
--- a/packages/dispatch/tests/dispatch_world.h
+++ b/packages/dispatch/tests/dispatch_world.h
@@ -36,6 +36,12 @@
 
 void arrive (world_t *self, dispatch_request_t *request, text_t path);
 
+/* Without a key, and known again by FINGERPRINT. */
+void arrive_again (world_t *self,
+                   dispatch_request_t *request,
+                   text_t path,
+                   uint64_t fingerprint);
+
 void answer (world_t *self,
              dispatch_request_t *request,
              dispatch_answer_t kind,
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -287,15 +287,8 @@
 crash (world_t *world, uint64_t fingerprint, bool refused)
 {
   dispatch_request_t request, next;
-  const dispatch_msg_t arrival = { .kind = DISPATCH_ARRIVE,
-                                   .request = &request,
-                                   .host = TEXT ("h"),
-                                   .path = TEXT ("/order/"),
-                                   .fingerprint = fingerprint,
-                                   .wait = WAIT };
 
-  dispatch_request_init (&request);
-  tell (world, &arrival);
+  arrive_again (world, &request, TEXT ("/order/"), fingerprint);
   assert_int_equal (request.state, REQUEST_SENT);
   const dispatch_target_t *target
       = dispatch_target (&world->dispatch, (uint32_t)request.target);
@@ -325,15 +318,8 @@
 is_refused (world_t *world, uint64_t fingerprint)
 {
   dispatch_request_t request;
-  const dispatch_msg_t arrival = { .kind = DISPATCH_ARRIVE,
-                                   .request = &request,
-                                   .host = TEXT ("h"),
-                                   .path = TEXT ("/order/"),
-                                   .fingerprint = fingerprint,
-                                   .wait = WAIT };
 
-  dispatch_request_init (&request);
-  tell (world, &arrival);
+  arrive_again (world, &request, TEXT ("/order/"), fingerprint);
   if (request.state == REQUEST_SENT)
     {
       answer (world, &request, ANSWER_RUN, 200);
@@ -387,14 +373,8 @@
   for (unsigned i = 0; i < 3 * SUSPECT_TARGETS; i++)
     {
       dispatch_request_t request;
-      const dispatch_msg_t arrival = { .kind = DISPATCH_ARRIVE,
-                                       .request = &request,
-                                       .host = TEXT ("h"),
-                                       .path = TEXT ("/order/"),
-                                       .fingerprint = 9,
-                                       .wait = WAIT };
-      dispatch_request_init (&request);
-      tell (&world, &arrival);
+
+      arrive_again (&world, &request, TEXT ("/order/"), 9);
       lose_send (&world, &request, true);
       world.now += 3000;
     }
--- a/packages/form/form.c
+++ b/packages/form/form.c
@@ -260,3 +260,23 @@
                fault->expected);
     }
 }
+
+status_t
+form_status (const form_t *self, fault_t *fault)
+{
+  if (form_ok (self))
+    return STATUS_OK;
+  return fault_raise (fault,
+                      STATUS_SETTINGS,
+                      "%s has %u faults",
+                      self->file,
+                      self->faults->len);
+}
+
+void
+form_conclude (form_t *self, status_t status, FILE *file)
+{
+  if (status == STATUS_SETTINGS)
+    form_print (self, file);
+  form_finish (self);
+}
--- a/packages/form/form.h
+++ b/packages/form/form.h
@@ -97,3 +97,9 @@
 
 /* Writes a line for each fault to FILE. */
 void form_print (const form_t *self, FILE *file);
+
+/* STATUS_SETTINGS if the file had faults. */
+status_t form_status (const form_t *self, fault_t *fault);
+
+/* Prints the faults of a load that ended with STATUS, and finishes the form. */
+void form_conclude (form_t *self, status_t status, FILE *file);
--- a/packages/keys/tests/test_key_moves.c
+++ b/packages/keys/tests/test_key_moves.c
@@ -116,33 +116,34 @@
   end (&world);
 }
 
-/* The load of the heaviest days: 40 in 100 of the requests on 60 neighbouring keys, which
- * one target would bear; 14 targets, so 7 in 100 would be even. */
+/* 40 in 100 of the requests are for 60 neighbouring keys of one target; WITHIN ms later
+ * none of N targets may bear more than SHARE. */
 static void
-test_hot_keys_are_spread_within_seconds (void **state)
+assert_spread (guint n, msec_t within, double share)
 {
   world_t world;
 
-  (void)state;
-  begin (&world, 14);
+  begin (&world, n);
   settle (&world);
   assert_true (play_hot_keys (&world, 300, world.now) > 0.4);
-  assert_true (play_hot_keys (&world, 300, world.now + 3000) < 0.12);
+  assert_true (play_hot_keys (&world, 300, world.now + within) < share);
   end (&world);
 }
 
-/* The same of a grown fleet: 154 targets, of which each of 60 hot keys fills one. */
+/* The load of the heaviest days; 7 in 100 would be even. */
 static void
-test_hot_keys_reach_many_targets_at_once (void **state)
+test_hot_keys_are_spread_within_seconds (void **state)
 {
-  world_t world;
+  (void)state;
+  assert_spread (14, 3000, 0.12);
+}
 
+/* The same of a grown fleet, where each hot key fills a target. */
+static void
+test_hot_keys_reach_many_targets_at_once (void **state)
+{
   (void)state;
-  begin (&world, 154);
-  settle (&world);
-  assert_true (play_hot_keys (&world, 300, world.now) > 0.4);
-  assert_true (play_hot_keys (&world, 300, world.now + 1600) < 0.03);
-  end (&world);
+  assert_spread (154, 1600, 0.03);
 }
 
 /* Even load of which a plan sees few requests a target: nothing is moved for chance. */
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -18,6 +18,32 @@
   hold_role (self);
 }
 
+/* How long a predecessor's grants may last whose role ended SINCE ago. */
+static msec_t
+held_after (msec_t since)
+{
+  const keys_t any = { .hold_max = HOLD_MAX };
+
+  return keys_held_after (&any, since);
+}
+
+/* Its role taken over from a granter that gave each of two targets half of the keys.
+ * LOST: the second target isn't listed any more. */
+static key_table_t
+take_over (world_t *self, bool lost, bool first_leaves, msec_t held_for)
+{
+  begin (self, 2);
+  key_table_t table = stored_table (self, 2);
+
+  if (lost)
+    g_array_remove_index (self->targets, 1);
+  target (self, 0)->leaving = first_leaves;
+  list_targets (self);
+  hold_role (self);
+  tell (self, (keys_msg_t){ .kind = KEYS_TABLE, .table = &table, .held_for = held_for });
+  return table;
+}
+
 /* A successor first commits new fences, above all before, for the owners as they are. */
 static void
 take_fences (world_t *self, const key_table_t *stored)
@@ -264,24 +290,14 @@
     void **state)
 {
   world_t world;
-  key_table_t table;
 
   (void)state;
-  begin (&world, 2);
-  table = stored_table (&world, 2);
-  g_array_remove_index (world.targets, 1);
-  list_targets (&world);
-  keys_set_fence (&world.keys, 30);
-  hold_role (&world);
-  tell (&world,
-        (keys_msg_t){ .kind = KEYS_TABLE,
-                      .table = &table,
-                      .held_for = keys_held_after (&world.keys, 0) });
+  key_table_t table = take_over (&world, true, false, held_after (0));
   assert_int_equal (count (&world, KEYS_GRANT), 1);
   assert_int_equal (find (&world, KEYS_GRANT)->fence, 20);
   take_fences (&world, &table);
   key_table_finish (&table);
-  assert_int_equal (find (&world, KEYS_GRANT)->fence, 30);
+  assert_int_equal (find (&world, KEYS_GRANT)->fence, 22);
   while (world.now < START + HOLD_MAX + ORDER_CALL_MS)
     {
       assert_int_equal (count (&world, KEYS_COMMIT), 0);
@@ -291,7 +307,7 @@
          && count (&world, KEYS_COMMIT) == 0)
     step_with_silent_owner (&world);
   assert_int_equal (count (&world, KEYS_COMMIT), 1);
-  assert_int_equal (find (&world, KEYS_COMMIT)->next_fence, 33);
+  assert_int_equal (find (&world, KEYS_COMMIT)->next_fence, 25);
   end (&world);
 }
 
@@ -301,19 +317,9 @@
 test_a_successor_counts_the_time_that_the_role_was_vacant (void **state)
 {
   world_t world;
-  key_table_t table;
 
   (void)state;
-  begin (&world, 2);
-  table = stored_table (&world, 2);
-  g_array_remove_index (world.targets, 1);
-  list_targets (&world);
-  keys_set_fence (&world.keys, 30);
-  hold_role (&world);
-  tell (&world,
-        (keys_msg_t){ .kind = KEYS_TABLE,
-                      .table = &table,
-                      .held_for = keys_held_after (&world.keys, HOLD_MAX - 1000) });
+  key_table_t table = take_over (&world, true, false, held_after (HOLD_MAX - 1000));
   take_fences (&world, &table);
   key_table_finish (&table);
   assert_int_equal (count (&world, KEYS_COMMIT), 0);
@@ -340,24 +346,16 @@
 test_a_successor_has_a_leaver_refuse_old_grants_before_it_moves_keys (void **state)
 {
   world_t world;
-  key_table_t table;
 
   (void)state;
-  begin (&world, 2);
-  table = stored_table (&world, 2);
-  target (&world, 0)->leaving = true;
-  list_targets (&world);
-  keys_set_fence (&world.keys, 30);
-  hold_role (&world);
-  tell (&world,
-        (keys_msg_t){ .kind = KEYS_TABLE, .table = &table, .held_for = HOLD_MAX });
+  key_table_t table = take_over (&world, false, true, HOLD_MAX);
   assert_int_equal (count (&world, KEYS_RELEASE), 0);
   take_fences (&world, &table);
   key_table_finish (&table);
   assert_int_equal (count (&world, KEYS_RELEASE), 0);
   keys_out_t fenced = *find (&world, KEYS_GRANT);
   assert_true (name_equal (&fenced.target, &target (&world, 0)->id));
-  assert_int_equal (fenced.fence, 30);
+  assert_int_equal (fenced.fence, 22);
   assert_int_equal (fenced.hold, KEYS_FENCE_HOLD_MS);
   reply (&world, &fenced, KEYS_GRANTED, true);
   assert_true (run_until (&world, KEYS_RELEASE, world.now + 2 * KEYS_RETRY_MS));
@@ -373,16 +371,9 @@
 test_a_successor_lets_keys_rest_that_an_unlisted_owner_gives_back (void **state)
 {
   world_t world;
-  key_table_t table;
 
   (void)state;
-  begin (&world, 2);
-  table = stored_table (&world, 2);
-  g_array_remove_index (world.targets, 1);
-  list_targets (&world);
-  keys_set_fence (&world.keys, 30);
-  hold_role (&world);
-  tell (&world, (keys_msg_t){ .kind = KEYS_TABLE, .table = &table, .held_for = 5000 });
+  key_table_t table = take_over (&world, true, false, 5000);
   take_fences (&world, &table);
   key_table_finish (&table);
   if (count (&world, KEYS_RELEASE) == 0)
--- a/packages/link/spread.c
+++ b/packages/link/spread.c
@@ -14,9 +14,9 @@
   return order != 0 ? order : (int)a->len - (int)b->len;
 }
 
-/* The groups: as many as the largest of them has hosts, or one more. */
-static guint
-count_groups (guint hosts)
+/* As many as the largest of them has hosts, or one more. */
+guint
+spread_groups (guint hosts)
 {
   guint groups = 1;
 
@@ -46,7 +46,7 @@
 void
 spread_plan (GArray *hosts, msec_t now, GArray *groups)
 {
-  guint n = count_groups (hosts->len);
+  guint n = spread_groups (hosts->len);
 
   g_array_sort (hosts, by_address);
   for (guint i = 0; i < n; i++)
--- a/packages/link/spread.h
+++ b/packages/link/spread.h
@@ -28,6 +28,9 @@
   guint first, n;
 } spread_group_t;
 
+/* Into how many groups so many hosts are divided. */
+guint spread_groups (guint hosts);
+
 /*
  * Puts HOSTS (spread_host_t) in an order in which each group stands together, its first
  * host first, and appends the groups to GROUPS (spread_group_t).
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -425,7 +425,7 @@
   event_add (self->tick, &beat);
   event_base_dispatch (self->base);
   proxy_report_t *ended = g_new0 (proxy_report_t, 1);
-  ended->ended = true;
+  ended->kind = PROXY_ENDED;
   if (self->coordinator == NULL || !mailbox_post (self->coordinator, ended))
     g_free (ended);
   return NULL;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -60,10 +60,16 @@
 } proxy_counts_t;
 
 /* To the coordinator. */
+typedef enum
+{
+  PROXY_COUNTED, /* COUNTS; of a keyed service LOADS and SPEEDS as well */
+  PROXY_TOLD,    /* SUSPECT is to be told to all hosts */
+  PROXY_ENDED,   /* it has drained */
+} proxy_report_kind_t;
+
 typedef struct
 {
-  bool ended;      /* the proxy has drained; nothing else is told */
-  bool is_suspect; /* SUSPECT is to be told to all hosts; nothing else is told */
+  proxy_report_kind_t kind;
   suspect_out_t suspect;
   proxy_counts_t counts;
   name_t service;
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -137,7 +137,7 @@
                   "fingerprint=%016llx target_life=%016llx",
                   (unsigned long long)suspect->fingerprint,
                   (unsigned long long)suspect->target);
-  report->is_suspect = true;
+  report->kind = PROXY_TOLD;
   report->suspect = *suspect;
   post_report (self, report);
 }
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -124,12 +124,7 @@
                       &self->metrics,
                       &self->metrics_address);
       check_endpoint (form, &doc, "store", "address", &self->store, &self->store_address);
-      if (!form_ok (form))
-        status = fault_raise (fault,
-                              STATUS_SETTINGS,
-                              "%s has %u faults",
-                              file,
-                              form->faults->len);
+      status = form_status (form, fault);
     }
   toml_doc_finish (&doc);
   return status;
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -120,12 +120,7 @@
       check_address (form, &doc, "host", &self->address);
       check_address (form, &doc, "platform", &self->platform_address);
       check_ports (self, form, &doc);
-      if (!form_ok (form))
-        status = fault_raise (fault,
-                              STATUS_SETTINGS,
-                              "%s has %u faults",
-                              file,
-                              form->faults->len);
+      status = form_status (form, fault);
     }
   toml_doc_finish (&doc);
   return status;
--- a/tests/process/platform_world.py
+++ b/tests/process/platform_world.py
@@ -106,21 +106,33 @@
                 self.changed.wait(left)
 
 
-def serve_store(store):
-    class Handler(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
+class JsonHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
 
-        def log_message(self, *args):
-            pass
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, body):
+        data = json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
 
-        def answer(self, status, body):
-            data = json.dumps(body).encode()
-            self.send_response(status)
-            self.send_header("Content-Type", "application/json")
-            self.send_header("Content-Length", str(len(data)))
-            self.end_headers()
-            self.wfile.write(data)
+    def call(self):
+        return json.loads(self.rfile.read(int(self.headers["Content-Length"])))
 
+
+def listen(handler):
+    server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    server.daemon_threads = True
+    server.handle_error = lambda *args: None  # a router that left doesn't wait for its feed
+    return server
+
+
+def serve_store(store):
+    class Handler(JsonHandler):
         def is_lost(self):
             store.calls += 1
             self.close_connection = store.silent
@@ -143,14 +155,12 @@
                 self.answer(404, {})
 
         def do_POST(self):
-            call = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+            call = self.call()
             if self.is_lost():
                 return
             self.answer(*((503, {}) if store.away else store.tx(call)))
 
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    server.daemon_threads = True
-    server.handle_error = lambda *args: None  # a router that left doesn't wait for its feed
+    server = listen(Handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server.server_address[1]
 
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -6,17 +6,15 @@
 "late_ms" (those are done so much later) and "compact" (the history is forgotten).
 """
 
-import json
 import os
 import random
 import sys
 import threading
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "process"))
-from platform_world import Store  # noqa: E402
+from platform_world import JsonHandler, Store, listen  # noqa: E402
 
 FAULTS = {"away": False, "slow_ms": 0, "lose": 0.0, "late_ms": 0}
 
@@ -53,20 +51,7 @@
 
 
 def serve(store):
-    class Handler(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def log_message(self, *args):
-            pass
-
-        def answer(self, status, body):
-            data = json.dumps(body).encode()
-            self.send_response(status)
-            self.send_header("Content-Type", "application/json")
-            self.send_header("Content-Length", str(len(data)))
-            self.end_headers()
-            self.wfile.write(data)
-
+    class Handler(JsonHandler):
         def refused(self):
             time.sleep(store.fault["slow_ms"] / 1000)
             if store.fault["away"]:
@@ -81,7 +66,7 @@
                 self.answer(*call(query))
 
         def do_POST(self):
-            call = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+            call = self.call()
             if self.path == "/soak":
                 self.answer(200, {"ver": store.control(call)})
             elif not self.refused():
@@ -94,9 +79,7 @@
             threading.Timer(store.fault["late_ms"] / 1000, store.tx, [call]).start()
             self.close_connection = True
 
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    server.daemon_threads = True
-    server.handle_error = lambda *args: None  # callers that are killed don't wait
+    server = listen(Handler)
     print(server.server_address[1], flush=True)
     server.serve_forever()
 
