A predecessor's doubt and this granter's own are kept apart

Cause, found by reading: a run that was taken over kept one time until which a grant may still be carried out. A renewal of this granter without an answer set it to its own hold, 4 s, though a predecessor's may last over 11; and a new fence that the owner took cleared it, though an own grant under that fence may be on its way. Both need three deviations, which tests/grants doesn't play.

Change: the predecessor's time is a field of its own; a run that was given back rests until both are over. A host that the store never answered counts the configuration that others sent, instead of asking for it twice a second; a message's other bytes count against its limit.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -232,6 +232,13 @@
     settled (self, false);
 }
 
+void
+feed_tell (feed_t *self, const GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    tell_row (self, &g_array_index (rows, store_row_t, i));
+}
+
 void
 feed_ask_anew (feed_t *self, msec_t since)
 {
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -70,6 +70,10 @@
  */
 void feed_take (feed_t *self, uint64_t before, uint64_t after, const GArray *rows);
 
+/* Tells rows that another host sent, each of them whole, also before the store was read.
+ */
+void feed_tell (feed_t *self, const GArray *rows);
+
 /* Looks whether a resting feed is wanted again; to be called often. */
 void feed_step (feed_t *self);
 
--- a/packages/coordinator/news.c
+++ b/packages/coordinator/news.c
@@ -380,8 +380,7 @@
   /* A host that the store never answered has no configuration to follow the rows: each
    * of them is a whole one. */
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
-    for (guint i = 0; i < rows->len; i++)
-      configuration_row (self, &g_array_index (rows, store_row_t, i));
+    feed_tell (&self->configuration, rows);
   else if (table == STORE_CONFIGURATION)
     feed_take (&self->configuration, before, after, rows);
   else if (table == STORE_TARGETS)
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -289,7 +289,8 @@
 {
   GByteArray *body = link_write_rows (part);
 
-  if (body->len > LINK_MESSAGE_MAX_BYTES || is_heavy (self, body->len))
+  if (body->len > LINK_MESSAGE_MAX_BYTES - LINK_OVERHEAD_BYTES
+      || is_heavy (self, body->len))
     {
       GArray *none = g_array_new (FALSE, FALSE, sizeof (link_row_t));
       link_rows_t announced = { .table = part->table,
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -248,6 +248,27 @@
   end (&world);
 }
 
+/* A host that the store never answered knows what others sent it, and doesn't ask again.
+ */
+static void
+test_rows_of_others_count_before_the_store_was_read (void **state)
+{
+  world_t world;
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
+  store_row_t row = { g_string_new ("b"), g_string_new ("v"), 7, false };
+
+  (void)state;
+  begin (&world);
+  g_array_append_val (rows, row);
+  feed_tell (&world.feed, rows);
+  assert_int_equal (world.rows, 1);
+  assert_int_equal (world.feed.newest, 7);
+  g_string_free (row.key, TRUE);
+  g_string_free (row.value, TRUE);
+  g_array_unref (rows);
+  end (&world);
+}
+
 static void
 test_tries_again_after_a_refusal (void **state)
 {
@@ -273,6 +294,7 @@
     cmocka_unit_test (test_reads_anew_when_the_history_is_gone),
     cmocka_unit_test (test_rests_while_others_tell_the_rows),
     cmocka_unit_test (test_a_watch_that_hangs_is_asked_anew),
+    cmocka_unit_test (test_rows_of_others_count_before_the_store_was_read),
     cmocka_unit_test (test_tries_again_after_a_refusal),
     cmocka_unit_test (test_is_woken_when_it_is_wanted_again),
   };
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -270,7 +270,8 @@
 #define NEWS_KEEP_MS 1300
 #define REPORT_FORGET_MS 5000 /* a host that doesn't report isn't counted any more */
 
-#define LINK_OVERHEAD_BYTES 1024 /* of a message with one row */
+/* Of a message beside its rows: names, and the addresses of hosts that get it next. */
+#define LINK_OVERHEAD_BYTES 1024
 /* A change of owners has arrived everywhere, on the way over a host that passes it on. */
 #define TABLE_TOLD_MS 500
 /* Between asks for a missed change: a round trip and its queue. */
--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -76,7 +76,7 @@
   service->wants_fences = false;
   service->committing = true;
   for (guint i = 0; i < service->spans->len; i++)
-    if (span_at (service, i)->inherited)
+    if (span_at (service, i)->inherited_until != 0)
       span_at (service, i)->new_fence = self->next_fence++;
   emit_commit (self, service, out);
 }
@@ -99,7 +99,7 @@
       if (span->state != RUN_COMMITTING)
         continue;
       span->state = RUN_HELD;
-      span->inherited = false;
+      span->inherited_until = 0;
       span->call_after = 0;
       span->held_until = 0;
       span->doubt_until = 0;
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -100,7 +100,7 @@
 static bool
 may_be_fenced_off (const key_span_t *span, const target_entry_t *same_id, msec_t now)
 {
-  return span->inherited && same_id != NULL
+  return span->inherited_until != 0 && same_id != NULL
          && now + on_slow_clock (KEYS_FENCE_HOLD_MS) < span->held_until;
 }
 
@@ -110,10 +110,12 @@
 {
   const target_entry_t *same_id = key_plan_find (self, &span->owner);
   bool started_anew = same_id != NULL && same_id->born > span->born;
+  msec_t rests_until = span->released ? MAX (span->doubt_until, span->inherited_until)
+                                      : span->held_until;
 
   if (span->calling)
     return;
-  if (started_anew || now >= (span->released ? span->doubt_until : span->held_until))
+  if (started_anew || now >= rests_until)
     {
       span->state = RUN_FREE;
       if (!span->released)
@@ -216,17 +218,17 @@
   for (guint i = 0; msg->table != NULL && i < msg->table->runs->len; i++)
     {
       const key_run_t *run = &g_array_index (msg->table->runs, key_run_t, i);
-      key_span_t span = { .state = RUN_HELD,
-                          .first = run->first,
-                          .last = run->last,
-                          .fence = run->fence,
-                          .owner = run->target,
-                          .address = run->address,
-                          .born = run->born,
-                          .warm = true,
-                          .inherited = msg->held_for > 0,
-                          .held_until = now + msg->held_for,
-                          .doubt_until = now + msg->held_for };
+      key_span_t span
+          = { .state = RUN_HELD,
+              .first = run->first,
+              .last = run->last,
+              .fence = run->fence,
+              .owner = run->target,
+              .address = run->address,
+              .born = run->born,
+              .warm = true,
+              .held_until = now + msg->held_for,
+              .inherited_until = msg->held_for > 0 ? now + msg->held_for : 0 };
       g_array_append_val (service->spans, span);
       /* Holds without the role's row as well: no fence is given out a second time. */
       self->next_fence = MAX (self->next_fence, run->fence + 1);
@@ -248,11 +250,8 @@
         {
           span->warm = true;
           span->handover.len = 0;
-          if (span->inherited && !service->wants_fences && span->new_fence == 0)
-            {
-              span->inherited = false;
-              span->doubt_until = 0;
-            }
+          if (!service->wants_fences && span->new_fence == 0)
+            span->inherited_until = 0;
         }
       else if (msg->kind == KEYS_RELEASED && span->state == RUN_LEAVING)
         {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -105,11 +105,12 @@
   msec_t call_after;  /* not called before */
   msec_t held_until;  /* no grant of it can run longer */
   msec_t doubt_until; /* a grant that got no answer may still be carried out till then */
-  bool inherited;     /* ... of a predecessor, until the owner takes a new fence */
-  uint64_t new_fence; /* for the same owner, by the commit under way; 0: none */
-  msec_t last_hold;   /* length of the grant under way */
-  bool released;      /* the owner gave it back */
-  uint32_t tries;     /* of the release */
+  msec_t inherited_until; /* the same of a predecessor's, 0 once the owner has taken a new
+                             fence */
+  uint64_t new_fence;     /* for the same owner, by the commit under way; 0: none */
+  msec_t last_hold;       /* length of the grant under way */
+  bool released;          /* the owner gave it back */
+  uint32_t tries;         /* of the release */
 } key_span_t;
 
 typedef struct
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -365,6 +365,66 @@
   end (&world);
 }
 
+/* The owner's run rests until its predecessor's or this granter's last grant is over,
+ * whichever lasts longer, though one of them says less. */
+static void
+test_own_grants_without_an_answer_shorten_no_rest (void **state)
+{
+  world_t world;
+  key_table_t table = take_over (&world, false, false, HOLD_MAX);
+
+  (void)state;
+  take_fences (&world, &table);
+  key_table_finish (&table);
+  keys_out_t renewal = *find (&world, KEYS_GRANT);
+  reply (&world, &renewal, KEYS_FAILED, true);
+  g_array_remove_index (world.targets, 0);
+  list_targets (&world);
+  if (count (&world, KEYS_RELEASE) == 0)
+    assert_true (run_until (&world, KEYS_RELEASE, world.now + 2 * KEYS_RETRY_MS));
+  keys_out_t release = *find (&world, KEYS_RELEASE);
+  reply (&world, &release, KEYS_RELEASED, true);
+  while (world.now < START + HOLD_MAX)
+    {
+      assert_int_equal (count (&world, KEYS_COMMIT), 0);
+      take_grants (&world);
+      world.now += 50;
+      hold_role (&world);
+    }
+  assert_int_equal (count (&world, KEYS_COMMIT), 1);
+  end (&world);
+}
+
+static void
+test_a_new_fence_ends_no_doubt_of_this_granters_own (void **state)
+{
+  world_t world;
+  key_table_t table = take_over (&world, false, false, HOLD_MAX);
+
+  (void)state;
+  take_fences (&world, &table);
+  key_table_finish (&table);
+  keys_out_t renewal = *find (&world, KEYS_GRANT);
+  reply (&world, &renewal, KEYS_FAILED, true);
+  assert_true (run_until (&world, KEYS_GRANT, world.now + 2 * KEYS_RENEW_MS));
+  take_grants (&world);
+  target (&world, 0)->leaving = true;
+  list_targets (&world);
+  if (count (&world, KEYS_RELEASE) == 0)
+    assert_true (run_until (&world, KEYS_RELEASE, world.now + 2 * KEYS_RETRY_MS));
+  keys_out_t release = *find (&world, KEYS_RELEASE);
+  reply (&world, &release, KEYS_RELEASED, true);
+  while (world.now < START + KEYS_HOLD_MS)
+    {
+      assert_int_equal (count (&world, KEYS_COMMIT), 0);
+      take_grants (&world);
+      world.now += 50;
+      hold_role (&world);
+    }
+  assert_true (run_until (&world, KEYS_COMMIT, START + 2 * KEYS_HOLD_MS));
+  end (&world);
+}
+
 /* It isn't listed, so that no new fence reaches it; it gives its keys back all the same.
  */
 static void
@@ -472,6 +532,8 @@
         test_a_successor_has_a_leaver_refuse_old_grants_before_it_moves_keys),
     cmocka_unit_test (test_a_successor_lets_keys_rest_that_an_unlisted_owner_gives_back),
     cmocka_unit_test (test_keys_of_an_unreadable_table_rest_before_they_are_given_out),
+    cmocka_unit_test (test_own_grants_without_an_answer_shorten_no_rest),
+    cmocka_unit_test (test_a_new_fence_ends_no_doubt_of_this_granters_own),
   };
 
   return cmocka_run_group_tests_name ("keys", tests, NULL, NULL);
