Feeds state how old their knowledge is, in logs, metrics and updates

A feed now records the moment as of which it has all changes: the start of a read, or the end of the wait of a watch without a change. The granter's update states the age of its feeds of the configuration and the targets, and returns the time at which the host sent the report that it replies to, so that the host can date it on its own clock, whatever the transit took. Log lines watch_suspended and watch_resumed carry the age; the metrics configuration_age_ms and targets_age_ms, which counted from any relayed row, now are these ages.

The feeds' times, and those of the role they are compared with, are on the coordinator's clock, which includes system suspend. No decision uses the ages yet.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -36,7 +36,7 @@
 
   (void)fd;
   (void)what;
-  discovery_step (self, g_get_monotonic_time () / 1000);
+  discovery_step (self);
   role_step (self, now);
   reload_step (self, now);
   if (self->role.state != ROLE_HELD)
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -70,8 +70,8 @@
   struct event_base *base;
   store_t *store;
   bool store_unreachable;   /* the last call for the role row failed */
-  msec_t store_lost_at;     /* time of the last such failure, monotonic */
-  msec_t role_recovered_at; /* time of the first success after one, monotonic */
+  msec_t store_lost_at;     /* time of the last such failure */
+  msec_t role_recovered_at; /* time of the first success after one */
   proxy_t *proxy;
   mailbox_t inbox;             /* proxy_report_t */
   msclock_t clock;             /* includes time in system suspend */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../link/link_codec.h"
 #include "coordinator.h"
 
 /* COORDINATOR_PARTS: internal interfaces between the coordinator's source files. */
@@ -10,14 +11,12 @@
 void discovery_finish (coordinator_t *self);
 
 /* Resumes suspended feeds, drops targets whose rows have been missing for too long, and
- * publishes changes.  NOW is in ms, monotonic. */
-void discovery_step (coordinator_t *self, msec_t now);
-
-/* Compares the feeds with the granter's row versions.  A feed that stays behind for
- * FEED_LAG_MS queries the store again. */
-void discovery_check_versions (coordinator_t *self,
-                               uint64_t configuration_row,
-                               uint64_t targets_row);
+ * publishes changes. */
+void discovery_step (coordinator_t *self);
+
+/* Compares the feeds with the granter's.  A feed that stays behind for FEED_LAG_MS
+ * queries the store again; the others are as fresh as the granter's. */
+void discovery_check_versions (coordinator_t *self, const link_update_t *update);
 
 /* Applies ROWS (store_row_t) from another host's feed: the changes of TABLE after version
  * BEFORE, up to AFTER. */
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -170,7 +170,7 @@
 static void
 mark_missing (coordinator_t *self, known_target_t *target)
 {
-  msec_t now = g_get_monotonic_time () / 1000;
+  msec_t now = msclock_now (&self->clock);
 
   if (target->expires_at != MSEC_NEVER)
     return;
@@ -268,7 +268,7 @@
     if (!((known_target_t *)value)->seen)
       mark_missing (self, value);
   self->targets_changed |= full_read;
-  discovery_step (self, g_get_monotonic_time () / 1000);
+  discovery_step (self);
 }
 
 /* Key owners. */
@@ -337,8 +337,9 @@
     = { .row = on_owners_row, .should_watch = should_watch_owners };
 
 void
-discovery_step (coordinator_t *self, msec_t now)
+discovery_step (coordinator_t *self)
 {
+  msec_t now = msclock_now (&self->clock);
   GHashTableIter iter;
   gpointer value;
 
@@ -357,13 +358,29 @@
     publish_targets (self);
 }
 
+/* The time on this host's clock at which the granter's knowledge of a table was last
+ * confirmed, or an earlier one: the granter stated its age after this host had sent the
+ * report. */
+static msec_t
+confirmation_time (const link_update_t *update, const link_freshness_t *table)
+{
+  bool known = update->report_sent_at > 0 && table->age_ms < LINK_AGE_UNKNOWN;
+
+  return known ? update->report_sent_at - table->age_ms : MSEC_NEVER;
+}
+
+/* The granter has all changes of the feed's table up to its row NEWEST, which it knew to
+ * be the newest one at CONFIRMED_AT. */
 static void
-check_version (feed_t *feed, uint64_t newest)
+check_version (feed_t *feed, uint64_t newest, msec_t confirmed_at)
 {
-  msec_t now = g_get_monotonic_time () / 1000;
+  msec_t now = msclock_now (feed->clock);
+  bool complete = newest <= MAX (feed->newest_row, feed->version);
 
+  if (complete && confirmed_at != MSEC_NEVER)
+    feed_confirm (feed, confirmed_at);
   /* A change takes some time to reach all hosts, so a short lag is tolerated. */
-  if (newest <= MAX (feed->newest_row, feed->version))
+  if (complete)
     feed->behind_since = MSEC_NEVER;
   else if (feed->behind_since == MSEC_NEVER)
     feed->behind_since = now;
@@ -375,12 +392,14 @@
 }
 
 void
-discovery_check_versions (coordinator_t *self,
-                          uint64_t configuration_row,
-                          uint64_t targets_row)
+discovery_check_versions (coordinator_t *self, const link_update_t *update)
 {
-  check_version (&self->configuration, configuration_row);
-  check_version (&self->targets, targets_row);
+  check_version (&self->configuration,
+                 update->configuration.newest_row,
+                 confirmation_time (update, &update->configuration));
+  check_version (&self->targets,
+                 update->targets.newest_row,
+                 confirmation_time (update, &update->targets));
 }
 
 void
@@ -403,7 +422,7 @@
 void
 discovery_restart_calls (coordinator_t *self)
 {
-  msec_t now = g_get_monotonic_time () / 1000;
+  msec_t now = msclock_now (&self->clock);
 
   /* A watch that hung during the outage didn't fail, so it recorded no recovery; entries
    * may have expired nevertheless. */
@@ -441,6 +460,7 @@
   feed_init (&self->configuration,
              self->store,
              self->base,
+             &self->clock,
              STORE_CONFIGURATION,
              "configuration",
              &configuration_ops,
@@ -448,6 +468,7 @@
   feed_init (&self->targets,
              self->store,
              self->base,
+             &self->clock,
              STORE_TARGETS,
              "targets",
              &targets_ops,
@@ -455,6 +476,7 @@
   feed_init (&self->owners,
              self->store,
              self->base,
+             &self->clock,
              STORE_KEYS,
              "owners",
              &owners_ops,
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -3,17 +3,12 @@
 #include "../core/eventlog.h"
 #include "../core/limits.h"
 
-static msec_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 /* One call to the store.  The reply to an abandoned call is ignored. */
 typedef struct feed_call
 {
   feed_t *feed; /* NULL: the call was abandoned */
   msec_t started;
+  msec_t wait; /* of a watch: how long the store waits for a change */
 } feed_call_t;
 
 static void on_reply (void *owner, const store_reply_t *reply);
@@ -24,13 +19,13 @@
   const store_ops_t *ops = self->store->ops;
 
   self->call = g_new (feed_call_t, 1);
-  *self->call = (feed_call_t){ self, now_ms () };
+  *self->call = (feed_call_t){ self, msclock_now (self->clock), STORE_WATCH_MS };
 
   if (self->watching)
     ops->watch (self->store,
                 self->table,
                 self->version,
-                STORE_WATCH_MS,
+                self->call->wait,
                 on_reply,
                 self->call);
   else
@@ -43,13 +38,28 @@
 
 static void schedule_call (feed_t *self, msec_t wait);
 
+static void
+log_state (const feed_t *self, const char *event)
+{
+  msec_t age = feed_age (self);
+
+  eventlog_write (EVENT_STATE,
+                  "store",
+                  event,
+                  "feed=%s version=%llu age_ms=%lld",
+                  self->name,
+                  (unsigned long long)self->version,
+                  age == MSEC_NEVER ? -1LL : (long long)age);
+}
+
 /* Issues the next call, unless it would be a watch that is not needed at present. */
 static void
 start_next_call (feed_t *self)
 {
-  if (self->watching && self->ops->should_watch != NULL
-      && !self->ops->should_watch (self->owner))
-    self->suspended = true;
+  self->suspended = self->watching && self->ops->should_watch != NULL
+                    && !self->ops->should_watch (self->owner);
+  if (self->suspended)
+    log_state (self, "watch_suspended");
   else
     start_call (self);
 }
@@ -82,7 +92,7 @@
                     store_outcome_name (reply->outcome),
                     reply->reason != NULL ? reply->reason : "none",
                     (unsigned long long)self->version);
-  self->failed_at = now_ms ();
+  self->failed_at = msclock_now (self->clock);
   self->retry_delay = CLAMP (self->retry_delay * 2, STORE_RETRY_MS, STORE_RETRY_MAX_MS);
   schedule_call (self,
                  self->retry_delay / 2
@@ -92,11 +102,10 @@
 static void
 handle_success (feed_t *self, const store_reply_t *reply)
 {
-  self->last_success = now_ms ();
   if (self->retry_delay == 0)
     return;
   self->retry_delay = 0;
-  self->recovered_at = self->last_success;
+  self->recovered_at = msclock_now (self->clock);
   eventlog_write (EVENT_STATE,
                   "store",
                   "recovered",
@@ -121,13 +130,14 @@
 }
 
 static void
-handle_page (feed_t *self, const store_reply_t *reply)
+handle_page (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
 {
   if (self->last_key->len == 0)
     {
       /* Later pages may reflect a later version, so the watch starts from the first
        * page's. */
       self->version = reply->version;
+      self->read_started = call->started;
       if (self->ops->read_started != NULL)
         self->ops->read_started (self->owner);
     }
@@ -141,11 +151,29 @@
     return;
   g_string_truncate (self->last_key, 0);
   self->watching = true;
+  feed_confirm (self, self->read_started);
   finish_batch (self, true);
 }
 
 static void
-handle_reply (feed_t *self, const store_reply_t *reply)
+handle_changes (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
+{
+  uint64_t before = self->newest_row;
+
+  for (guint i = 0; i < reply->rows->len; i++)
+    deliver_row (self, &g_array_index (reply->rows, store_row_t, i));
+  self->version = MAX (self->version, reply->version);
+  /* Without a change, the store answered at the end of the wait. */
+  feed_confirm (self, call->started + (reply->rows->len > 0 ? 0 : call->wait));
+  if (reply->rows->len == 0)
+    return;
+  if (self->ops->changed != NULL)
+    self->ops->changed (self->owner, before, reply);
+  finish_batch (self, false);
+}
+
+static void
+handle_reply (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
 {
   if (reply->outcome == STORE_HISTORY_GONE && self->watching)
     {
@@ -166,18 +194,9 @@
     }
   handle_success (self, reply);
   if (self->watching)
-    {
-      uint64_t before = self->newest_row;
-      for (guint i = 0; i < reply->rows->len; i++)
-        deliver_row (self, &g_array_index (reply->rows, store_row_t, i));
-      self->version = MAX (self->version, reply->version);
-      if (self->ops->changed != NULL && reply->rows->len > 0)
-        self->ops->changed (self->owner, before, reply);
-      if (reply->rows->len > 0)
-        finish_batch (self, false);
-    }
+    handle_changes (self, call, reply);
   else
-    handle_page (self, reply);
+    handle_page (self, call, reply);
   /* The delay lets one reply carry changes that come close together. */
   if (self->watching && reply->rows->len > 0)
     schedule_call (self, FEED_BATCH_MS);
@@ -188,14 +207,29 @@
 static void
 on_reply (void *owner, const store_reply_t *reply)
 {
-  feed_call_t *call = owner;
-  feed_t *self = call->feed;
+  feed_call_t call = *(feed_call_t *)owner;
 
-  g_free (call);
-  if (self == NULL)
+  g_free (owner);
+  if (call.feed == NULL)
     return;
-  self->call = NULL;
-  handle_reply (self, reply);
+  call.feed->call = NULL;
+  handle_reply (call.feed, &call, reply);
+}
+
+void
+feed_confirm (feed_t *self, msec_t at)
+{
+  at = MIN (at, msclock_now (self->clock));
+  if (self->confirmed_at == MSEC_NEVER || at > self->confirmed_at)
+    self->confirmed_at = at;
+}
+
+msec_t
+feed_age (const feed_t *self)
+{
+  return self->confirmed_at == MSEC_NEVER
+             ? MSEC_NEVER
+             : msclock_now (self->clock) - self->confirmed_at;
 }
 
 void
@@ -204,6 +238,8 @@
   if (self->call != NULL)
     return;
   evtimer_del (self->retry_timer);
+  if (self->suspended)
+    log_state (self, "watch_resumed");
   self->suspended = false;
   start_call (self);
 }
@@ -232,7 +268,6 @@
         deliver_row (self, row);
     }
   self->version = after;
-  self->last_success = now_ms ();
   if (rows->len > 0)
     finish_batch (self, false);
 }
@@ -255,7 +290,7 @@
                   "feed=%s version=%llu after_ms=%lld",
                   self->name,
                   (unsigned long long)self->version,
-                  (long long)(now_ms () - self->call->started));
+                  (long long)(msclock_now (self->clock) - self->call->started));
   self->call->feed = NULL;
   start_call (self);
 }
@@ -264,17 +299,20 @@
 feed_init (feed_t *self,
            store_t *store,
            struct event_base *base,
+           const msclock_t *clock,
            store_table_t table,
            const char *name,
            const feed_ops_t *ops,
            void *owner)
 {
   *self = (feed_t){ .store = store,
+                    .clock = clock,
                     .table = table,
                     .name = name,
                     .ops = ops,
                     .owner = owner,
                     .behind_since = MSEC_NEVER,
+                    .confirmed_at = MSEC_NEVER,
                     .last_key = g_string_new (NULL) };
   self->retry_timer = evtimer_new (base, on_retry, self);
   rng_init (&self->rng, (uint64_t)g_get_monotonic_time ());
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -8,7 +8,10 @@
  *
  * Reads the whole table page by page, then watches it for changes; reads it again when
  * the store no longer keeps the changes since the last known version.  Failed calls are
- * retried with exponential backoff.  Times are in ms, monotonic.
+ * retried with exponential backoff.  Times are in ms, on the clock passed to feed_init.
+ *
+ * The age of a feed is the time since the latest moment as of which it is known to have
+ * delivered all changes: a watch without an answer looks like a table without changes.
  */
 
 typedef struct
@@ -29,6 +32,7 @@
 typedef struct
 {
   store_t *store;
+  const msclock_t *clock;
   store_table_t table;
   const char *name; /* for the log */
   const feed_ops_t *ops;
@@ -44,13 +48,15 @@
   GString *last_key;   /* last key of the previous page */
   msec_t retry_delay;  /* backoff; 0: the last call succeeded */
   msec_t failed_at;    /* time of the last failure */
-  msec_t last_success; /* time of the last successful reply or relayed change */
+  msec_t read_started; /* start of the full read in progress, or of the last one */
+  msec_t confirmed_at; /* all changes up to then were delivered; MSEC_NEVER: unknown */
   msec_t recovered_at; /* time of the first success after failures */
 } feed_t;
 
 void feed_init (feed_t *self,
                 store_t *store,
                 struct event_base *base,
+                const msclock_t *clock,
                 store_table_t table,
                 const char *name,
                 const feed_ops_t *ops,
@@ -76,6 +82,12 @@
  * store.  Each row has to be complete in itself. */
 void feed_apply_rows (feed_t *self, const GArray *rows);
 
+/* Notes that all changes up to the time AT were delivered. */
+void feed_confirm (feed_t *self, msec_t at);
+
+/* MSEC_NEVER if the table was never read. */
+msec_t feed_age (const feed_t *self);
+
 /* Resumes a suspended feed once should_watch allows it.  Call it periodically. */
 void feed_step (feed_t *self);
 
--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -102,15 +102,10 @@
 add_state (struct evbuffer *page, coordinator_t *self)
 {
   msec_t now = msclock_now (&self->clock);
-  msec_t monotonic = g_get_monotonic_time () / 1000;
 
   add_number (page, "configuration_version", self->directory_version);
-  add_number (page,
-              "configuration_age_ms",
-              (uint64_t)MAX (monotonic - self->configuration.last_success, 0));
-  add_number (page,
-              "targets_age_ms",
-              (uint64_t)MAX (monotonic - self->targets.last_success, 0));
+  add_number (page, "configuration_age_ms", (uint64_t)feed_age (&self->configuration));
+  add_number (page, "targets_age_ms", (uint64_t)feed_age (&self->targets));
   add_number (page, "store_calls_total", self->store->calls);
   add_number (page, "store_away", self->store_unreachable);
   add_number (page, "granter", self->role.state == ROLE_HELD);
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -1,7 +1,6 @@
 #include "coordinator_parts.h"
 
 #include "../core/eventlog.h"
-#include "../link/link_codec.h"
 #include "../link/spread.h"
 
 /* A host that sends its reports to this one. */
@@ -97,10 +96,20 @@
   return spread_exceeds_link (bytes, groups, self->settings->link_mbps);
 }
 
-/* The granter's update for other hosts.  TABLE holds the changes since BASE_VERSION, or
+static link_freshness_t
+freshness (const feed_t *feed)
+{
+  return (link_freshness_t){ feed->newest_row, MIN (feed_age (feed), LINK_AGE_UNKNOWN) };
+}
+
+/* The granter's update for other hosts: the reply to REPORT, or not a reply if that is
+ * NULL.  TABLE holds the changes since BASE_VERSION, or
  * the whole table if BASE_VERSION is 0; it may be NULL. */
 static GByteArray *
-encode_update (const coordinator_t *self, const key_table_t *table, uint64_t base_version)
+encode_update (const coordinator_t *self,
+               const link_report_t *report,
+               const key_table_t *table,
+               uint64_t base_version)
 {
   link_update_t update
       = { .host = self->settings->host,
@@ -108,8 +117,9 @@
           .incarnation = self->incarnation,
           .role_left_ms = self->role.lease_end - msclock_now (&self->clock),
           .n_hosts = self->host_count,
-          .configuration_row_version = self->configuration.newest_row,
-          .targets_row_version = self->targets.newest_row,
+          .report_sent_at = report != NULL ? report->sent_at : 0,
+          .configuration = freshness (&self->configuration),
+          .targets = freshness (&self->targets),
           .has_table = table != NULL,
           .table_base_version = base_version };
 
@@ -181,7 +191,7 @@
                          || now >= self->table_broadcast_at + TABLE_BROADCAST_MS);
   send_and_free (self,
                  &report->address,
-                 encode_update (self, wants_table ? table : NULL, 0));
+                 encode_update (self, report, wants_table ? table : NULL, 0));
   if (report->requests_configuration && self->role.state == ROLE_HELD)
     send_configuration (self, report);
   g_free (host);
@@ -195,6 +205,7 @@
   link_report_t report = { .host = self->settings->host,
                            .address = self->settings->peers,
                            .incarnation = self->incarnation,
+                           .sent_at = now,
                            .service = *service,
                            .table_version = version,
                            .configuration_row_version = self->configuration.newest_row,
@@ -257,9 +268,7 @@
   self->granter_update_expires = now + MIN (update->role_left_ms, UPDATE_VALID_MS);
   role_postpone_check (self, now + update->role_left_ms);
   update_host_count (self, update->n_hosts);
-  discovery_check_versions (self,
-                            update->configuration_row_version,
-                            update->targets_row_version);
+  discovery_check_versions (self, update);
   if (update->has_table)
     apply_table (self, update, now);
 }
@@ -441,6 +450,7 @@
   link_report_t report = { .host = self->settings->host,
                            .address = self->settings->peers,
                            .incarnation = self->incarnation,
+                           .sent_at = msclock_now (&self->clock),
                            .service = from->service,
                            .table_version = table != NULL ? table->version : 0,
                            .configuration_row_version = self->configuration.newest_row,
@@ -459,8 +469,8 @@
   key_table_init (&changes, name_text (&table->service));
   if (known != NULL)
     key_table_diff (known, table, &changes);
-  body = known != NULL ? encode_update (self, &changes, known->version)
-                       : encode_update (self, table, 0);
+  body = known != NULL ? encode_update (self, NULL, &changes, known->version)
+                       : encode_update (self, NULL, table, 0);
   broadcast_body (self, body);
   g_byte_array_unref (body);
   key_table_finish (&changes);
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -31,7 +31,7 @@
                         reply->reason,
                         (unsigned long long)role->version);
       self->store_unreachable = true;
-      self->store_lost_at = g_get_monotonic_time () / 1000;
+      self->store_lost_at = msclock_now (&self->clock);
     }
   else if (self->store_unreachable)
     {
@@ -42,7 +42,7 @@
                       (unsigned long long)role->version,
                       (unsigned long long)reply->version);
       self->store_unreachable = false;
-      self->role_recovered_at = g_get_monotonic_time () / 1000;
+      self->role_recovered_at = msclock_now (&self->clock);
       discovery_restart_calls (self);
     }
   if (reply->outcome != STORE_DONE)
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -18,6 +18,7 @@
 {
   fake_store_t fake;
   struct event_base *base;
+  msclock_t clock;
   feed_t feed;
   bool watch_wanted;
   unsigned rows, full_reads, changes;
@@ -94,9 +95,11 @@
   *self = (fixture_t){ .fake = { .store = { .ops = &store_ops } },
                        .base = event_base_new (),
                        .watch_wanted = true };
+  msclock_init_real (&self->clock);
   feed_init (&self->feed,
              &self->fake.store,
              self->base,
+             &self->clock,
              STORE_TARGETS,
              "targets",
              &feed_ops,
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -9,7 +9,7 @@
  * header claims.
  */
 
-#define LINK_CODEC_VERSION 4
+#define LINK_CODEC_VERSION 5
 #define LOADS_MAX 8192
 #define RANGES_MAX 8192
 #define ROWS_MAX 8192
@@ -57,6 +57,7 @@
   pack_name (&packer, &report->host);
   pack_name (&packer, &report->address);
   msgpack_pack_uint64 (&packer, report->incarnation);
+  msgpack_pack_uint64 (&packer, (uint64_t)report->sent_at);
   pack_name (&packer, &report->service);
   msgpack_pack_uint64 (&packer, report->table_version);
   msgpack_pack_uint64 (&packer, report->configuration_row_version);
@@ -90,6 +91,13 @@
     }
 }
 
+static void
+pack_freshness (msgpack_packer *packer, const link_freshness_t *table)
+{
+  msgpack_pack_uint64 (packer, table->newest_row);
+  msgpack_pack_uint64 (packer, (uint64_t)table->age_ms);
+}
+
 GByteArray *
 link_encode_update (const link_update_t *update)
 {
@@ -101,8 +109,9 @@
   msgpack_pack_uint64 (&packer, update->incarnation);
   msgpack_pack_uint64 (&packer, (uint64_t)MAX (update->role_left_ms, 0));
   msgpack_pack_uint32 (&packer, update->n_hosts);
-  msgpack_pack_uint64 (&packer, update->configuration_row_version);
-  msgpack_pack_uint64 (&packer, update->targets_row_version);
+  msgpack_pack_uint64 (&packer, (uint64_t)update->report_sent_at);
+  pack_freshness (&packer, &update->configuration);
+  pack_freshness (&packer, &update->targets);
   msgpack_pack_uint8 (&packer, update->has_table);
   if (update->has_table)
     {
@@ -222,6 +231,7 @@
   read_name (self, &report->host);
   read_name (self, &report->address);
   report->incarnation = read_uint (self, UINT64_MAX);
+  report->sent_at = (msec_t)read_uint (self, INT64_MAX);
   read_name (self, &report->service);
   report->table_version = read_uint (self, UINT64_MAX);
   report->configuration_row_version = read_uint (self, UINT64_MAX);
@@ -258,6 +268,14 @@
     }
 }
 
+static link_freshness_t
+read_freshness (reader_t *self)
+{
+  uint64_t newest_row = read_uint (self, UINT64_MAX);
+
+  return (link_freshness_t){ newest_row, (msec_t)read_uint (self, LINK_AGE_UNKNOWN) };
+}
+
 static void
 read_update (reader_t *self, link_update_t *update)
 {
@@ -266,8 +284,9 @@
   update->incarnation = read_uint (self, UINT64_MAX);
   update->role_left_ms = (msec_t)read_uint (self, 1000 * 1000);
   update->n_hosts = (uint32_t)read_uint (self, UINT32_MAX);
-  update->configuration_row_version = read_uint (self, UINT64_MAX);
-  update->targets_row_version = read_uint (self, UINT64_MAX);
+  update->report_sent_at = (msec_t)read_uint (self, INT64_MAX);
+  update->configuration = read_freshness (self);
+  update->targets = read_freshness (self);
   update->has_table = read_uint (self, 1) == 1;
   if (update->has_table)
     {
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -18,6 +18,7 @@
   name_t host;
   name_t address; /* address:port of its link */
   uint64_t incarnation;
+  msec_t sent_at; /* on the sender's clock, > 0; the reply returns it */
   name_t service; /* a keyed service */
   uint64_t table_version;
   uint64_t configuration_row_version; /* version of the newest row that the host has */
@@ -26,15 +27,24 @@
   GArray *loads;               /* key_load_t */
 } link_report_t;
 
+/* What the granter knows of a store table. */
+typedef struct
+{
+  uint64_t newest_row; /* version of the newest row that it has */
+  msec_t age_ms; /* since that was known to be the newest row; LINK_AGE_UNKNOWN at most */
+} link_freshness_t;
+
+#define LINK_AGE_UNKNOWN (1000 * 1000)
+
 typedef struct
 {
   name_t host; /* the granter */
   name_t address;
   uint64_t incarnation;
-  msec_t role_left_ms; /* ms for which its role lasts at least */
-  uint32_t n_hosts;    /* number of hosts that report, itself included */
-  /* Versions of the newest rows that it has. */
-  uint64_t configuration_row_version, targets_row_version;
+  msec_t role_left_ms;   /* ms for which its role lasts at least */
+  uint32_t n_hosts;      /* number of hosts that report, itself included */
+  msec_t report_sent_at; /* of the report that this replies to; 0: not a reply */
+  link_freshness_t configuration, targets;
   bool has_table;
   uint64_t table_base_version; /* TABLE has the changes since this version; 0: complete */
   key_table_t table;
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -10,7 +10,8 @@
 static link_report_t
 make_report (void)
 {
-  link_report_t report = { .incarnation = 3, .table_version = 9, .requests_table = true };
+  link_report_t report
+      = { .incarnation = 3, .sent_at = 4400, .table_version = 9, .requests_table = true };
   const key_load_t loads[] = { { 1, 5 }, { 4000, 70000 } };
 
   name_set (&report.host, TEXT ("host"));
@@ -29,8 +30,9 @@
   key_range_t range = { .last = KEY_LAST, .fence = 4, .target_started_at = 5 };
 
   update.table_base_version = 70;
-  update.configuration_row_version = 11;
-  update.targets_row_version = 12;
+  update.report_sent_at = 4400;
+  update.configuration = (link_freshness_t){ 11, LINK_AGE_UNKNOWN };
+  update.targets = (link_freshness_t){ 12, 250 };
   name_set (&update.host, TEXT ("host"));
   name_set (&update.address, TEXT ("10.0.0.1:70"));
   key_table_init (&update.table, TEXT ("s"));
@@ -78,6 +80,7 @@
       assert_int_equal (received->bucket, sent->bucket);
       assert_int_equal (received->count, sent->count);
     }
+  assert_int_equal (msg.report.sent_at, 4400);
   assert_int_equal (msg.report.table_version, 9);
   assert_true (msg.report.requests_table);
   assert_false (msg.report.requests_configuration);
@@ -99,7 +102,10 @@
   assert_int_equal (decode (&msg, bytes, bytes->len), STATUS_OK);
   assert_int_equal (msg.kind, LINK_UPDATE);
   assert_int_equal (msg.update.role_left_ms, 900);
-  assert_int_equal (msg.update.targets_row_version, 12);
+  assert_int_equal (msg.update.report_sent_at, 4400);
+  assert_int_equal (msg.update.configuration.age_ms, LINK_AGE_UNKNOWN);
+  assert_int_equal (msg.update.targets.newest_row, 12);
+  assert_int_equal (msg.update.targets.age_ms, 250);
   assert_int_equal (msg.update.table.version, 77);
   assert_int_equal (msg.update.table_base_version, 70);
   assert_memory_equal (msg.update.table.ranges->data,
