--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -132,15 +132,34 @@
     return server
 
 
-def serve_store(store):
+class StoreAccess:
+    """One router's access to the store: `port`, and which calls get no answer."""
+
+    def __init__(self, store):
+        self.silent = False
+        self.silent_watches = False
+        self.port = serve_store(store, self)
+
+
+def serve_store(store, access=None):
     class Handler(JsonHandler):
         def is_unresponsive(self):
             store.n_calls += 1
-            self.close_connection = store.unresponsive
-            if store.unresponsive:
+            self.close_connection = store.unresponsive or self.is_silent()
+            if self.close_connection:
                 self.rfile.read()  # blocks until the caller closes
             return self.close_connection
 
+        def is_silent(self):
+            watch = "rows-feed" in self.path
+            return access is not None and (access.silent or (watch and access.silent_watches))
+
+        def respond(self, status, body):
+            if self.is_silent():  # since the call arrived
+                self.is_unresponsive()
+            else:
+                super().respond(status, body)
+
         def do_GET(self):
             if self.is_unresponsive():
                 return
