Hosts go by the granter's updates only while these are fresh

Callers' requests reached targets more than 2 s after the store had acknowledged that they were leaving (DRAIN), sent by hosts that the store answered all the time.

Cause: a host suspends its own feeds while it receives the granter's updates. An update says how long the granter's role lasts, not how old its knowledge is; a granter whose calls get no answer keeps its role for up to 2.4 s and vouches for its tables all that while.

A host now goes by the granter while its own copy was complete at most 1.5 s ago, as the ages in the updates show, and watches the store itself beyond that, whatever the role's lease. So that this does not happen in normal operation, the granter's watches end within 600 ms of the last confirmation; that costs the fleet some 3 calls a second.

Why it works: an age is counted from a moment at which the store itself stated that nothing was missing, dated on the receiver's clock by the report that the update replies to. Whatever breaks between store, granter and host (silence, refusal, cut, freeze, a full link), the age grows.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -298,13 +298,34 @@
   key_table_finish (&table);
 }
 
-/* The store isn't watched while a live granter relays the changes from its own feeds. */
+/* The store isn't watched while a live granter relays the changes from its own feeds,
+ * unless its word is too old: the store may not answer it. */
 static bool
-should_watch (void *owner)
+should_watch (const coordinator_t *self, const feed_t *feed)
+{
+  return self->role.state == ROLE_HELD || !peers_granter_is_live (self)
+         || feed_age (feed) >= RELAY_MAX_AGE_MS;
+}
+
+static bool
+should_watch_configuration (void *owner)
+{
+  return should_watch (owner, &((const coordinator_t *)owner)->configuration);
+}
+
+static bool
+should_watch_targets (void *owner)
+{
+  return should_watch (owner, &((const coordinator_t *)owner)->targets);
+}
+
+/* The granter's feeds are confirmed often enough for the hosts that go by them. */
+static msec_t
+max_age (void *owner)
 {
   const coordinator_t *self = owner;
 
-  return self->role.state == ROLE_HELD || !peers_granter_is_live (self);
+  return self->role.state == ROLE_HELD ? RELAY_CONFIRM_MS : STORE_WATCH_MS;
 }
 
 static bool
@@ -327,12 +348,14 @@
 
 static const feed_ops_t configuration_ops = { .row = on_configuration_row,
                                               .changed = relay_configuration,
-                                              .should_watch = should_watch };
+                                              .should_watch = should_watch_configuration,
+                                              .max_age = max_age };
 static const feed_ops_t targets_ops = { .read_started = on_targets_read_started,
                                         .row = on_target_row,
                                         .batch_done = on_targets_batch_done,
                                         .changed = relay_targets,
-                                        .should_watch = should_watch };
+                                        .should_watch = should_watch_targets,
+                                        .max_age = max_age };
 static const feed_ops_t owners_ops
     = { .row = on_owners_row, .should_watch = should_watch_owners };
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -13,21 +13,30 @@
 
 static void on_reply (void *owner, const store_reply_t *reply);
 
+static msec_t
+max_age (const feed_t *self)
+{
+  return self->ops->max_age != NULL ? self->ops->max_age (self->owner) : STORE_WATCH_MS;
+}
+
 static void
 start_call (feed_t *self)
 {
   const store_ops_t *ops = self->store->ops;
 
   self->call = g_new (feed_call_t, 1);
-  *self->call = (feed_call_t){ self, msclock_now (self->clock), STORE_WATCH_MS };
+  *self->call = (feed_call_t){ self, msclock_now (self->clock), 0 };
 
   if (self->watching)
-    ops->watch (self->store,
-                self->table,
-                self->version,
-                self->call->wait,
-                on_reply,
-                self->call);
+    {
+      self->call->wait = MAX (max_age (self) - feed_age (self), 0);
+      ops->watch (self->store,
+                  self->table,
+                  self->version,
+                  self->call->wait,
+                  on_reply,
+                  self->call);
+    }
   else
     ops->read (self->store,
                self->table,
@@ -247,8 +256,13 @@
 void
 feed_step (feed_t *self)
 {
+  const feed_call_t *call = self->call;
+  msec_t latest_end = msclock_now (self->clock) + max_age (self);
+
   if (self->suspended && self->ops->should_watch (self->owner))
     feed_resume (self);
+  else if (call != NULL && self->watching && call->started + call->wait > latest_end)
+    feed_restart_call (self, MSEC_NEVER);
 }
 
 void
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -27,6 +27,9 @@
   void (*changed) (void *owner, uint64_t before, const store_reply_t *reply);
   /* Whether a watch should be started now.  NULL: always. */
   bool (*should_watch) (void *owner);
+  /* The age that the feed may reach while the store answers; each watch ends by then.
+   * NULL: STORE_WATCH_MS. */
+  msec_t (*max_age) (void *owner);
 } feed_ops_t;
 
 typedef struct
@@ -88,7 +91,8 @@
 /* MSEC_NEVER if the table was never read. */
 msec_t feed_age (const feed_t *self);
 
-/* Resumes a suspended feed once should_watch allows it.  Call it periodically. */
+/* Resumes a suspended feed once should_watch allows it, and reissues a watch that ends
+ * too late for max_age.  Call it periodically. */
 void feed_step (feed_t *self);
 
 /* Starts a call to the store now if none is in flight. */
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -12,6 +12,7 @@
   store_done_t done;
   void *owner;
   unsigned reads, watches;
+  msec_t wait; /* of the last watch */
 } fake_store_t;
 
 typedef struct
@@ -21,6 +22,7 @@
   msclock_t clock;
   feed_t feed;
   bool watch_wanted;
+  msec_t max_age;
   unsigned rows, full_reads, changes;
 } fixture_t;
 
@@ -49,7 +51,7 @@
 
   (void)table;
   (void)version;
-  (void)wait;
+  self->wait = wait;
   self->done = done;
   self->owner = owner;
   self->watches++;
@@ -84,18 +86,26 @@
   return ((fixture_t *)owner)->watch_wanted;
 }
 
+static msec_t
+max_age (void *owner)
+{
+  return ((fixture_t *)owner)->max_age;
+}
+
 static const feed_ops_t feed_ops = { .row = on_row,
                                      .batch_done = on_batch_done,
                                      .changed = on_changed,
-                                     .should_watch = should_watch };
+                                     .should_watch = should_watch,
+                                     .max_age = max_age };
 
 static void
 setup (fixture_t *self)
 {
   *self = (fixture_t){ .fake = { .store = { .ops = &store_ops } },
                        .base = event_base_new (),
-                       .watch_wanted = true };
-  msclock_init_real (&self->clock);
+                       .watch_wanted = true,
+                       .max_age = STORE_WATCH_MS };
+  msclock_init_settable (&self->clock, 1000);
   feed_init (&self->feed,
              &self->fake.store,
              self->base,
@@ -136,12 +146,19 @@
   g_array_unref (rows);
 }
 
-/* Runs the event loop for MS. */
+static void
+pass_time (fixture_t *self, msec_t ms)
+{
+  msclock_set (&self->clock, msclock_now (&self->clock) + ms);
+}
+
+/* Runs the event loop for MS; the feed's clock is there at once. */
 static void
 run_for (fixture_t *self, msec_t ms)
 {
   const struct timeval span = { ms / 1000, ms % 1000 * 1000 };
 
+  pass_time (self, ms);
   event_base_loopexit (self->base, &span);
   event_base_loop (self->base, EVLOOP_NO_EXIT_ON_EMPTY);
   feed_step (&self->feed);
@@ -244,7 +261,7 @@
   setup_watching (&fixture, true);
   void *abandoned = fixture.fake.owner;
   store_done_t done = fixture.fake.done;
-  feed_restart_call (&fixture.feed, g_get_monotonic_time () / 1000 + 1);
+  feed_restart_call (&fixture.feed, MSEC_NEVER);
   assert_int_equal (fixture.fake.watches, 2);
   reply (&fixture, STORE_DONE, 6);
   assert_int_equal (fixture.rows, 2);
@@ -253,6 +270,52 @@
   teardown (&fixture);
 }
 
+static void
+test_age_counts_from_what_the_store_confirmed (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  assert_int_equal (feed_age (&fixture.feed), MSEC_NEVER);
+  pass_time (&fixture, 40);
+  reply (&fixture, STORE_DONE, 5);
+  assert_int_equal (feed_age (&fixture.feed), 40); /* since the read started */
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  pass_time (&fixture, 300);
+  reply (&fixture, STORE_DONE, 6);
+  assert_int_equal (feed_age (&fixture.feed), 300); /* since the watch started */
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  pass_time (&fixture, fixture.fake.wait + 30);
+  reply (&fixture, STORE_DONE, 0);
+  assert_int_equal (feed_age (&fixture.feed), 30); /* since the end of its wait */
+  apply_change (&fixture, 6, 9);
+  assert_int_equal (feed_age (&fixture.feed), 30);
+  teardown (&fixture);
+}
+
+static void
+test_watch_ends_in_time_for_the_maximum_age (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  assert_int_equal (fixture.fake.wait, STORE_WATCH_MS - (FEED_BATCH_MS + 20));
+  void *abandoned = fixture.fake.owner;
+  fixture.max_age = 600; /* as if this host became the granter */
+  feed_step (&fixture.feed);
+  assert_int_equal (fixture.fake.watches, 2);
+  assert_int_equal (fixture.fake.wait, 600 - (FEED_BATCH_MS + 20));
+  pass_time (&fixture, 2000);
+  feed_step (&fixture.feed);
+  reply (&fixture, STORE_DONE, 6);
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  assert_int_equal (fixture.fake.wait, 0);
+  g_free (abandoned);
+  teardown (&fixture);
+}
+
 /* A host that has never reached the store applies rows from other hosts, and doesn't
  * request them again. */
 static void
@@ -301,6 +364,8 @@
     cmocka_unit_test (test_hanging_watch_is_restarted),
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
     cmocka_unit_test (test_retries_after_refusal),
+    cmocka_unit_test (test_age_counts_from_what_the_store_confirmed),
+    cmocka_unit_test (test_watch_ends_in_time_for_the_maximum_age),
     cmocka_unit_test (test_watch_resumes_when_needed),
   };
 
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -295,10 +295,13 @@
 #define LINK_RECONNECT_MS 200      /* a restarted host is reached soon */
 #define LINK_RECONNECT_MAX_MS 2000 /* a host that has gone costs little */
 #define LINK_IDLE_MS 30000         /* an unused host's socket is closed */
-/* How long an update is valid: two reports may be lost.  What a host misses meanwhile has
- * to be read from the store within the time limits of leaving targets and
- * configurations. */
-#define UPDATE_VALID_MS 1300
+#define UPDATE_VALID_MS 1300       /* two reports may be lost */
+/* A host whose knowledge of a table is older than the first watches the store itself: a
+ * tick and a call later it has what it missed, within the 2 s in which leaving targets
+ * and configurations have to take effect.  The granter's feeds are confirmed by the store
+ * within the second; a report's interval and a batch of changes fit in between. */
+#define RELAY_MAX_AGE_MS 1500
+#define RELAY_CONFIRM_MS 600
 #define REPORT_TIMEOUT_MS 5000 /* a host that doesn't report is no longer counted */
 
 /* Of a message besides its rows: names, and the addresses of hosts to forward to. */
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -228,8 +228,8 @@
 }
 
 /* The keys of a leaving owner normally move before its drain time ends.  If they do not,
- * it still gets no request after that, even from a host that learned that it is leaving
- * only when its last update expired (UPDATE_VALID_MS).  Regression test: such a request
+ * it still gets no request after that, even from a host that learned late that it is
+ * leaving.  Regression test: such a request
  * came 45 ms too late (scenario store-and-drain, seed 157716278294). */
 static void
 test_leaving_owner_gets_no_requests_after_drain_time (void **state)
