The drain time of a leaving owner counts from when it began to leave

Cause: a leaving owner gets requests for its keys for a quarter of the drain time (500 ms), because these keys move meanwhile. That time was counted from when the host learned of it, in the belief that it learns at once; a host that goes by the granter's updates may learn 1.5 s later.

An entry now says how long the target can have been leaving when the host read it: since the last moment as of which its knowledge was complete. Dispatch sends an owner nothing later than 80% of the drain time after that, however late the host learned.

The test fails with the old rule.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -213,6 +213,14 @@
          && a->leaving == b->leaving && a->slots == b->slots;
 }
 
+/* How long ago a row that is being delivered can have changed.  A change during a watch
+ * arrives at once, whatever the feed's age. */
+static msec_t
+longest_since_change (const feed_t *feed)
+{
+  return feed->watching ? MIN (feed_age (feed), RELAY_MAX_AGE_MS) : feed_age (feed);
+}
+
 static void
 on_target_row (void *owner, const store_row_t *row)
 {
@@ -247,6 +255,9 @@
     }
   target = find_or_add_target (self, row->key->str);
   target_entry_t before = target->entry;
+  if (entry.leaving)
+    entry.leaving_for
+        = before.leaving ? before.leaving_for : longest_since_change (&self->targets);
   target->entry = entry;
   target->seen = true;
   target->expires_at = MSEC_NEVER;
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -166,9 +166,11 @@
 /* A target answers by its deadline; the answer may take this long to arrive. */
 #define DISPATCH_ANSWER_TRANSIT_MS 40
 
-/* Of the drain time, from when a host learns that a key's owner leaves.  It may learn of
- * it late, by UPDATE_VALID_MS and a read of the store. */
+/* Of the drain time: a leaving owner gets requests for its keys while these move, for the
+ * first from when a host learns of it, and for the second at most from when it can have
+ * begun to leave.  The rest is for requests on their way. */
 #define DISPATCH_LEAVING_OWNER_PERCENT 25
+#define DISPATCH_LEFT_PERCENT 80
 /* Interrupted requests remembered per target: several run at the same time. */
 #define DISPATCH_LOSS_HISTORY 8
 /* The end of a target is known within this: its entry expires, or it has restarted. */
--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -94,6 +94,7 @@
                           apart */
   uint32_t slots;      /* requests that it executes concurrently */
   bool leaving;
+  msec_t leaving_for;  /* the longest that it can have been leaving when it was read */
   msec_t warm_up_left; /* remaining warm-up time, as the target reports it */
 } target_entry_t;
 
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -252,7 +252,10 @@
       if (!entry->leaving)
         target->leaving_at = MSEC_NEVER;
       else if (target->leaving_at == MSEC_NEVER)
-        target->leaving_at = now;
+        {
+          target->leaving_at = now;
+          target->leaving_since = now - entry->leaving_for;
+        }
     }
   g_hash_table_unref (index);
   g_free (keys);
@@ -372,6 +375,17 @@
         = now + DISPATCH_OWNER_RETRY_MS;
 }
 
+/* Whether a leaving owner gets no more requests for its keys. */
+static bool
+has_left (const dispatch_t *self, const dispatch_target_t *target, msec_t now)
+{
+  const msec_t drain = self->bounds.drain;
+
+  return target->leaving_at != MSEC_NEVER
+         && (now > target->leaving_at + drain * DISPATCH_LEAVING_OWNER_PERCENT / 100
+             || now > target->leaving_since + drain * DISPATCH_LEFT_PERCENT / 100);
+}
+
 int
 targets_find_owner (dispatch_t *self,
                     dispatch_request_t *request,
@@ -395,10 +409,7 @@
   if (i < 0 || !at (self, (uint32_t)i)->listed || at (self, (uint32_t)i)->address_reused)
     return -1;
   const dispatch_target_t *target = at (self, (uint32_t)i);
-  if (now < target->backoff_until
-      || (target->leaving_at != MSEC_NEVER
-          && now > target->leaving_at
-                       + self->bounds.drain * DISPATCH_LEAVING_OWNER_PERCENT / 100))
+  if (now < target->backoff_until || has_left (self, target, now))
     return -1;
   *reason = REASON_OVERLOAD;
   *owner = i;
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -250,6 +250,29 @@
   end (&fixture);
 }
 
+/* The drain time counts from when the owner began to leave, not from when the host
+ * learned of it. */
+static void
+test_leaving_owner_gets_no_requests_from_a_host_that_learned_late (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request, late;
+  target_entry_t *owner;
+
+  (void)state;
+  begin (&fixture);
+  owner = &g_array_index (fixture.targets, target_entry_t, 0);
+  owner->leaving = true;
+  owner->leaving_for = 1540;
+  list_targets (&fixture);
+  arrive (&fixture, &request, TEXT ("/keyed/"));
+  assert_true (text_equal (sent_to (&fixture), TEXT ("k1")));
+  fixture.now = START_MS + 300;
+  arrive (&fixture, &late, TEXT ("/keyed/"));
+  assert_null (find_out (&fixture, DISPATCH_SEND));
+  end (&fixture);
+}
+
 static void
 test_disconnected_caller_cancels_only_idempotent_requests (void **state)
 {
@@ -429,6 +452,7 @@
     cmocka_unit_test (test_request_without_owner_is_rejected_within_objective),
     cmocka_unit_test (test_leaving_target_gets_no_new_requests),
     cmocka_unit_test (test_leaving_owner_gets_no_requests_after_drain_time),
+    cmocka_unit_test (test_leaving_owner_gets_no_requests_from_a_host_that_learned_late),
     cmocka_unit_test (test_disconnected_caller_cancels_only_idempotent_requests),
     cmocka_unit_test (test_response_is_delivered_after_target_was_removed),
     cmocka_unit_test (test_request_that_crashes_three_targets_is_rejected),
