--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -227,16 +227,22 @@
   return 0;
 }
 
+void
+httpc_set_timeout (httpc_conn_t *conn, msec_t timeout)
+{
+  const struct timeval tv = { timeout / 1000, timeout % 1000 * 1000 };
+
+  evhttp_connection_set_timeout_tv (conn->evcon, &tv);
+}
+
 static httpc_conn_t *
 open_conn (httpc_pool_t *pool)
 {
   httpc_conn_t *self = g_new0 (httpc_conn_t, 1);
-  struct timeval tv
-      = { .tv_sec = pool->timeout / 1000, .tv_usec = pool->timeout % 1000 * 1000 };
 
   self->pool = pool;
   self->evcon = evhttp_connection_base_new (pool->base, NULL, pool->address, pool->port);
-  evhttp_connection_set_timeout_tv (self->evcon, &tv);
+  httpc_set_timeout (self, pool->timeout);
   self->connect_timer = evtimer_new (pool->base, on_connect_timeout, self);
   struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, self);
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -86,6 +86,11 @@
                           void *owner,
                           msec_t now);
 
+/* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on that
+ * connection.
+ */
+void httpc_set_timeout (httpc_conn_t *conn, msec_t timeout);
+
 /* Parses the body of a response that was not streamed as JSON; NULL if it is not valid.
  */
 json_t *httpc_json (struct evhttp_request *response);
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -32,6 +32,7 @@
   httpc_failure_t failure;
   bool streams;
   size_t body;
+  msec_t timeout; /* of the call; 0: the pool's */
 } client_t;
 
 static void *
@@ -129,13 +130,16 @@
   self->done = self->failed = false;
   self->body = 0;
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host", "test");
-  assert_non_null (httpc_call (&self->pool,
-                               request,
-                               EVHTTP_REQ_GET,
-                               "/x",
-                               &ops,
-                               self,
-                               g_get_monotonic_time () / 1000));
+  httpc_conn_t *conn = httpc_call (&self->pool,
+                                   request,
+                                   EVHTTP_REQ_GET,
+                                   "/x",
+                                   &ops,
+                                   self,
+                                   g_get_monotonic_time () / 1000);
+  assert_non_null (conn);
+  if (self->timeout > 0)
+    httpc_set_timeout (conn, self->timeout);
   event_base_dispatch (self->base);
 }
 
@@ -242,6 +246,19 @@
   expect_failure (SIZED "he", true, false, HTTPC_TIMED_OUT);
 }
 
+static void
+test_a_call_has_its_own_timeout (void **state)
+{
+  server_t server = { .stays_open = true };
+  client_t client = { .timeout = 50 };
+  msec_t started = g_get_monotonic_time () / 1000;
+
+  (void)state;
+  call_server (&client, &server);
+  assert_int_equal (client.failure, HTTPC_TIMED_OUT);
+  assert_in_range (g_get_monotonic_time () / 1000 - started, 50, 250);
+}
+
 static void
 test_refused_connection_sends_nothing (void **state)
 {
@@ -281,6 +298,7 @@
     cmocka_unit_test (test_truncated_responses),
     cmocka_unit_test (test_connection_lost_before_the_head),
     cmocka_unit_test (test_unresponsive_server_times_out),
+    cmocka_unit_test (test_a_call_has_its_own_timeout),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
     cmocka_unit_test (test_refused_connection_sends_nothing),
     cmocka_unit_test (test_connection_is_reused),
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -133,13 +133,18 @@
 
 
 class StoreAccess:
-    """One router's access to the store: `port`, and which calls get no answer."""
+    """One router's access to the store: `port`, and whether its calls get an answer."""
 
     def __init__(self, store):
         self.silent = False
-        self.silent_watches = False
+        self.hung_watches = set()
+        self.watches = set()
         self.port = serve_store(store, self)
 
+    def hang_watches(self):
+        """The watches in flight, and later ones on their connections, get no answer."""
+        self.hung_watches = set(self.watches)
+
 
 def serve_store(store, access=None):
     class Handler(JsonHandler):
@@ -151,8 +156,11 @@
             return self.close_connection
 
         def is_silent(self):
-            watch = "rows-feed" in self.path
-            return access is not None and (access.silent or (watch and access.silent_watches))
+            if access is None:
+                return False
+            if "rows-feed" in self.path:
+                access.watches.add(self.client_address)
+            return access.silent or self.client_address in access.hung_watches
 
         def respond(self, status, body):
             if self.is_silent():  # since the call arrived
