link test: ports below the ephemeral range

test_message_is_delivered_and_idle_socket_closed failed once after process tests: a random port between 30000 and 50000 could not be bound. The checks are unchanged.

--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -206,31 +206,39 @@
   event_base_loopbreak (receiver->base);
 }
 
+/* Listens on a free port below the ephemeral ones, which closed connections of other
+ * tests may still occupy.  Writes the address, of up to 32 bytes, to ADDRESS. */
+static void
+listen_on_free_port (link_t *link, receiver_t *receiver, char *address)
+{
+  static const link_limits_t limits = { .message_bytes = 1000, .queue_messages = 8 };
+
+  for (int tries = 0; tries < 100; tries++)
+    {
+      g_snprintf (address, 32, "127.0.0.1:%d", g_random_int_range (30000, 32768));
+      if (link_init (link,
+                     receiver->base,
+                     text_from_c (address),
+                     &limits,
+                     record_message,
+                     receiver))
+        return;
+      link_finish (link);
+    }
+  fail_msg ("no free port");
+}
+
 static void
 test_message_is_delivered_and_idle_socket_closed (void **state)
 {
   const struct timeval timeout = { 10, 0 };
-  const link_limits_t limits = { .message_bytes = 1000, .queue_messages = 8 };
   receiver_t receiver = { event_base_new (), g_string_new (NULL) };
   link_t a, b;
   char address[32];
-  int port = 30000 + g_random_int_range (0, 20000);
 
   (void)state;
-  g_snprintf (address, sizeof address, "127.0.0.1:%d", port);
-  assert_true (link_init (&a,
-                          receiver.base,
-                          text_from_c (address),
-                          &limits,
-                          record_message,
-                          &receiver));
-  g_snprintf (address, sizeof address, "127.0.0.1:%d", port + 1);
-  assert_true (link_init (&b,
-                          receiver.base,
-                          text_from_c (address),
-                          &limits,
-                          record_message,
-                          &receiver));
+  listen_on_free_port (&a, &receiver, address);
+  listen_on_free_port (&b, &receiver, address);
   event_base_loopexit (receiver.base, &timeout);
   link_send (&a, text_from_c (address), TEXT ("hello"));
   event_base_dispatch (receiver.base);
