A row that the granter's full read lacks is a change for the other hosts

It relays only what a watch returns, and the version in its updates was that of the newest row, which a removal does not raise.

A full read that lacks a row now raises the version of the newest change to the read's own, so that the hosts which are behind it watch the store from their own versions and get the removal, or read in full too. newest_row is called newest_change.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -277,7 +277,10 @@
   g_hash_table_iter_init (&iter, self->targets_by_id);
   while (full_read && g_hash_table_iter_next (&iter, NULL, &value))
     if (!((known_target_t *)value)->seen)
-      mark_missing (self, value);
+      {
+        mark_missing (self, value);
+        feed_note_removal (&self->targets);
+      }
   self->targets_changed |= full_read;
   discovery_step (self);
 }
@@ -403,13 +406,13 @@
   return known ? update->report_sent_at - table->age_ms : MSEC_NEVER;
 }
 
-/* The granter has all changes of the feed's table up to its row NEWEST, which it knew to
+/* The granter has all changes of the feed's table up to version NEWEST, which it knew to
  * be the newest one at CONFIRMED_AT. */
 static void
 check_version (feed_t *feed, uint64_t newest, msec_t confirmed_at)
 {
   msec_t now = msclock_now (feed->clock);
-  bool complete = newest <= MAX (feed->newest_row, feed->version);
+  bool complete = newest <= MAX (feed->newest_change, feed->version);
 
   if (complete && confirmed_at != MSEC_NEVER)
     feed_confirm (feed, confirmed_at);
@@ -429,10 +432,10 @@
 discovery_check_versions (coordinator_t *self, const link_update_t *update)
 {
   check_version (&self->configuration,
-                 update->configuration.newest_row,
+                 update->configuration.newest_change,
                  confirmation_time (update, &update->configuration));
   check_version (&self->targets,
-                 update->targets.newest_row,
+                 update->targets.newest_change,
                  confirmation_time (update, &update->targets));
 }
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -127,7 +127,7 @@
 static void
 deliver_row (feed_t *self, const store_row_t *row)
 {
-  self->newest_row = MAX (self->newest_row, row->version);
+  self->newest_change = MAX (self->newest_change, row->version);
   self->ops->row (self->owner, row);
 }
 
@@ -167,7 +167,7 @@
 static void
 handle_changes (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
 {
-  uint64_t before = self->newest_row;
+  uint64_t before = self->newest_change;
 
   for (guint i = 0; i < reply->rows->len; i++)
     deliver_row (self, &g_array_index (reply->rows, store_row_t, i));
@@ -286,6 +286,12 @@
     finish_batch (self, false);
 }
 
+void
+feed_note_removal (feed_t *self)
+{
+  self->newest_change = MAX (self->newest_change, self->version);
+}
+
 void
 feed_apply_rows (feed_t *self, const GArray *rows)
 {
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -43,10 +43,12 @@
   struct event *retry_timer;
   struct feed_call *call; /* in flight; NULL: none, or an abandoned one */
   rng_t rng;
-  bool watching;       /* else a full read is due or in progress */
-  bool suspended;      /* should_watch returned false when it was last called */
-  uint64_t version;    /* all changes up to this version were delivered */
-  uint64_t newest_row; /* version of the newest row that was delivered */
+  bool watching;    /* else a full read is due or in progress */
+  bool suspended;   /* should_watch returned false when it was last called */
+  uint64_t version; /* all changes up to this version were delivered */
+  /* Version of the newest change that was delivered: of a row, or of a full read that
+   * lacked rows. */
+  uint64_t newest_change;
   msec_t behind_since; /* first report of a newer row elsewhere; MSEC_NEVER: none */
   GString *last_key;   /* last key of the previous page */
   msec_t retry_delay;  /* backoff; 0: the last call succeeded */
@@ -81,6 +83,9 @@
  */
 void feed_apply_delta (feed_t *self, uint64_t before, uint64_t after, const GArray *rows);
 
+/* A full read lacked a row, which was removed at an unknown version up to the read's. */
+void feed_note_removal (feed_t *self);
+
 /* Delivers ROWS (store_row_t) that another host sent, even before the first read of the
  * store.  Each row has to be complete in itself. */
 void feed_apply_rows (feed_t *self, const GArray *rows);
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -99,7 +99,8 @@
 static link_freshness_t
 freshness (const feed_t *feed)
 {
-  return (link_freshness_t){ feed->newest_row, MIN (feed_age (feed), LINK_AGE_UNKNOWN) };
+  return (link_freshness_t){ feed->newest_change,
+                             MIN (feed_age (feed), LINK_AGE_UNKNOWN) };
 }
 
 /* The granter's update for other hosts: the reply to REPORT, or not a reply if that is
@@ -149,11 +150,11 @@
   const GString *bytes = self->configuration_bytes;
   link_rows_t part = { .table = STORE_CONFIGURATION,
                        .from_version = report->configuration_row_version,
-                       .to_version = self->configuration.newest_row,
+                       .to_version = self->configuration.newest_change,
                        .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
   link_row_t row = { .key = self->deployment->configuration_key,
                      .value = { bytes->str, bytes->len },
-                     .version = self->configuration.newest_row };
+                     .version = self->configuration.newest_change };
 
   g_array_append_val (part.rows, row);
   if (report->configuration_row_version < row.version
@@ -208,7 +209,7 @@
                            .sent_at = now,
                            .service = *service,
                            .table_version = version,
-                           .configuration_row_version = self->configuration.newest_row,
+                           .configuration_row_version = self->configuration.newest_change,
                            .requests_table = true,
                            .loads = none };
 
@@ -453,7 +454,7 @@
                            .sent_at = msclock_now (&self->clock),
                            .service = from->service,
                            .table_version = table != NULL ? table->version : 0,
-                           .configuration_row_version = self->configuration.newest_row,
+                           .configuration_row_version = self->configuration.newest_change,
                            .requests_configuration = discovery_store_unreachable (self),
                            .loads = from->key_loads };
   send_and_free (self, &self->granter, link_encode_report (&report));
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -330,7 +330,7 @@
   g_array_append_val (rows, row);
   feed_apply_rows (&fixture.feed, rows);
   assert_int_equal (fixture.rows, 1);
-  assert_int_equal (fixture.feed.newest_row, 7);
+  assert_int_equal (fixture.feed.newest_change, 7);
   g_string_free (row.key, TRUE);
   g_string_free (row.value, TRUE);
   g_array_unref (rows);
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -94,7 +94,7 @@
 static void
 pack_freshness (msgpack_packer *packer, const link_freshness_t *table)
 {
-  msgpack_pack_uint64 (packer, table->newest_row);
+  msgpack_pack_uint64 (packer, table->newest_change);
   msgpack_pack_uint64 (packer, (uint64_t)table->age_ms);
 }
 
@@ -271,9 +271,9 @@
 static link_freshness_t
 read_freshness (reader_t *self)
 {
-  uint64_t newest_row = read_uint (self, UINT64_MAX);
+  uint64_t newest_change = read_uint (self, UINT64_MAX);
 
-  return (link_freshness_t){ newest_row, (msec_t)read_uint (self, LINK_AGE_UNKNOWN) };
+  return (link_freshness_t){ newest_change, (msec_t)read_uint (self, LINK_AGE_UNKNOWN) };
 }
 
 static void
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -30,8 +30,8 @@
 /* What the granter knows of a store table. */
 typedef struct
 {
-  uint64_t newest_row; /* version of the newest row that it has */
-  msec_t age_ms; /* since that was known to be the newest row; LINK_AGE_UNKNOWN at most */
+  uint64_t newest_change; /* version of the newest change that it has */
+  msec_t age_ms; /* since that was known to be the newest; LINK_AGE_UNKNOWN at most */
 } link_freshness_t;
 
 #define LINK_AGE_UNKNOWN (1000 * 1000)
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -104,7 +104,7 @@
   assert_int_equal (msg.update.role_left_ms, 900);
   assert_int_equal (msg.update.report_sent_at, 4400);
   assert_int_equal (msg.update.configuration.age_ms, LINK_AGE_UNKNOWN);
-  assert_int_equal (msg.update.targets.newest_row, 12);
+  assert_int_equal (msg.update.targets.newest_change, 12);
   assert_int_equal (msg.update.targets.age_ms, 250);
   assert_int_equal (msg.update.table.version, 77);
   assert_int_equal (msg.update.table_base_version, 70);
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -28,10 +28,11 @@
     """Versioned rows with conditional transactions and change feeds."""
 
     def __init__(self):
-        self.changed = threading.Condition()
+        self.changed = threading.Condition(threading.RLock())
         self.rows = {}
         self.log = []
         self.ver = 0
+        self.compacted = 0  # changes up to this version can't be watched any more
         self.unavailable = False  # requests are answered with 503
         self.unresponsive = False  # requests are accepted and never answered
         self.n_calls = 0
@@ -50,6 +51,11 @@
             self.log.append((self.ver, table, key, None))
             self.changed.notify_all()
 
+    def delete_and_compact(self, table, key):
+        with self.changed:
+            self.delete(table, key)
+            self.compacted = self.ver
+
     def _set(self, table, key, value):
         self.rows[(table, key)] = (value, self.ver)
         self.log.append((self.ver, table, key, value))
@@ -101,6 +107,8 @@
                 ]
                 if self.unresponsive:
                     rows = []
+                if after < self.compacted:
+                    return 410, self._reply()
                 left = until - time.monotonic()
                 if rows or left <= 0:
                     return 200, self._reply(rows=rows)
