A late watch doesn't undo what the granter relayed since

Found by looking for other ways in which two sources of one table can disagree: while a host watches the store and also receives the granter's rows, a watch's reply may arrive after a relayed change that is newer. Its rows were delivered all the same and put the target back into the state before (leaving into ready), for good, since the feed's version was past that change.

A watch's rows up to the feed's version are skipped, as relayed ones already were.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -164,13 +164,24 @@
   finish_batch (self, true);
 }
 
+/* Delivers the rows that follow the feed's version; others hold what was true before. */
+static void
+deliver_newer_rows (feed_t *self, const GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const store_row_t *row = &g_array_index (rows, store_row_t, i);
+      if (row->version > self->version)
+        deliver_row (self, row);
+    }
+}
+
 static void
 handle_changes (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
 {
   uint64_t before = self->newest_change;
 
-  for (guint i = 0; i < reply->rows->len; i++)
-    deliver_row (self, &g_array_index (reply->rows, store_row_t, i));
+  deliver_newer_rows (self, reply->rows);
   self->version = MAX (self->version, reply->version);
   /* Without a change, the store answered at the end of the wait. */
   feed_confirm (self, call->started + (reply->rows->len > 0 ? 0 : call->wait));
@@ -275,12 +286,7 @@
       feed_resume (self);
       return;
     }
-  for (guint i = 0; i < rows->len; i++)
-    {
-      const store_row_t *row = &g_array_index (rows, store_row_t, i);
-      if (row->version > self->version)
-        deliver_row (self, row);
-    }
+  deliver_newer_rows (self, rows);
   self->version = after;
   if (rows->len > 0)
     finish_batch (self, false);
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -270,6 +270,21 @@
   teardown (&fixture);
 }
 
+static void
+test_late_watch_does_not_undo_relayed_changes (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  apply_change (&fixture, 5, 9);
+  assert_int_equal (fixture.rows, 2);
+  reply (&fixture, STORE_DONE, 7); /* sent before the change of version 9 */
+  assert_int_equal (fixture.rows, 2);
+  assert_int_equal (fixture.feed.version, 9);
+  teardown (&fixture);
+}
+
 static void
 test_age_counts_from_what_the_store_confirmed (void **state)
 {
@@ -364,6 +379,7 @@
     cmocka_unit_test (test_hanging_watch_is_restarted),
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
     cmocka_unit_test (test_retries_after_refusal),
+    cmocka_unit_test (test_late_watch_does_not_undo_relayed_changes),
     cmocka_unit_test (test_age_counts_from_what_the_store_confirmed),
     cmocka_unit_test (test_watch_ends_in_time_for_the_maximum_age),
     cmocka_unit_test (test_watch_resumes_when_needed),
