The age up to which a host goes by the granter follows the drain time

The age was a constant that fits a drain time of 2 s; a deployment may state another, and a connection to a target may take 400 ms more. It is now 70% of the stated drain time, at most 1.4 s for the time in which configurations take effect, and follows a reload of the settings. The granter's feeds are confirmed after 40% of it.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -93,6 +93,7 @@
   GHashTable *targets_by_id;    /* id to known_target_t */
   GHashTable *rejected_keys;    /* ids of invalid entries, each logged once */
   bool targets_changed;
+  msec_t relay_max_age; /* the oldest knowledge of the granter that this host goes by */
 
   keys_t keys;
   GArray *key_actions; /* keys_out_t */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -10,6 +10,9 @@
 void discovery_start (coordinator_t *self);
 void discovery_finish (coordinator_t *self);
 
+/* Sets the time within which a leaving target gets no more requests, in ms. */
+void discovery_set_drain (coordinator_t *self, msec_t drain);
+
 /* Resumes suspended feeds, drops targets whose rows have been missing for too long, and
  * publishes changes. */
 void discovery_step (coordinator_t *self);
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -213,12 +213,14 @@
          && a->leaving == b->leaving && a->slots == b->slots;
 }
 
-/* How long ago a row that is being delivered can have changed.  A change during a watch
- * arrives at once, whatever the feed's age. */
+/* How long ago a target's row that is being delivered can have changed.  A change during
+ * a watch arrives at once, whatever the feed's age. */
 static msec_t
-longest_since_change (const feed_t *feed)
+longest_since_change (const coordinator_t *self)
 {
-  return feed->watching ? MIN (feed_age (feed), RELAY_MAX_AGE_MS) : feed_age (feed);
+  msec_t age = feed_age (&self->targets);
+
+  return self->targets.watching ? MIN (age, self->relay_max_age) : age;
 }
 
 static void
@@ -256,8 +258,7 @@
   target = find_or_add_target (self, row->key->str);
   target_entry_t before = target->entry;
   if (entry.leaving)
-    entry.leaving_for
-        = before.leaving ? before.leaving_for : longest_since_change (&self->targets);
+    entry.leaving_for = before.leaving ? before.leaving_for : longest_since_change (self);
   target->entry = entry;
   target->seen = true;
   target->expires_at = MSEC_NEVER;
@@ -318,7 +319,7 @@
 should_watch (const coordinator_t *self, const feed_t *feed)
 {
   return self->role.state == ROLE_HELD || !peers_granter_is_live (self)
-         || feed_age (feed) >= RELAY_MAX_AGE_MS;
+         || feed_age (feed) >= self->relay_max_age;
 }
 
 static bool
@@ -339,7 +340,8 @@
 {
   const coordinator_t *self = owner;
 
-  return self->role.state == ROLE_HELD ? RELAY_CONFIRM_MS : STORE_WATCH_MS;
+  return self->role.state == ROLE_HELD ? self->relay_max_age * RELAY_CONFIRM_PERCENT / 100
+                                       : STORE_WATCH_MS;
 }
 
 static bool
@@ -373,6 +375,12 @@
 static const feed_ops_t owners_ops
     = { .row = on_owners_row, .should_watch = should_watch_owners };
 
+void
+discovery_set_drain (coordinator_t *self, msec_t drain)
+{
+  self->relay_max_age = MIN (drain * RELAY_DRAIN_PERCENT / 100, RELAY_MAX_AGE_MS);
+}
+
 void
 discovery_step (coordinator_t *self)
 {
@@ -485,6 +493,7 @@
 void
 discovery_init (coordinator_t *self)
 {
+  discovery_set_drain (self, self->settings->bounds.drain_ms);
   self->configuration_bytes = g_string_new (NULL);
   self->keyed_services = g_array_new (FALSE, FALSE, sizeof (name_t));
   self->targets_by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/packages/coordinator/reload.c
+++ b/packages/coordinator/reload.c
@@ -61,6 +61,7 @@
   if (status != STATUS_OK)
     return;
   self->keys.hold_max = fresh.bounds.hold_max_ms;
+  discovery_set_drain (self, fresh.bounds.drain_ms);
   msg = g_new0 (proxy_msg_t, 1);
   msg->kind = PROXY_BOUNDS;
   msg->bounds = fresh.bounds;
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -298,12 +298,14 @@
 #define LINK_RECONNECT_MAX_MS 2000 /* a host that has gone costs little */
 #define LINK_IDLE_MS 30000         /* an unused host's socket is closed */
 #define UPDATE_VALID_MS 1300       /* two reports may be lost */
-/* A host whose knowledge of a table is older than the first watches the store itself: a
- * tick and a call later it has what it missed, within the 2 s in which leaving targets
- * and configurations have to take effect.  The granter's feeds are confirmed by the store
- * within the second; a report's interval and a batch of changes fit in between. */
-#define RELAY_MAX_AGE_MS 1500
-#define RELAY_CONFIRM_MS 600
+/* A host whose knowledge of a table is older than this, or than the share of the drain
+ * time, watches the store itself.  A tick, a call and a connection to a target later, it
+ * is still within the 2 s in which configurations have to take effect. */
+#define RELAY_MAX_AGE_MS 1400
+#define RELAY_DRAIN_PERCENT 70
+/* Of that age: the store confirms the granter's feeds this often.  A report's interval
+ * and a batch of changes fit into the rest. */
+#define RELAY_CONFIRM_PERCENT 40
 #define REPORT_TIMEOUT_MS 5000 /* a host that doesn't report is no longer counted */
 
 /* Of a message besides its rows: names, and the addresses of hosts to forward to. */
