A caller that leaves within the response to its order doesn't crash the router

All callers of a host lost their connections: the process ended by a segmentation fault.

Found by the test of bodies without end. An order that was sent goes on when its caller leaves, so that a target doesn't drop it half done. If its response was being streamed, the next part of it was written to the caller that had left (stream_response, a null pointer); with reading paused for a slow caller, the exchange and its connection stayed open for good.

A streamed response proves that the order ran, and can't be delivered any more: dispatch now cancels the attempt, as it does for a request that may be repeated.

--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -366,7 +366,7 @@
 
   if (request->state == REQUEST_ENDED)
     return;
-  if (sent && request->kind == KIND_MUTATING)
+  if (sent && request->kind == KIND_MUTATING && !request->streaming)
     {
       request->caller_left = true;
       return;
@@ -426,6 +426,7 @@
       break;
     case DISPATCH_STREAMING:
       msg->request->no_retry = true;
+      msg->request->streaming = true;
       msg->request->timer_at = MSEC_NEVER;
       break;
     case DISPATCH_ANSWERED:
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -160,6 +160,7 @@
   uint32_t attempts;   /* including those that were not run */
   uint32_t executions; /* attempts that may have run */
   bool no_retry;       /* never retried, whatever the result of the first attempt */
+  bool streaming;      /* the response is being forwarded as it arrives */
   bool caller_left; /* the caller of a sent mutating request left; the attempt goes on */
   int32_t target;   /* of the last attempt, or -1 */
   int32_t queued_owner;       /* key owner whose capacity it waits for, or -1 */
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -264,6 +264,24 @@
     return None if taken is None else (start, headers, *taken)
 
 
+def flood(start, piece, interval_s=0):
+    """The handler of a request that is answered with START and then PIECE without end, until the
+    router closes the connection."""
+
+    def handle(self, sock, request_id, _body, _headers):
+        self.executed.append(request_id)
+        self.floods += 1
+        try:
+            sock.sendall(start.replace(b"ID", request_id.encode()))
+            while True:
+                sock.sendall(piece)
+                time.sleep(interval_s)
+        finally:
+            self.floods -= 1
+
+    return handle
+
+
 class Target:
     """An instance of a service.
 
@@ -276,6 +294,7 @@
         self.executed, self.abandoned, self.bodies, self.deadlines_ms = [], [], [], []
         self.grants = []
         self.fences = []
+        self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
         self.started_at_ms = int(time.time() * 1000)
@@ -447,6 +466,10 @@
         self.executed.append(request_id)
         return False
 
+    _handle_endless_body = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n\r\n", b"x" * 65536
+    )
+
     def _handle_garbage(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         sock.sendall(b"\x00\x01 what\r\n\r\n")
