Responses without end are given up in time, with bounded memory

A target in trouble may send bytes without end that are no answer, in a head or a body. Heads were bounded already. Found by a test of our own, on the parent: - a body without end of an answer with the request's id was forwarded for as long as it came: the caller had no end of it at its deadline (dispatch dropped the deadline once it streamed); - behind another request on the caller's connection up to 32 MiB of each were buffered; - interim responses, or responses to other requests, were skipped without end until the deadline, at full speed.

A streamed response now ends at the request's deadline: the caller's connection is closed and the target's reset. A response of more than 1 MiB whose turn hasn't come isn't read on until it has; one that can't be forwarded (refused, encoded) is given up there. An attempt is given up after 16 skipped responses, or 1 MiB of bodies of other requests.

Tests: 16 kinds of endless responses, fast and slow, to look-ups, orders and pipelined look-ups: answered or closed within the deadline (1.5 s) and 0.5 s, less than 32 MiB more memory, the flood ended.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -196,9 +196,9 @@
 #define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024)   /* until a configuration sets it */
 #define PROXY_BODY_BUFFER_BYTES (256 * 1024)      /* larger request bodies are streamed */
 #define PROXY_RESPONSE_BUFFER_BYTES (1024 * 1024) /* larger responses are streamed */
-#define PROXY_PROGRESS_MS 5000 /* the longest pause within a streamed response */
-#define PROXY_RESPONSE_MAX_BYTES (32 * 1024 * 1024) /* a response that isn't streamed */
-#define PROXY_HEAD_MAX_BYTES (64 * 1024)            /* until a configuration sets it */
+#define PROXY_PROGRESS_MS 5000         /* the longest pause within a streamed response */
+#define PROXY_SKIPPED_RESPONSES_MAX 16 /* interim or to earlier requests, before ours */
+#define PROXY_HEAD_MAX_BYTES (64 * 1024) /* until a configuration sets it */
 #define PROXY_IDLE_MS 15000     /* without a request, until a configuration sets it */
 #define PROXY_LINGER_MS 1000    /* time to read the rest of a closed connection */
 #define TARGET_CONNECT_MS 400   /* two round trips within a region and a lost packet */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -427,7 +427,7 @@
     case DISPATCH_STREAMING:
       msg->request->no_retry = true;
       msg->request->streaming = true;
-      msg->request->timer_at = MSEC_NEVER;
+      msg->request->timer_at = waits_answer_deadline (msg->request);
       break;
     case DISPATCH_ANSWERED:
       handle_answer (self, msg, now, out);
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -26,7 +26,8 @@
   DISPATCH_TARGETS,   /* the complete list of current targets */
   DISPATCH_KEY_TABLE, /* the key owners of one service; the table is copied */
   DISPATCH_ARRIVED,
-  DISPATCH_STREAMING,   /* the response is forwarded as it arrives: no retry any more */
+  DISPATCH_STREAMING,   /* the response is forwarded as it arrives, until the deadline: no
+                           retry any more */
   DISPATCH_ANSWERED,    /* the target's complete response was received */
   DISPATCH_FAILED,      /* the attempt ended without a complete response */
   DISPATCH_CALLER_LEFT, /* the caller disconnected */
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -77,6 +77,9 @@
       if (close)
         close_gracefully (self);
     }
+  /* A large response waits for its turn. */
+  if (exchange != NULL && exchange->connection != NULL && !exchange->response_streaming)
+    target_conn_resume (exchange->connection);
 }
 
 /* Rejects a request that cannot be forwarded.  No further requests are read. */
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -93,7 +93,9 @@
 {
   target_conn_t *self = owner;
 
-  if (!self->mismatched)
+  if (self->mismatched)
+    self->stray_bytes += bytes.len;
+  else
     evbuffer_add (self->body, bytes.at, bytes.len);
 }
 
@@ -159,17 +161,21 @@
 }
 
 /* Whether the response may be forwarded before it is complete: the target ran the
- * request and this is the next response to write to the caller. */
+ * request. */
 static bool
 may_stream (const target_conn_t *self)
 {
-  const exchange_t *exchange = self->exchange;
-
   return !self->mismatched && !self->facts.content_encoded
          && response_classify (self) == ANSWER_RUN
          && !self->proxy->dialect->guarantees_not_run (self->status)
-         && exchange->caller != NULL
-         && TAILQ_FIRST (&exchange->caller->pipeline) == exchange;
+         && self->exchange->caller != NULL;
+}
+
+/* Whether this is the next response to write to the caller. */
+static bool
+is_next_response (const exchange_t *exchange)
+{
+  return TAILQ_FIRST (&exchange->caller->pipeline) == exchange;
 }
 
 static void
@@ -207,19 +213,27 @@
   evtimer_add (self->timer, &timeout);
 }
 
-/* Forwards a large response as it arrives.  False if it cannot be forwarded yet and is
- * too large to be buffered. */
+/* Forwards a large response as it arrives; reading pauses until it is its turn.  False if
+ * it is too large to be buffered and can't be forwarded. */
 static bool
 forward_part (target_conn_t *self)
 {
-  size_t buffered = evbuffer_get_length (self->body);
-
-  if (!self->exchange->response_streaming && buffered > PROXY_RESPONSE_BUFFER_BYTES
-      && may_stream (self))
-    start_streaming (self);
-  if (!self->exchange->response_streaming)
-    return buffered <= PROXY_RESPONSE_MAX_BYTES;
-  stream_response (self->exchange, self->body, self->bev);
+  exchange_t *exchange = self->exchange;
+
+  if (!exchange->response_streaming)
+    {
+      if (evbuffer_get_length (self->body) <= PROXY_RESPONSE_BUFFER_BYTES)
+        return true;
+      if (!may_stream (self))
+        return false;
+      if (!is_next_response (exchange))
+        {
+          bufferevent_disable (self->bev, EV_READ);
+          return true;
+        }
+      start_streaming (self);
+    }
+  stream_response (exchange, self->body, self->bev);
   start_progress_timer (self);
   return true;
 }
@@ -284,7 +298,9 @@
       http_progress_t progress = http_reader_consume (&self->reader, in);
       if (progress == HTTP_INCOMPLETE)
         {
-          if (evbuffer_get_length (self->body) > 0 && !forward_part (self))
+          if (self->stray_bytes > PROXY_RESPONSE_BUFFER_BYTES)
+            fail (self, "stray_response");
+          else if (evbuffer_get_length (self->body) > 0 && !forward_part (self))
             fail (self, "response_too_large");
           return;
         }
@@ -293,17 +309,22 @@
           fail (self, "malformed_response");
           return;
         }
-      if (self->status >= 100 && self->status < 200)
-        continue;
-      if (!self->mismatched)
+      bool interim = self->status >= 100 && self->status < 200;
+      if (!interim && !self->mismatched)
         {
           finish_attempt (self);
           return;
         }
-      /* A late or duplicate response to an earlier request: ours has not arrived yet. */
-      self->proxy->counts.stray_responses++;
-      self->not_reusable = true;
-      if (!self->keep_alive)
+      if (!interim)
+        {
+          /* A late or duplicate response to an earlier request: ours has not arrived yet.
+           */
+          self->proxy->counts.stray_responses++;
+          self->not_reusable = true;
+        }
+      self->skipped_responses++;
+      if ((!interim && !self->keep_alive)
+          || self->skipped_responses > PROXY_SKIPPED_RESPONSES_MAX)
         {
           fail (self, "stray_response");
           return;
@@ -452,6 +473,8 @@
   conn->exchange = exchange;
   exchange->connection = conn;
   conn->request_bytes = head->len;
+  conn->stray_bytes = 0;
+  conn->skipped_responses = 0;
   evbuffer_drain (conn->body, evbuffer_get_length (conn->body));
   bufferevent_write (conn->bev, head->str, head->len);
   if (exchange->request_streaming)
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -466,9 +466,44 @@
         self.executed.append(request_id)
         return False
 
+    _handle_endless_garbage = flood(b"", b"\x00" * 65536)
+    _handle_endless_line = flood(b"", b"HTTP" * 16384)
+    _handle_endless_blank_lines = flood(b"", b"\r\n" * 32768)
+    _handle_endless_header = flood(b"HTTP/1.1 200 OK\r\nX: ", b"x" * 65536)
+    _handle_endless_headers = flood(b"HTTP/1.1 200 OK\r\n", b"X: x\r\n" * 8192)
+    _handle_endless_header_slowly = flood(b"HTTP/1.1 200 OK\r\nX: ", b"x", 0.01)
+    _handle_endless_interim = flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2048)
+    _handle_endless_strays = flood(
+        b"", b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\nContent-Length: 1\r\n\r\nx" * 1024
+    )
+    _handle_endless_stray = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: x\r\n\r\n", b"x" * 65536
+    )
     _handle_endless_body = flood(
         b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n\r\n", b"x" * 65536
     )
+    _handle_endless_body_slowly = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n\r\n", b"x", 0.01
+    )
+    _handle_endless_chunks = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n", b"4000\r\n" + b"x" * 16384 + b"\r\n"
+    )
+    _handle_endless_chunk_extension = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n5;x=", b"x" * 65536
+    )
+    _handle_endless_trailer = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X: x\r\n" * 8192
+    )
+    _handle_endless_error = flood(
+        b"HTTP/1.1 503 Unavailable\r\nRequest-Id: ID\r\n\r\n", b"x" * 65536
+    )
+    _handle_endless_encoded_body = flood(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Signature: s\r\n"
+        b"Content-Encoding: gzip\r\n\r\n", b"x" * 65536
+    )
 
     def _handle_garbage(self, sock, request_id, body, headers):
         self.executed.append(request_id)
@@ -656,6 +691,10 @@
             time.sleep(0.05)
         raise AssertionError("not ready: " + self.read_log()[-2000:])
 
+    def resident_bytes(self):
+        with open("/proc/%d/statm" % self.process.pid, encoding="ascii") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def read_metrics(self):
         with urllib.request.urlopen(
             "http://127.0.0.1:%d/metrics" % self.metrics_port
