httpc: a response without end fails in time, with bounded memory

Own calls (the store, grants and releases, the platform) had a time-out without progress alone, and no limit on sizes: a target that answers a grant with bytes without end kept the call open and its keys undecided, and a head without a line break grew the buffer for as long as it came.

Heads are limited to 64 KiB and bodies to 4 MiB, unless streamed, and a call that isn't streamed ends after four times its time-out, whatever its progress.

--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -20,13 +20,16 @@
   bool timed_out;
   bool options_set;
   uint64_t body_received;
+  msec_t timeout; /* maximum time without progress */
   struct event *connect_timer;
+  struct event *end_timer; /* when the call fails, whatever its progress */
 };
 
 static void
 free_conn (httpc_conn_t *self)
 {
   event_free (self->connect_timer);
+  event_free (self->end_timer);
   evhttp_connection_free (self->evcon);
   g_free (self);
 }
@@ -52,6 +55,7 @@
 
   conn->ops = NULL;
   event_del (conn->connect_timer);
+  event_del (conn->end_timer);
   g_hash_table_remove (pool->open, conn);
   g_queue_push_tail (&pool->closed, conn);
   event_active (pool->free_event, EV_TIMEOUT, 0);
@@ -113,6 +117,14 @@
   fail (arg, HTTPC_UNREACHABLE);
 }
 
+static void
+on_end_timeout (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  fail (arg, HTTPC_TIMED_OUT);
+}
+
 static void
 on_error (enum evhttp_request_error error, void *arg)
 {
@@ -169,6 +181,7 @@
       close_gracefully (self);
       return;
     }
+  event_del (self->end_timer);
   self->ops = NULL;
   self->last_used = g_get_monotonic_time () / 1000;
   g_queue_push_head (&self->pool->idle, self);
@@ -223,7 +236,11 @@
   self->head_received = true;
   self->streaming = self->ops->head != NULL && self->ops->head (self->owner, response);
   if (self->streaming)
-    evhttp_request_set_chunked_cb (response, on_data);
+    {
+      event_del (self->end_timer);
+      evhttp_connection_set_max_body_size (self->evcon, EV_SSIZE_MAX);
+      evhttp_request_set_chunked_cb (response, on_data);
+    }
   return 0;
 }
 
@@ -231,8 +248,13 @@
 httpc_set_timeout (httpc_conn_t *conn, msec_t timeout)
 {
   const struct timeval tv = { timeout / 1000, timeout % 1000 * 1000 };
+  const msec_t longest = timeout * HTTPC_PROGRESS_FACTOR;
+  const struct timeval end = { longest / 1000, longest % 1000 * 1000 };
 
+  conn->timeout = timeout;
   evhttp_connection_set_timeout_tv (conn->evcon, &tv);
+  if (conn->ops != NULL)
+    evtimer_add (conn->end_timer, &end);
 }
 
 static httpc_conn_t *
@@ -242,8 +264,10 @@
 
   self->pool = pool;
   self->evcon = evhttp_connection_base_new (pool->base, NULL, pool->address, pool->port);
+  evhttp_connection_set_max_headers_size (self->evcon, HTTPC_HEAD_MAX_BYTES);
   httpc_set_timeout (self, pool->timeout);
   self->connect_timer = evtimer_new (pool->base, on_connect_timeout, self);
+  self->end_timer = evtimer_new (pool->base, on_end_timeout, self);
   struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, self);
   g_hash_table_add (pool->open, self);
@@ -275,6 +299,8 @@
   self->streaming = false;
   self->timed_out = false;
   self->body_received = 0;
+  evhttp_connection_set_max_body_size (self->evcon, HTTPC_BODY_MAX_BYTES);
+  httpc_set_timeout (self, self->timeout);
   evtimer_add (self->connect_timer, &connect_tv);
 }
 
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -17,6 +17,10 @@
  * reset and not reused, so that bytes of the call that a network fault delayed are never
  * delivered.  A response is complete if its Content-Length was reached or its last chunk
  * was received.  A failed call reports whether any byte of it may have left this process.
+ *
+ * A response that is not streamed has to be complete within HTTPC_PROGRESS_FACTOR times
+ * the time without progress that is allowed, and its head and its body are limited to
+ * HTTPC_HEAD_MAX_BYTES and HTTPC_BODY_MAX_BYTES.
  */
 
 typedef enum
@@ -24,7 +28,7 @@
   HTTPC_UNREACHABLE,     /* no connection was established */
   HTTPC_CONNECTION_LOST, /* the connection was lost before the head of a response */
   HTTPC_TRUNCATED,       /* the response was truncated, or has no explicit end */
-  HTTPC_TIMED_OUT,       /* no progress within the timeout */
+  HTTPC_TIMED_OUT,       /* no progress within the timeout, or not complete in time */
 } httpc_failure_t;
 
 typedef struct
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,6 +21,8 @@
   const char *response;
   bool stays_open; /* keeps the connection open after the response */
   bool responds_twice;
+  const char *repeated; /* sent without end after the response; NULL: nothing */
+  unsigned pause_ms;    /* between the repetitions */
   int connection;
   int close_error; /* errno of the last receive; 0: closed without a reset */
 } server_t;
@@ -49,6 +52,10 @@
       if (self->response != NULL)
         send (self->connection, self->response, strlen (self->response), MSG_NOSIGNAL);
     }
+  while (self->repeated != NULL
+         && send (self->connection, self->repeated, strlen (self->repeated), MSG_NOSIGNAL)
+                > 0)
+    usleep (self->pause_ms * 1000);
   if (!self->stays_open)
     shutdown (self->connection, SHUT_RDWR);
   /* Reads until the client closes. */
@@ -246,6 +253,40 @@
   expect_failure (SIZED "he", true, false, HTTPC_TIMED_OUT);
 }
 
+static void
+expect_given_up (const char *response, const char *repeated, unsigned pause_ms)
+{
+  server_t server = { .response = response, .repeated = repeated, .pause_ms = pause_ms };
+  client_t client = { 0 };
+  struct rusage before, after;
+  msec_t started = g_get_monotonic_time () / 1000;
+
+  getrusage (RUSAGE_SELF, &before);
+  call_server (&client, &server);
+  getrusage (RUSAGE_SELF, &after);
+  assert_true (client.failed);
+  assert_true (g_get_monotonic_time () / 1000 - started < 3000);
+  assert_true (after.ru_maxrss - before.ru_maxrss < 64 * 1024); /* KiB */
+}
+
+static void
+test_responses_without_end_are_given_up (void **state)
+{
+  char *bytes = g_strnfill (65536, 'x');
+
+  (void)state;
+  expect_given_up (NULL, bytes, 0);
+  expect_given_up ("HTTP/1.1 200 OK\r\nX: ", bytes, 0);
+  expect_given_up ("HTTP/1.1 200 OK\r\n", "X: x\r\nX: x\r\nX: x\r\nX: x\r\n", 0);
+  expect_given_up ("HTTP/1.1 200 OK\r\n\r\n", bytes, 0);
+  expect_given_up (CHUNKED "7fffffff\r\n", bytes, 0);
+  expect_given_up (CHUNKED "5;x=", bytes, 0);
+  expect_given_up (CHUNKED, "1\r\nx\r\n1\r\nx\r\n", 0);
+  expect_given_up ("HTTP/1.1 200 OK\r\nX: ", "x", 20);
+  expect_given_up ("HTTP/1.1 200 OK\r\n\r\n", "x", 20);
+  g_free (bytes);
+}
+
 static void
 test_a_call_has_its_own_timeout (void **state)
 {
@@ -299,6 +340,7 @@
     cmocka_unit_test (test_connection_lost_before_the_head),
     cmocka_unit_test (test_unresponsive_server_times_out),
     cmocka_unit_test (test_a_call_has_its_own_timeout),
+    cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
     cmocka_unit_test (test_refused_connection_sends_nothing),
     cmocka_unit_test (test_connection_is_reused),
