Readiness and metrics: limits on what a caller may send

The HTTP servers for readiness and metrics had no limit on a head or a body: a client that sends either without end grew the process's memory for as long as it sent.

--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -161,6 +161,8 @@
     return STATUS_OK;
   char *address = text_dup_c (host);
   self->metrics = evhttp_new (self->base);
+  evhttp_set_max_headers_size (self->metrics, HEADER_MAX_BYTES);
+  evhttp_set_max_body_size (self->metrics, HEADER_MAX_BYTES);
   evhttp_set_gencb (self->metrics, on_request, self);
   int bound = evhttp_bind_socket (self->metrics,
                                   address,
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -128,8 +128,9 @@
 /* Responses to own calls that are not streamed. */
 #define HTTPC_HEAD_MAX_BYTES (64 * 1024)
 #define HTTPC_BODY_MAX_BYTES (4 * 1024 * 1024) /* a page of the store's rows has 1 MB */
-#define HTTPC_PROGRESS_FACTOR 4 /* a slow link may take several times a call's timeout   \
-                                 */
+#define HTTPC_PROGRESS_FACTOR                                                            \
+  4 /* a slow link may take several times a call's timeout                               \
+     */
 
 /* Peer messages between hosts. */
 #define PEER_MESSAGE_MAX_BYTES 512
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -375,6 +375,8 @@
                                  (const struct sockaddr *)&settings->callers_address,
                                  sizeof settings->callers_address);
   self->ready_server = evhttp_new (self->base);
+  evhttp_set_max_headers_size (self->ready_server, HEADER_MAX_BYTES);
+  evhttp_set_max_body_size (self->ready_server, HEADER_MAX_BYTES);
   evhttp_set_gencb (self->ready_server, on_ready, self);
   int bound = evhttp_bind_socket (self->ready_server,
                                   ready_host,
