A removed target isn't kept for an outage that the granter's updates show to be over

The host had the removal after 25 ms and kept the target for 2 s.

Cause, of the incident's class: entries that expire in an outage are kept for 2 s after its end. The host's feed of configurations had failed 2.4 s before, in the first outage, and was then suspended because the granter relayed again; a suspended feed makes no call that could succeed, so its failure counted as an outage that was still going on. The same held for the check of the role, which the granter's updates postpone.

A feed now has recovered when it is known to be complete as of a time after its failure, by whosever word; a failed check of the role counts only while the targets are not. The end of an outage is the first recovery of the last ones of all calls, no longer only those before the targets' own.

New unit test of discovery: the case fails on the parent; when hosts watch the store, what updates confirm, and that targets which expire in an outage are kept, hold on both.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -140,27 +140,31 @@
 }
 
 /* When the store became reachable again: the earliest recovery that any call saw, at most
- * STORE_RECOVERY_MS before the one that the targets' feed saw.  NOW, if another call
- * failed within STORE_RECOVERY_MS and hasn't succeeded since: the outage is only just
- * ending. */
+ * STORE_RECOVERY_MS before the last one.  NOW, if a call other than the targets' watch
+ * failed within STORE_RECOVERY_MS and nothing shows that the store answered since: the
+ * outage is only just ending. */
 static msec_t
 store_recovery_time (const coordinator_t *self, msec_t now)
 {
-  bool role_lost
-      = self->store_unreachable && now - self->store_lost_at < STORE_RECOVERY_MS;
+  bool answered_since = feed_age (&self->targets) <= now - self->store_lost_at;
+  bool role_lost = self->store_unreachable && !answered_since
+                   && now - self->store_lost_at < STORE_RECOVERY_MS;
 
   if (role_lost || failed_recently (&self->configuration, now)
       || failed_recently (&self->owners, now))
     return now;
   const msec_t recoveries[] = { self->configuration.recovered_at,
+                                self->targets.recovered_at,
                                 self->owners.recovered_at,
                                 self->role_recovered_at };
-  msec_t first = self->targets.recovered_at;
+  msec_t last = 0;
 
   for (size_t i = 0; i < G_N_ELEMENTS (recoveries); i++)
-    if (recoveries[i] < first
-        && recoveries[i] > self->targets.recovered_at - STORE_RECOVERY_MS)
-      first = recoveries[i];
+    last = MAX (last, recoveries[i]);
+  msec_t first = last;
+  for (size_t i = 0; i < G_N_ELEMENTS (recoveries); i++)
+    if (recoveries[i] > last - STORE_RECOVERY_MS)
+      first = MIN (first, recoveries[i]);
   return first;
 }
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -109,7 +109,7 @@
 }
 
 static void
-handle_success (feed_t *self, const store_reply_t *reply)
+handle_success (feed_t *self, uint64_t newest)
 {
   if (self->retry_delay == 0)
     return;
@@ -121,7 +121,7 @@
                   "feed=%s version=%llu newest=%llu",
                   self->name,
                   (unsigned long long)self->version,
-                  (unsigned long long)reply->version);
+                  (unsigned long long)newest);
 }
 
 static void
@@ -212,7 +212,7 @@
       handle_failure (self, reply);
       return;
     }
-  handle_success (self, reply);
+  handle_success (self, reply->version);
   if (self->watching)
     handle_changes (self, call, reply);
   else
@@ -242,6 +242,9 @@
   at = MIN (at, msclock_now (self->clock));
   if (self->confirmed_at == MSEC_NEVER || at > self->confirmed_at)
     self->confirmed_at = at;
+  /* A suspended feed makes no call that could succeed: the granter's may show it. */
+  if (at >= self->failed_at)
+    handle_success (self, self->newest_change);
 }
 
 msec_t
--- /dev/null
+++ b/packages/coordinator/tests/test_discovery.c
@@ -0,0 +1,296 @@
+#include "../coordinator_parts.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+
+/* A store that records the pending call for each table, which the test answers. */
+typedef struct
+{
+  store_t store;
+  store_done_t done[STORE_TABLES];
+  void *owner[STORE_TABLES];
+  unsigned watches[STORE_TABLES];
+} fake_store_t;
+
+typedef struct
+{
+  fake_store_t fake;
+  router_settings_t settings;
+  coordinator_t coordinator;
+} fixture_t;
+
+static void
+read_table (
+    store_t *store, store_table_t table, text_t after, store_done_t done, void *owner)
+{
+  fake_store_t *self = (fake_store_t *)store;
+
+  (void)after;
+  self->done[table] = done;
+  self->owner[table] = owner;
+}
+
+static void
+watch_table (store_t *store,
+             store_table_t table,
+             uint64_t version,
+             msec_t wait,
+             store_done_t done,
+             void *owner)
+{
+  fake_store_t *self = (fake_store_t *)store;
+
+  (void)version;
+  (void)wait;
+  self->done[table] = done;
+  self->owner[table] = owner;
+  self->watches[table]++;
+}
+
+static const store_ops_t store_ops = { read_table, watch_table, NULL, NULL };
+
+static status_t
+read_target (text_t id, text_t bytes, target_entry_t *target, fault_t *fault)
+{
+  (void)fault;
+  *target = (target_entry_t){ .leaving = text_equal (bytes, TEXT ("leaving")) };
+  return name_set (&target->id, id) ? STATUS_OK : STATUS_DECODE;
+}
+
+static const deployment_ops_t deployment
+    = { .configuration_key = { "config", 6 }, .read_target = read_target };
+
+/* Answers the pending call for TABLE at VERSION, with the row of target "t" if VALUE is
+ * not NULL. */
+static void
+reply (fixture_t *self,
+       store_table_t table,
+       store_outcome_t outcome,
+       uint64_t version,
+       const char *value)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
+  store_row_t row = { g_string_new ("t"), g_string_new (value), version, false };
+  store_reply_t answer
+      = { .outcome = outcome, .rows = rows, .version = version, .reason = "test" };
+  void *owner = self->fake.owner[table];
+
+  if (value != NULL)
+    g_array_append_val (rows, row);
+  self->fake.owner[table] = NULL;
+  self->fake.done[table](owner, &answer);
+  g_string_free (row.key, TRUE);
+  g_string_free (row.value, TRUE);
+  g_array_unref (rows);
+}
+
+/* A host that has read all tables at version 5, with the target "t", and goes by a
+ * granter. */
+static void
+setup (fixture_t *self)
+{
+  coordinator_t *host = &self->coordinator;
+
+  *self = (fixture_t){ .fake = { .store = { .ops = &store_ops } },
+                       .settings = { .bounds = { .drain_ms = 2000 } } };
+  *host
+      = (coordinator_t){ .settings = &self->settings,
+                         .deployment = &deployment,
+                         .base = event_base_new (),
+                         .store = &self->fake.store,
+                         .granter_update_expires = MSEC_NEVER,
+                         .key_actions = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
+  msclock_init_settable (&host->clock, 20000);
+  keys_init (&host->keys, 10000);
+  discovery_init (host);
+  discovery_start (host);
+  reply (self, STORE_CONFIGURATION, STORE_DONE, 5, NULL);
+  reply (self, STORE_TARGETS, STORE_DONE, 5, "ready");
+  reply (self, STORE_KEYS, STORE_DONE, 5, NULL);
+}
+
+static void
+teardown (fixture_t *self)
+{
+  coordinator_t *host = &self->coordinator;
+
+  grants_finish (host);
+  owners_finish (host);
+  discovery_finish (host);
+  keys_finish (&host->keys);
+  g_array_unref (host->key_actions);
+  event_base_free (host->base);
+  for (int i = 0; i < STORE_TABLES; i++)
+    g_free (self->fake.owner[i]); /* calls left unanswered */
+}
+
+/* Runs the event loop for REAL_MS, in which the host's clock goes on by MS. */
+static void
+pass_time (fixture_t *self, msec_t ms, msec_t real_ms)
+{
+  const struct timeval span = { real_ms / 1000, real_ms % 1000 * 1000 };
+  msclock_t *clock = &self->coordinator.clock;
+
+  msclock_set (clock, msclock_now (clock) + ms);
+  event_base_loopexit (self->coordinator.base, &span);
+  event_base_loop (self->coordinator.base, EVLOOP_NO_EXIT_ON_EMPTY);
+  discovery_step (&self->coordinator);
+}
+
+/* The granter replies to a report of REPORT_AGE ms ago that its tables, which go up to
+ * VERSION, were confirmed AGE ms before. */
+static void
+update (fixture_t *self, msec_t report_age, uint64_t version, msec_t age)
+{
+  const link_update_t update
+      = { .report_sent_at = msclock_now (&self->coordinator.clock) - report_age,
+          .configuration = { 5, age },
+          .targets = { version, age } };
+
+  discovery_check_versions (&self->coordinator, &update);
+}
+
+/* The granter relays a change of the target "t"; VALUE NULL: its row was removed. */
+static void
+relay (fixture_t *self, uint64_t before, uint64_t after, const char *value)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
+  store_row_t row = { g_string_new ("t"), g_string_new (value), after, value == NULL };
+
+  g_array_append_val (rows, row);
+  discovery_apply_rows (&self->coordinator, STORE_TARGETS, before, after, rows);
+  g_string_free (row.key, TRUE);
+  g_string_free (row.value, TRUE);
+  g_array_unref (rows);
+}
+
+static const known_target_t *
+find_target (const fixture_t *self)
+{
+  return g_hash_table_lookup (self->coordinator.targets_by_id, "t");
+}
+
+static void
+test_host_watches_the_store_when_the_granters_word_is_old (void **state)
+{
+  fixture_t fixture;
+  const unsigned *watches = fixture.fake.watches;
+
+  (void)state;
+  setup (&fixture);
+  pass_time (&fixture, 1000, FEED_BATCH_MS + 20);
+  assert_int_equal (watches[STORE_TARGETS], 0);
+  update (&fixture, 100, 5, 300);
+  pass_time (&fixture, 900, 0);
+  assert_int_equal (watches[STORE_TARGETS], 0);
+  update (&fixture, 100, 5, 1300); /* the store has not answered the granter since */
+  pass_time (&fixture, 200, 0);
+  assert_int_equal (watches[STORE_TARGETS], 1);
+  assert_int_equal (watches[STORE_CONFIGURATION], 1);
+  teardown (&fixture);
+}
+
+static void
+test_updates_confirm_only_what_the_host_has (void **state)
+{
+  fixture_t fixture;
+  const feed_t *targets = &fixture.coordinator.targets;
+
+  (void)state;
+  setup (&fixture);
+  pass_time (&fixture, 1000, 0);
+  update (&fixture, 100, 6, 0); /* the host lacks a change */
+  assert_int_equal (feed_age (targets), 1000);
+  update (&fixture, msclock_now (&fixture.coordinator.clock), 5, 0); /* not a reply */
+  assert_int_equal (feed_age (targets), 1000);
+  update (&fixture, 100, 5, LINK_AGE_UNKNOWN);
+  assert_int_equal (feed_age (targets), 1000);
+  update (&fixture, 100, 5, 30);
+  assert_int_equal (feed_age (targets), 130);
+  teardown (&fixture);
+}
+
+static void
+test_leaving_target_states_how_long_it_may_have_been_leaving (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  pass_time (&fixture, 700, 0);
+  relay (&fixture, 5, 7, "leaving");
+  assert_true (find_target (&fixture)->entry.leaving);
+  assert_int_equal (find_target (&fixture)->entry.leaving_for, 700);
+  pass_time (&fixture, 500, 0);
+  relay (&fixture, 7, 8, "leaving");
+  assert_int_equal (find_target (&fixture)->entry.leaving_for, 700);
+  teardown (&fixture);
+}
+
+/* Makes the feed of configurations fail once and its next watch be suspended. */
+static void
+fail_configuration (fixture_t *self)
+{
+  coordinator_t *host = &self->coordinator;
+
+  feed_resume (&host->configuration);
+  reply (self, STORE_CONFIGURATION, STORE_REFUSED, 0, NULL);
+  update (self, 100, 5, 30);
+  pass_time (self, 0, STORE_RETRY_MAX_MS);
+  assert_true (host->configuration.suspended);
+}
+
+static void
+test_removed_target_is_kept_only_while_an_outage_may_have_removed_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  fail_configuration (&fixture);
+  fixture.coordinator.store_unreachable = true; /* nor was the role's row read again */
+  fixture.coordinator.store_lost_at = msclock_now (&fixture.coordinator.clock);
+  for (int i = 0; i < 3; i++)
+    {
+      pass_time (&fixture, 800, 0); /* the first update shows that the outage is over */
+      update (&fixture, 100, 5, 30);
+    }
+  relay (&fixture, 5, 7, NULL);
+  pass_time (&fixture, 800 + STORE_ENTRY_RENEWAL_MS - 2400, 0);
+  assert_null (find_target (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_target_that_expired_in_an_outage_is_kept_for_its_renewal (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  fail_configuration (&fixture);
+  pass_time (&fixture, 500, 0);
+  update (&fixture, 100, 5, 30); /* the first sign of the store since */
+  relay (&fixture, 5, 7, NULL);
+  pass_time (&fixture, STORE_ENTRY_RENEWAL_MS - 200, 0);
+  assert_non_null (find_target (&fixture));
+  pass_time (&fixture, 200, 0);
+  assert_null (find_target (&fixture));
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_host_watches_the_store_when_the_granters_word_is_old),
+    cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
+    cmocka_unit_test (test_leaving_target_states_how_long_it_may_have_been_leaving),
+    cmocka_unit_test (
+        test_removed_target_is_kept_only_while_an_outage_may_have_removed_it),
+    cmocka_unit_test (test_target_that_expired_in_an_outage_is_kept_for_its_renewal),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
