Soak: a fault on one host excuses that host alone

The soak checked the time limits of leaving targets and configurations only while no fault was in effect anywhere, so that a granter which loses the store excused all other hosts: it could not find the incident. Faults on one router (killed, frozen, its path to the store disturbed) are now recorded with the host, and the limits hold for the others; a request's host is the one that its caller sent it to. Half of these faults hit the granter. Targets' and stores' paths are disturbed by actions of their own.

--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -695,9 +695,9 @@
         with open("/proc/%d/statm" % self.process.pid, encoding="ascii") as file:
             return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
-    def read_metrics(self):
+    def read_metrics(self, timeout=None):
         with urllib.request.urlopen(
-            "http://127.0.0.1:%d/metrics" % self.metrics_port
+            "http://127.0.0.1:%d/metrics" % self.metrics_port, timeout=timeout
         ) as response:
             return response.read().decode()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,7 +43,8 @@
 
 
 class FaultLog:
-    """Records when faults were in effect; time limits are checked only outside of them."""
+    """Records when faults were in effect, and on which host if on one alone; a host's time limits
+    are checked only outside of those that affect it."""
 
     def __init__(self):
         self.lock = threading.Lock()
@@ -51,19 +52,24 @@
 
     def begin(self, what):
         with self.lock:
-            self.spans.append([what, now_ms(), None])
+            self.spans.append([what, now_ms(), None, None])
             return len(self.spans) - 1
 
+    def limit_to_host(self, span, host):
+        with self.lock:
+            self.spans[span][3] = host
+
     def end(self, span):
         with self.lock:
             self.spans[span][2] = now_ms()
 
-    def is_quiet(self, first, last, ignored=()):
-        """Whether no fault was in effect from QUIET_MS before FIRST until LAST."""
+    def is_quiet(self, host, first, last, ignored=()):
+        """Whether no fault affected HOST from QUIET_MS before FIRST until LAST."""
         with self.lock:
             return all(
-                what in ignored or begun > last or (ended or 1e18) < first - QUIET_MS
-                for what, begun, ended in self.spans
+                what in ignored or only_host not in (None, host)
+                or begun > last or (ended or 1e18) < first - QUIET_MS
+                for what, begun, ended, only_host in self.spans
             )
 
 
@@ -138,13 +144,25 @@
         text = configuration(self.version, routes).decode()
         self.control(put=["op", "config", text])
 
-    # Faults. Each returns a function that ends it.
+    # Faults. Each returns a function that ends it, and the host if it affects that one alone.
 
-    def kill_router(self):
+    def pick_router(self):
+        """A router's number: half of the time the granter's."""
         i = self.rng.randrange(len(self.routers))
-        router = self.routers[i]
-        router.kill()
-        return lambda: self.restart(i)
+        if self.rng.random() < 0.5:
+            return i
+        for k, router in enumerate(self.routers):
+            try:
+                if "chicorywood_granter 1\n" in router.read_metrics(1):
+                    return k
+            except OSError:
+                pass
+        return i
+
+    def kill_router(self):
+        i = self.pick_router()
+        self.routers[i].kill()
+        return lambda: self.restart(i), i
 
     def restart(self, i):
         """Starts router I again with the same address and settings."""
@@ -158,36 +176,43 @@
         self.started_at[i], self.terminated_at[i] = now_ms(), None
 
     def freeze_router(self):
-        router = self.rng.choice(self.routers)
+        i = self.pick_router()
+        router = self.routers[i]
         router.signal(signal.SIGSTOP)
-        return lambda: router.signal(signal.SIGCONT)
+        return lambda: router.signal(signal.SIGCONT), i
 
     def kill_all_routers(self):
         for router in self.routers:
             router.kill()
-        return lambda: [self.restart(i) for i in range(len(self.routers))]
+        return lambda: [self.restart(i) for i in range(len(self.routers))], None
 
     def kill_target(self):
         target = self.rng.choice(self.targets)
         target.kill()
-        return target.start
+        return target.start, None
 
     def freeze_target(self):
         target = self.rng.choice(self.targets)
         target.process.send_signal(signal.SIGSTOP)
-        return lambda: target.process.send_signal(signal.SIGCONT)
+        return lambda: target.process.send_signal(signal.SIGCONT), None
 
-    def disturb_link(self):
-        proxy = self.rng.choice([t.proxy for t in self.targets] + self.store_proxies)
+    def set_link_mode(self, proxy):
         mode = self.rng.choice(["delay", "stall", "drop_to_server", "drop_to_client"])
         self.proxies.call_soon(proxy.set_mode, mode)
         return lambda: self.proxies.call_soon(proxy.set_mode, "pass")
 
+    def disturb_target_link(self):
+        return self.set_link_mode(self.rng.choice(self.targets).proxy), None
+
+    def disturb_store_link(self):
+        i = self.pick_router()
+        return self.set_link_mode(self.store_proxies[i]), i
+
     def reset_connections(self):
         for proxy in [t.proxy for t in self.targets] + self.store_proxies:
             if self.rng.random() < 0.5:
                 self.proxies.call_soon(proxy.reset)
-        return lambda: None
+        return lambda: None, None
 
     def inject_store_fault(self):
         fault = self.rng.choice([
@@ -195,9 +220,9 @@
             {"lose_share": 0.3, "apply_delay_ms": 2000}, {"compact": True},
         ])
         self.control(fault=fault)
-        return lambda: self.control(fault={})
+        return lambda: self.control(fault={}), None
 
-    # Operations. Each returns a function that ends it.
+    # Operations. They return the same.
 
     def stop_router(self):
         i = self.rng.randrange(len(self.routers))
@@ -211,15 +236,15 @@
                 if code not in (0, -signal.SIGKILL):  # another fault may have killed it
                     self.report("END", "h%d ended with %s after SIGTERM" % (i, code))
             except subprocess.TimeoutExpired:
-                if self.fault_log.is_quiet(ended, now_ms(), OPERATIONS):
+                if self.fault_log.is_quiet(i, ended, now_ms(), OPERATIONS):
                     self.report("END", "h%d still runs 7 s after SIGTERM" % i)
                 self.routers[i].kill()
             self.restart(i)
-        return finish
+        return finish, None
 
     def reload(self):
         self.rng.choice(self.routers).signal(signal.SIGHUP)
-        return lambda: None
+        return lambda: None, None
 
     def add_route(self):
         path = "/r%d/" % self.version
@@ -227,7 +252,7 @@
             ["r%d" % self.version, "t.example", path, "idempotent", 1500, 500, 1, None, 2, "plain"])
         self.configure(self.routes)
         self.added.append((path, now_ms()))
-        return lambda: None
+        return lambda: None, None
 
     def drain_target(self):
         target = self.rng.choice(self.targets)
@@ -236,7 +261,7 @@
         def finish():
             target.kill()
             target.start()
-        return finish
+        return finish, None
 
     # Callers.
 
@@ -279,8 +304,8 @@
 
     def run(self):
         faults = [self.kill_router, self.freeze_router, self.kill_target, self.freeze_target,
-                  self.disturb_link, self.reset_connections, self.inject_store_fault,
-                  self.kill_all_routers]
+                  self.disturb_target_link, self.disturb_store_link, self.reset_connections,
+                  self.inject_store_fault, self.kill_all_routers]
         operations = [self.stop_router, self.reload, self.add_route, self.drain_target]
         for router in self.routers:
             router.wait_ready()
@@ -316,7 +341,8 @@
             print("%.0f %s for %.1f s" % (now_ms(), action.__name__, duration_s), flush=True)
 
         def run():
-            finish = action()
+            finish, host = action()
+            self.fault_log.limit_to_host(span, host)
             time.sleep(duration_s)
             finish()
             self.fault_log.end(span)
@@ -363,7 +389,7 @@
                 self.report("REFUSED", "%s got %d and ran" % (request_id, status))
             terminated = self.terminated_at[i]
             if (status is None and ran and terminated and begun - 1000 <= terminated <= ended
-                    and self.fault_log.is_quiet(begun, ended, OPERATIONS)):
+                    and self.fault_log.is_quiet(i, begun, ended, OPERATIONS)):
                 self.report("LOST", "%s at h%d was aborted by SIGTERM" % (request_id, i))
 
     def check_fences(self, lines):
@@ -399,6 +425,7 @@
                 holder, until = name, ms + line["grant"][3]
 
     def check_drains(self, lines):
+        hosts = {result[0]: result[3] for result in self.results}
         for target in self.targets:
             for announced in target.drain_announced:
                 ends = [e for _b, e in target.lifetimes if e and e > announced]
@@ -406,10 +433,14 @@
                     if (line["target"] == target.name and "id" in line
                             and announced + DRAIN_MAX_MS + REQUEST_TRANSIT_MS < line["ms"]
                             < min(ends, default=1e18)
+                            and line["id"] in hosts
                             and self.fault_log.is_quiet(
-                                announced, line["ms"], ("drain_target", "add_route"))):
-                        self.report("DRAIN", "%s got %s %d ms after it announced that it drains" % (
-                            target.name, line["id"], line["ms"] - announced))
+                                hosts[line["id"]], announced, line["ms"],
+                                ("drain_target", "add_route"))):
+                        self.report(
+                            "DRAIN", "%s got %s from h%d %d ms after it announced that it drains" % (
+                                target.name, line["id"], hosts[line["id"]],
+                                line["ms"] - announced))
 
     def check_configurations(self):
         acknowledged = dict(self.added)
@@ -422,7 +453,8 @@
             elif route in self.routes_seen[i, started_at]:
                 self.report("CONFIG", "%s: h%d no longer serves %s" % (request_id, i, route))
             elif (begun > acknowledged[route] + CONFIG_APPLY_MAX_MS
-                  and self.fault_log.is_quiet(acknowledged[route], ended, ("add_route", "reload"))):
+                  and self.fault_log.is_quiet(
+                      i, acknowledged[route], ended, ("add_route", "reload"))):
                 self.report("CONFIG", "%s: h%d doesn't serve %s after %d ms" % (
                     request_id, i, route, begun - acknowledged[route]))
 
