--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -45,7 +45,7 @@
         """Resets all open connections; later ones are not affected."""
         for writer in list(self.writers):
             sock = writer.get_extra_info("socket")
-            if sock is not None:
+            if sock is not None and sock.fileno() >= 0:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             writer.transport.abort()
 
