Second reading: names and comments of the feeds and httpc

discovery_check_versions is discovery_handle_update, since it also confirms; handle_success of a feed is note_success, which the granter's word may call as well. httpc arms a call's timers where the call starts only. No change of behaviour.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -108,7 +108,7 @@
   msec_t table_broadcast_at;     /* when a changed table was last broadcast */
   msec_t table_requested_at;     /* when a missed table was last requested */
   GHashTable *reporters;         /* host name to reporter_t */
-  GArray *suspect_reports;       /* of this host, that haven't come back yet */
+  GArray *suspect_reports;       /* that haven't come back from the granter yet */
   msec_t suspects_repeated_at;   /* when these were last sent again */
   uint32_t host_count;           /* that share the retry budget; 0: unknown */
 } coordinator_t;
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -17,9 +17,9 @@
  * publishes changes. */
 void discovery_step (coordinator_t *self);
 
-/* Compares the feeds with the granter's.  A feed that stays behind for FEED_LAG_MS
- * queries the store again; the others are as fresh as the granter's. */
-void discovery_check_versions (coordinator_t *self, const link_update_t *update);
+/* The granter's update: a feed that has all that the granter's has is as fresh as that;
+ * one that stays behind it for FEED_LAG_MS queries the store again. */
+void discovery_handle_update (coordinator_t *self, const link_update_t *update);
 
 /* Applies ROWS (store_row_t) from another host's feed: the changes of TABLE after version
  * BEFORE, up to AFTER. */
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -441,7 +441,7 @@
 }
 
 void
-discovery_check_versions (coordinator_t *self, const link_update_t *update)
+discovery_handle_update (coordinator_t *self, const link_update_t *update)
 {
   check_version (&self->configuration,
                  update->configuration.newest_change,
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -109,7 +109,7 @@
 }
 
 static void
-handle_success (feed_t *self, uint64_t newest)
+note_success (feed_t *self, uint64_t newest)
 {
   if (self->retry_delay == 0)
     return;
@@ -212,7 +212,7 @@
       handle_failure (self, reply);
       return;
     }
-  handle_success (self, reply->version);
+  note_success (self, reply->version);
   if (self->watching)
     handle_changes (self, call, reply);
   else
@@ -244,7 +244,7 @@
     self->confirmed_at = at;
   /* A suspended feed makes no call that could succeed: the granter's may show it. */
   if (at >= self->failed_at)
-    handle_success (self, self->newest_change);
+    note_success (self, self->newest_change);
 }
 
 msec_t
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -70,9 +70,8 @@
 void feed_finish (feed_t *self);
 
 /*
- * Abandons a call in flight that was started before SINCE (ms, monotonic) and issues it
- * again.  After an outage the store may never answer such a call, although it answers new
- * ones.
+ * Abandons a call in flight that was started before SINCE and issues it again.  After an
+ * outage the store may never answer such a call, although it answers new ones.
  */
 void feed_restart_call (feed_t *self, msec_t since);
 
@@ -83,17 +82,20 @@
  */
 void feed_apply_delta (feed_t *self, uint64_t before, uint64_t after, const GArray *rows);
 
-/* A full read lacked a row, which was removed at an unknown version up to the read's. */
+/* A full read lacked a row that existed before.  It was removed at an unknown version, up
+ * to the read's. */
 void feed_note_removal (feed_t *self);
 
 /* Delivers ROWS (store_row_t) that another host sent, even before the first read of the
  * store.  Each row has to be complete in itself. */
 void feed_apply_rows (feed_t *self, const GArray *rows);
 
-/* Notes that all changes up to the time AT were delivered. */
+/* Notes that all changes up to the time AT were delivered, which also ends an outage that
+ * began before. */
 void feed_confirm (feed_t *self, msec_t at);
 
-/* MSEC_NEVER if the table was never read. */
+/* The time in ms for which changes may have been missed; MSEC_NEVER if the table was
+ * never read. */
 msec_t feed_age (const feed_t *self);
 
 /* Resumes a suspended feed once should_watch allows it, and reissues a watch that ends
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -276,7 +276,7 @@
   self->granter_update_expires = now + MIN (update->role_left_ms, UPDATE_VALID_MS);
   role_postpone_check (self, now + update->role_left_ms);
   update_host_count (self, update->n_hosts);
-  discovery_check_versions (self, update);
+  discovery_handle_update (self, update);
   if (update->has_table)
     apply_table (self, update, now);
 }
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -148,7 +148,7 @@
           .configuration = { 5, age },
           .targets = { version, age } };
 
-  discovery_check_versions (&self->coordinator, &update);
+  discovery_handle_update (&self->coordinator, &update);
 }
 
 /* The granter relays a change of the target "t"; VALUE NULL: its row was removed. */
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -125,12 +125,11 @@
 /* Calls to the platform. */
 #define PLATFORM_TIMEOUT_MS 700
 
-/* Responses to own calls that are not streamed. */
+/* Responses to own calls that are not streamed.  A page of the store's rows has 1 MB. */
 #define HTTPC_HEAD_MAX_BYTES (64 * 1024)
-#define HTTPC_BODY_MAX_BYTES (4 * 1024 * 1024) /* a page of the store's rows has 1 MB */
-#define HTTPC_PROGRESS_FACTOR                                                            \
-  4 /* a slow link may take several times a call's timeout                               \
-     */
+#define HTTPC_BODY_MAX_BYTES (4 * 1024 * 1024)
+/* Times the timeout without progress: the longest that a call may take. */
+#define HTTPC_PROGRESS_FACTOR 4
 
 /* Peer messages between hosts. */
 #define PEER_MESSAGE_MAX_BYTES 512
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -265,9 +265,9 @@
   self->pool = pool;
   self->evcon = evhttp_connection_base_new (pool->base, NULL, pool->address, pool->port);
   evhttp_connection_set_max_headers_size (self->evcon, HTTPC_HEAD_MAX_BYTES);
-  httpc_set_timeout (self, pool->timeout);
   self->connect_timer = evtimer_new (pool->base, on_connect_timeout, self);
   self->end_timer = evtimer_new (pool->base, on_end_timeout, self);
+  self->timeout = pool->timeout;
   struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, self);
   g_hash_table_add (pool->open, self);
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -90,9 +90,7 @@
                           void *owner,
                           msec_t now);
 
-/* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on that
- * connection.
- */
+/* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on it. */
 void httpc_set_timeout (httpc_conn_t *conn, msec_t timeout);
 
 /* Parses the body of a response that was not streamed as JSON; NULL if it is not valid.
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -317,8 +317,7 @@
         }
       if (!interim)
         {
-          /* A late or duplicate response to an earlier request: ours has not arrived yet.
-           */
+          /* Late or duplicate, to an earlier request: ours has not arrived yet. */
           self->proxy->counts.stray_responses++;
           self->not_reusable = true;
         }
