--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -70,9 +70,8 @@
   const deployment_ops_t *deployment;
   struct event_base *base;
   store_t *store;
-  bool store_unreachable;   /* the last call for the role row failed */
-  msec_t store_lost_at;     /* time of the last such failure */
-  msec_t role_recovered_at; /* time of the first success after one */
+  bool store_unreachable; /* the last call for the role row failed */
+  outage_t outage;
   proxy_t *proxy;
   mailbox_t inbox;             /* proxy_report_t */
   msclock_t clock;             /* includes time in system suspend */
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -133,41 +133,6 @@
     ((known_target_t *)value)->seen = false;
 }
 
-static bool
-failed_recently (const feed_t *feed, msec_t now)
-{
-  return feed->retry_delay > 0 && now - feed->failed_at < STORE_RECOVERY_MS;
-}
-
-/* When the store became reachable again: the earliest recovery that any call saw, at most
- * STORE_RECOVERY_MS before the last one.  NOW, if a call other than the targets' watch
- * failed within STORE_RECOVERY_MS and nothing shows that the store answered since: the
- * outage is only just ending. */
-static msec_t
-store_recovery_time (const coordinator_t *self, msec_t now)
-{
-  bool answered_since = feed_age (&self->targets) <= now - self->store_lost_at;
-  bool role_lost = self->store_unreachable && !answered_since
-                   && now - self->store_lost_at < STORE_RECOVERY_MS;
-
-  if (role_lost || failed_recently (&self->configuration, now)
-      || failed_recently (&self->owners, now))
-    return now;
-  const msec_t recoveries[] = { self->configuration.recovered_at,
-                                self->targets.recovered_at,
-                                self->owners.recovered_at,
-                                self->role_recovered_at };
-  msec_t last = 0;
-
-  for (size_t i = 0; i < G_N_ELEMENTS (recoveries); i++)
-    last = MAX (last, recoveries[i]);
-  msec_t first = last;
-  for (size_t i = 0; i < G_N_ELEMENTS (recoveries); i++)
-    if (recoveries[i] > last - STORE_RECOVERY_MS)
-      first = MIN (first, recoveries[i]);
-  return first;
-}
-
 /* Marks a target whose row is gone.  Entries may expire during an outage of the store and
  * be renewed shortly after it, so the target is kept until STORE_ENTRY_RENEWAL_MS after
  * the outage's end. */
@@ -179,7 +144,7 @@
   if (target->expires_at != MSEC_NEVER)
     return;
   target->expires_at
-      = MAX (now, store_recovery_time (self, now) + STORE_ENTRY_RENEWAL_MS);
+      = MAX (now, outage_end (&self->outage, now) + STORE_ENTRY_RENEWAL_MS);
   eventlog_write (EVENT_STATE,
                   "targets",
                   "entry_missing",
@@ -473,10 +438,6 @@
 {
   msec_t now = msclock_now (&self->clock);
 
-  /* A watch that hung during the outage didn't fail, so it recorded no recovery; entries
-   * may have expired nevertheless. */
-  if (self->targets.call != NULL)
-    self->targets.recovered_at = now;
   feed_restart_call (&self->configuration, now);
   feed_restart_call (&self->targets, now);
   feed_restart_call (&self->owners, now);
@@ -511,6 +472,7 @@
              self->store,
              self->base,
              &self->clock,
+             &self->outage,
              STORE_CONFIGURATION,
              "configuration",
              &configuration_ops,
@@ -519,6 +481,7 @@
              self->store,
              self->base,
              &self->clock,
+             &self->outage,
              STORE_TARGETS,
              "targets",
              &targets_ops,
@@ -527,6 +490,7 @@
              self->store,
              self->base,
              &self->clock,
+             &self->outage,
              STORE_KEYS,
              "owners",
              &owners_ops,
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -90,7 +90,7 @@
 }
 
 static void
-handle_failure (feed_t *self, const store_reply_t *reply)
+handle_failure (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
 {
   if (self->retry_delay == 0)
     eventlog_write (EVENT_STATE,
@@ -101,7 +101,7 @@
                     store_outcome_name (reply->outcome),
                     reply->reason != NULL ? reply->reason : "none",
                     (unsigned long long)self->version);
-  self->failed_at = msclock_now (self->clock);
+  outage_note_failure (self->outage, call->started, msclock_now (self->clock));
   self->retry_delay = CLAMP (self->retry_delay * 2, STORE_RETRY_MS, STORE_RETRY_MAX_MS);
   schedule_call (self,
                  self->retry_delay / 2
@@ -109,19 +109,19 @@
 }
 
 static void
-note_success (feed_t *self, uint64_t newest)
+handle_success (feed_t *self, const store_reply_t *reply)
 {
+  outage_note_answer (self->outage, msclock_now (self->clock));
   if (self->retry_delay == 0)
     return;
   self->retry_delay = 0;
-  self->recovered_at = msclock_now (self->clock);
   eventlog_write (EVENT_STATE,
                   "store",
                   "recovered",
                   "feed=%s version=%llu newest=%llu",
                   self->name,
                   (unsigned long long)self->version,
-                  (unsigned long long)newest);
+                  (unsigned long long)reply->version);
 }
 
 static void
@@ -209,10 +209,10 @@
     }
   if (reply->outcome != STORE_DONE)
     {
-      handle_failure (self, reply);
+      handle_failure (self, call, reply);
       return;
     }
-  note_success (self, reply->version);
+  handle_success (self, reply);
   if (self->watching)
     handle_changes (self, call, reply);
   else
@@ -242,9 +242,7 @@
   at = MIN (at, msclock_now (self->clock));
   if (self->confirmed_at == MSEC_NEVER || at > self->confirmed_at)
     self->confirmed_at = at;
-  /* A suspended feed makes no call that could succeed: the granter's may show it. */
-  if (at >= self->failed_at)
-    note_success (self, self->newest_change);
+  outage_note_answer (self->outage, at);
 }
 
 msec_t
@@ -329,6 +327,7 @@
            store_t *store,
            struct event_base *base,
            const msclock_t *clock,
+           outage_t *outage,
            store_table_t table,
            const char *name,
            const feed_ops_t *ops,
@@ -336,6 +335,7 @@
 {
   *self = (feed_t){ .store = store,
                     .clock = clock,
+                    .outage = outage,
                     .table = table,
                     .name = name,
                     .ops = ops,
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -2,6 +2,7 @@
 
 #include "../core/rng.h"
 #include "../store/store.h"
+#include "outage.h"
 
 /*
  * FEED: keeps a subscriber up to date with one table of the store.
@@ -36,6 +37,7 @@
 {
   store_t *store;
   const msclock_t *clock;
+  outage_t *outage; /* of the host */
   store_table_t table;
   const char *name; /* for the log */
   const feed_ops_t *ops;
@@ -52,16 +54,15 @@
   msec_t behind_since; /* first report of a newer row elsewhere; MSEC_NEVER: none */
   GString *last_key;   /* last key of the previous page */
   msec_t retry_delay;  /* backoff; 0: the last call succeeded */
-  msec_t failed_at;    /* time of the last failure */
   msec_t read_started; /* start of the full read in progress, or of the last one */
   msec_t confirmed_at; /* all changes up to then were delivered; MSEC_NEVER: unknown */
-  msec_t recovered_at; /* time of the first success after failures */
 } feed_t;
 
 void feed_init (feed_t *self,
                 store_t *store,
                 struct event_base *base,
                 const msclock_t *clock,
+                outage_t *outage,
                 store_table_t table,
                 const char *name,
                 const feed_ops_t *ops,
@@ -90,8 +91,7 @@
  * store.  Each row has to be complete in itself. */
 void feed_apply_rows (feed_t *self, const GArray *rows);
 
-/* Notes that all changes up to the time AT were delivered, which also ends an outage that
- * began before. */
+/* Notes that all changes up to the time AT were delivered. */
 void feed_confirm (feed_t *self, msec_t at);
 
 /* The time in ms for which changes may have been missed; MSEC_NEVER if the table was
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -31,9 +31,11 @@
                         reply->reason,
                         (unsigned long long)role->version);
       self->store_unreachable = true;
-      self->store_lost_at = msclock_now (&self->clock);
+      outage_note_failure (&self->outage, role->call_started, msclock_now (&self->clock));
+      return;
     }
-  else if (self->store_unreachable)
+  outage_note_answer (&self->outage, msclock_now (&self->clock));
+  if (self->store_unreachable)
     {
       eventlog_write (EVENT_STATE,
                       "store",
@@ -42,7 +44,6 @@
                       (unsigned long long)role->version,
                       (unsigned long long)reply->version);
       self->store_unreachable = false;
-      self->role_recovered_at = msclock_now (&self->clock);
       discovery_restart_calls (self);
     }
   if (reply->outcome != STORE_DONE)
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -249,8 +249,6 @@
   (void)state;
   setup (&fixture);
   fail_configuration (&fixture);
-  fixture.coordinator.store_unreachable = true; /* nor was the role's row read again */
-  fixture.coordinator.store_lost_at = msclock_now (&fixture.coordinator.clock);
   for (int i = 0; i < 3; i++)
     {
       pass_time (&fixture, 800, 0); /* the first update shows that the outage is over */
@@ -262,6 +260,41 @@
   teardown (&fixture);
 }
 
+/* The feed of owners goes by the granter's updates without an age, and one whose watch is
+ * in flight has no success until that returns. */
+static void
+test_outage_ends_for_feeds_that_have_no_success_of_their_own (void **state)
+{
+  static const store_table_t failing[] = { STORE_KEYS, STORE_CONFIGURATION };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (failing); i++)
+    {
+      fixture_t fixture;
+      coordinator_t *host = &fixture.coordinator;
+      setup (&fixture);
+      feed_t *feed = failing[i] == STORE_KEYS ? &host->owners : &host->configuration;
+      feed_resume (feed);
+      feed_resume (&host->targets);
+      reply (&fixture, failing[i], STORE_REFUSED, 0, NULL);
+      pass_time (&fixture, 100, 0);
+      reply (&fixture, STORE_TARGETS, STORE_DONE, 6, "ready");
+      feed_resume (failing[i] == STORE_KEYS ? &host->targets : feed);
+      pass_time (&fixture, 100, STORE_RETRY_MAX_MS);
+      for (int k = 0; k < 3; k++)
+        {
+          pass_time (&fixture, 800, 0);
+          feed_confirm (&host->targets, msclock_now (&host->clock));
+        }
+      feed_resume (feed);
+      reply (&fixture, failing[i], STORE_DONE, 7, NULL); /* a success long after it */
+      relay (&fixture, 6, 8, NULL);
+      pass_time (&fixture, 1, 0);
+      assert_null (find_target (&fixture));
+      teardown (&fixture);
+    }
+}
+
 static void
 test_target_that_expired_in_an_outage_is_kept_for_its_renewal (void **state)
 {
@@ -280,6 +313,24 @@
   teardown (&fixture);
 }
 
+static void
+test_late_failure_does_not_prolong_an_outage_that_is_over (void **state)
+{
+  outage_t outage = { 0 };
+
+  (void)state;
+  outage_note_failure (&outage, 5000, 5100);
+  assert_int_equal (outage_end (&outage, 6000), 6000);
+  outage_note_answer (&outage, 5050); /* before the failure */
+  assert_int_equal (outage_end (&outage, 6000), 6000);
+  outage_note_answer (&outage, 6200);
+  outage_note_failure (&outage, 5900, 7000); /* of a call that hung since before */
+  assert_int_equal (outage_end (&outage, 7000), 6200);
+  outage_note_failure (&outage, 7100, 7200);
+  assert_int_equal (outage_end (&outage, 7300), 7300);
+  assert_int_equal (outage_end (&outage, 7200 + STORE_RECOVERY_MS), 6200);
+}
+
 int
 main (void)
 {
@@ -289,6 +340,8 @@
     cmocka_unit_test (test_leaving_target_states_how_long_it_may_have_been_leaving),
     cmocka_unit_test (
         test_removed_target_is_kept_only_while_an_outage_may_have_removed_it),
+    cmocka_unit_test (test_late_failure_does_not_prolong_an_outage_that_is_over),
+    cmocka_unit_test (test_outage_ends_for_feeds_that_have_no_success_of_their_own),
     cmocka_unit_test (test_target_that_expired_in_an_outage_is_kept_for_its_renewal),
   };
 
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -20,6 +20,7 @@
   fake_store_t fake;
   struct event_base *base;
   msclock_t clock;
+  outage_t outage;
   feed_t feed;
   bool watch_wanted;
   msec_t max_age;
@@ -110,6 +111,7 @@
              &self->fake.store,
              self->base,
              &self->clock,
+             &self->outage,
              STORE_TARGETS,
              "targets",
              &feed_ops,
@@ -363,9 +365,11 @@
   assert_int_equal (fixture.fake.watches, 1);
   run_for (&fixture, STORE_RETRY_MAX_MS);
   assert_int_equal (fixture.fake.watches, 2);
-  assert_int_equal (fixture.feed.recovered_at, 0);
+  assert_true (fixture.outage.lost);
+  assert_int_equal (fixture.outage.recovered_at, 0);
   reply (&fixture, STORE_DONE, 6);
-  assert_true (fixture.feed.recovered_at > 0);
+  assert_false (fixture.outage.lost);
+  assert_true (fixture.outage.recovered_at > 0);
   teardown (&fixture);
 }
 
