grants: the simulated hosts' feeds have a clock

The simulation set up the feeds' fields one by one and left out the clock that feeds have since the ages: the granter's updates read it, and the program ended at its first run (found by the check, tests-asan).

--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -90,6 +90,23 @@
   g_array_unref (listed);
 }
 
+/* A feed that makes no calls: hosts get their targets from send_targets. */
+static void
+init_idle_feed (feed_t *feed, coordinator_t *self)
+{
+  static const feed_ops_t none = { 0 };
+
+  feed_init (feed,
+             self->store,
+             self->base,
+             &self->clock,
+             &self->outage,
+             STORE_TARGETS,
+             "idle",
+             &none,
+             self);
+}
+
 static void
 start_host (host_t *host, const router_settings_t *settings)
 {
@@ -116,12 +133,9 @@
   g_queue_init (&self->role.pending_tables);
   self->role.next_check = sim->now + host->index * 100;
   self->reporters = g_hash_table_new (g_str_hash, g_str_equal);
-  self->configuration.retry_timer = evtimer_new (self->base, NULL, NULL);
-  self->targets.retry_timer = evtimer_new (self->base, NULL, NULL);
-  self->owners.retry_timer = evtimer_new (self->base, NULL, NULL);
-  self->configuration.last_key = g_string_new (NULL);
-  self->targets.last_key = g_string_new (NULL);
-  self->owners.last_key = g_string_new (NULL);
+  init_idle_feed (&self->configuration, self);
+  init_idle_feed (&self->targets, self);
+  init_idle_feed (&self->owners, self);
   self->targets.watching = self->owners.watching = true;
   g_array_append_val (self->keyed_services, service);
   services.services = self->keyed_services;
