Take back the repeated reports of requests that crash targets

Suspected by the code, not measured apart: with many targets lost each host holds up to 64 reports and sends them every 200 ms to a new granter, which broadcasts each of them to all hosts and repeats that for 5 s.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -38,7 +38,6 @@
   (void)what;
   discovery_step (self);
   role_step (self, now);
-  peers_step (self, now);
   reload_step (self, now);
   if (self->role.state != ROLE_HELD)
     return;
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -57,7 +57,6 @@
   msec_t predecessor_grants_end;   /* latest end of a predecessor's grants; this host's
                                       clock */
   uint64_t acquired_version;       /* of the row when this host acquired the role */
-  msec_t acquired_at;              /* when it acquired it */
   bool needs_tables;               /* reading the owners from the store failed */
   msec_t next_tables_read;         /* when that read is retried */
   role_write_t write;
@@ -107,8 +106,6 @@
   msec_t table_broadcast_at;     /* when a changed table was last broadcast */
   msec_t table_requested_at;     /* when a missed table was last requested */
   GHashTable *reporters;         /* host name to reporter_t */
-  GArray *suspect_reports;       /* that haven't come back from the granter yet */
-  msec_t suspects_repeated_at;   /* when these were last sent again */
   uint32_t host_count;           /* that share the retry budget; 0: unknown */
 } coordinator_t;
 
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -70,8 +70,7 @@
 /* Forwards the proxy's report to the granter, which may be this host. */
 void peers_forward_report (coordinator_t *self, const proxy_report_t *report);
 
-/* Notifies all hosts of a request that may crash targets, or of one that was cleared. The
- * report is repeated until it comes back from the granter. */
+/* Notifies all hosts of a request that may crash targets, or of one that was cleared. */
 void peers_report_suspect (coordinator_t *self, const suspect_out_t *suspect);
 
 /* Sends a new table, or its changes, to all hosts that report to this one.  To be called
@@ -84,9 +83,6 @@
                        uint64_t before,
                        const store_reply_t *reply);
 
-/* Repeats reports that were lost. */
-void peers_step (coordinator_t *self, msec_t now);
-
 /* Whether this host is the granter, or received an update from it recently. */
 bool peers_granter_is_live (const coordinator_t *self);
 
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -3,13 +3,6 @@
 #include "../core/eventlog.h"
 #include "../link/spread.h"
 
-/* A report of a suspect request that has not come back from the granter yet. */
-typedef struct
-{
-  link_suspect_t suspect;
-  msec_t reported_at;
-} suspect_report_t;
-
 /* A host that sends its reports to this one. */
 typedef struct
 {
@@ -365,13 +358,15 @@
   g_array_unref (part.rows);
 }
 
-/* Sends SUSPECT to the granter, which broadcasts it, also to the host that reported it:
- * the duplicate doesn't count as another loss. */
-static void
-send_suspect (coordinator_t *self, const link_suspect_t *suspect)
+void
+peers_report_suspect (coordinator_t *self, const suspect_out_t *suspect)
 {
-  GByteArray *body = link_encode_suspect (suspect);
+  const link_suspect_t message
+      = { suspect->fingerprint, suspect->target, suspect->cleared };
+  GByteArray *body = link_encode_suspect (&message);
 
+  /* The granter broadcasts it, also to the host that reported it: the duplicate doesn't
+   * count as another loss. */
   if (self->role.state == ROLE_HELD)
     broadcast_body (self, body);
   else if (self->granter.len > 0)
@@ -379,82 +374,12 @@
   g_byte_array_unref (body);
 }
 
-/* Removes the reports that SUSPECT, which all hosts get, makes unnecessary: itself, and
- * losses of a request that was cleared. */
-static void
-drop_suspect_reports (coordinator_t *self, const link_suspect_t *suspect)
-{
-  GArray *reports = self->suspect_reports;
-
-  for (guint i = reports->len; i > 0; i--)
-    {
-      const link_suspect_t *at
-          = &g_array_index (reports, suspect_report_t, i - 1).suspect;
-      if (at->fingerprint == suspect->fingerprint
-          && (suspect->cleared || (!at->cleared && at->target == suspect->target)))
-        g_array_remove_index (reports, i - 1);
-    }
-}
-
-/* Whether this host has been the granter for long enough to know all hosts. */
-static bool
-is_settled_granter (const coordinator_t *self, msec_t now)
-{
-  return self->role.state == ROLE_HELD
-         && now >= self->role.acquired_at + REPORT_TIMEOUT_MS;
-}
-
-/* The host that a report was sent to may not be the granter any more, and a new one
- * doesn't know all hosts yet. */
-static void
-repeat_suspect_reports (coordinator_t *self, msec_t now)
-{
-  GArray *reports = self->suspect_reports;
-
-  for (guint i = reports->len; i > 0; i--)
-    {
-      const suspect_report_t *report = &g_array_index (reports, suspect_report_t, i - 1);
-      if (peers_granter_is_live (self))
-        send_suspect (self, &report->suspect);
-      if (is_settled_granter (self, now)
-          || now >= report->reported_at + SUSPECT_REPORT_KEEP_MS)
-        g_array_remove_index (reports, i - 1);
-    }
-}
-
-void
-peers_report_suspect (coordinator_t *self, const suspect_out_t *suspect)
-{
-  msec_t now = msclock_now (&self->clock);
-  suspect_report_t report
-      = { .suspect = { suspect->fingerprint, suspect->target, suspect->cleared },
-          .reported_at = now };
-
-  drop_suspect_reports (self, &report.suspect);
-  send_suspect (self, &report.suspect);
-  if (is_settled_granter (self, now))
-    return;
-  if (self->suspect_reports->len == SUSPECT_REPORTS_MAX)
-    g_array_remove_index (self->suspect_reports, 0);
-  g_array_append_val (self->suspect_reports, report);
-}
-
-void
-peers_step (coordinator_t *self, msec_t now)
-{
-  if (now < self->suspects_repeated_at + SUSPECT_REPEAT_MS)
-    return;
-  self->suspects_repeated_at = now;
-  repeat_suspect_reports (self, now);
-}
-
 static void
 handle_suspect (coordinator_t *self, const link_suspect_t *from)
 {
   const suspect_out_t suspect = { from->fingerprint, from->target, from->cleared };
   proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
 
-  drop_suspect_reports (self, from);
   if (self->role.state == ROLE_HELD)
     peers_report_suspect (self, &suspect);
   msg->kind = PROXY_SUSPECT;
@@ -560,7 +485,6 @@
       = { .message_bytes = LINK_MESSAGE_MAX_BYTES, .queue_messages = LINK_QUEUE_MAX };
 
   self->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  self->suspect_reports = g_array_new (FALSE, FALSE, sizeof (suspect_report_t));
   if (link_init (&self->link,
                  self->base,
                  name_text (&self->settings->peers),
@@ -579,5 +503,4 @@
 {
   link_finish (&self->link);
   g_hash_table_unref (self->reporters);
-  g_array_unref (self->suspect_reports);
 }
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -234,7 +234,6 @@
 
   role->state = ROLE_HELD;
   role->acquired_version = role->version;
-  role->acquired_at = now;
   eventlog_write (EVENT_STATE,
                   "role",
                   "acquired",
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -314,11 +314,6 @@
 #define RELAY_CONFIRM_PERCENT 40
 #define REPORT_TIMEOUT_MS 5000 /* a host that doesn't report is no longer counted */
 
-/* Reports of requests that may crash targets, until they come back from the granter. */
-#define SUSPECT_REPORTS_MAX 64
-#define SUSPECT_REPEAT_MS 200
-#define SUSPECT_REPORT_KEEP_MS 10000 /* a new granter is found within this */
-
 /* Of a message besides its rows: names, and the addresses of hosts to forward to. */
 #define LINK_OVERHEAD_BYTES 1024
 /* A change of owners has reached all hosts, including those by a forwarding host. */
