Logs and metrics that tell why a configuration is late on a host

New lines: store behind and reply, configuration announced and relayed, proxy configuration_in_force, coordinator and proxy late; metrics for the tasks' lateness and the round trip to the granter.

No decision changes.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -27,6 +27,21 @@
   proxy_report_free (report);
 }
 
+static void
+note_tick (coordinator_t *self, msec_t now)
+{
+  self->late_ms
+      = self->last_tick > 0 ? MAX (now - self->last_tick - COORDINATOR_TICK_MS, 0) : 0;
+  self->last_tick = now;
+  if (self->late_ms >= TASK_LATE_MS)
+    eventlog_write (EVENT_STATE,
+                    "coordinator",
+                    "late",
+                    "by_ms=%lld round_trip_ms=%lld",
+                    (long long)self->late_ms,
+                    (long long)self->round_trip_ms);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -36,6 +51,7 @@
 
   (void)fd;
   (void)what;
+  note_tick (self, now);
   discovery_step (self);
   role_step (self, now);
   reload_step (self, now);
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -80,6 +80,9 @@
   const char *settings_file;
   struct timespec settings_mtime; /* modification time when last checked */
   msec_t next_settings_check;
+  msec_t last_tick;
+  msec_t late_ms;       /* how late the last tick was */
+  msec_t round_trip_ms; /* of the last report that the granter replied to */
   rng_t rng;
   uint64_t incarnation; /* distinguishes successive processes of this host */
   bool stopping;
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -102,6 +102,7 @@
   proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
   msg->kind = PROXY_DIRECTORY;
   msg->directory = directory;
+  msg->posted_at = g_get_monotonic_time () / 1000;
   discovery_post (self, msg);
   publish_targets (self); /* some may belong to services that were unknown until now */
 }
@@ -397,7 +398,18 @@
   if (complete)
     feed->behind_since = MSEC_NEVER;
   else if (feed->behind_since == MSEC_NEVER)
-    feed->behind_since = now;
+    {
+      feed->behind_since = now;
+      eventlog_write (EVENT_STATE,
+                      "store",
+                      "behind",
+                      "feed=%s version=%llu newest=%llu age_ms=%lld call_ms=%lld",
+                      feed->name,
+                      (unsigned long long)feed->version,
+                      (unsigned long long)newest,
+                      (long long)feed_age (feed),
+                      (long long)feed_call_duration (feed));
+    }
   else if (now >= feed->behind_since + FEED_LAG_MS)
     {
       feed_restart_call (feed, now - FEED_LAG_MS);
@@ -423,6 +435,13 @@
                       uint64_t after,
                       const GArray *rows)
 {
+  if (table == STORE_CONFIGURATION)
+    eventlog_write (EVENT_STATE,
+                    "configuration",
+                    rows->len > 0 ? "relayed" : "announced",
+                    "row_version=%llu current=%llu",
+                    (unsigned long long)after,
+                    (unsigned long long)self->configuration.newest_change);
   /* Until this host has read the table itself, it has no version that the rows could
    * follow.  They apply all the same, since each holds a complete configuration. */
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -124,6 +124,38 @@
                   (unsigned long long)reply->version);
 }
 
+static size_t
+reply_bytes (const store_reply_t *reply)
+{
+  size_t bytes = 0;
+
+  for (guint i = 0; i < reply->rows->len; i++)
+    bytes += g_array_index (reply->rows, store_row_t, i).value->len;
+  return bytes;
+}
+
+/* How long a read took, or a watch of which the feed knew that it was due. */
+static void
+log_duration (const feed_t *self, const feed_call_t *call, const store_reply_t *reply)
+{
+  msec_t now = msclock_now (self->clock);
+  msec_t since
+      = MAX (call->started, self->behind_since != MSEC_NEVER ? self->behind_since : 0);
+
+  if (reply->rows->len == 0 || (self->watching && self->behind_since == MSEC_NEVER))
+    return;
+  eventlog_write (EVENT_STATE,
+                  "store",
+                  "reply",
+                  "feed=%s version=%llu newest=%llu rows=%u bytes=%zu after_ms=%lld",
+                  self->name,
+                  (unsigned long long)self->version,
+                  (unsigned long long)reply->version,
+                  reply->rows->len,
+                  reply_bytes (reply),
+                  (long long)(now - since));
+}
+
 static void
 deliver_row (feed_t *self, const store_row_t *row)
 {
@@ -213,6 +245,7 @@
       return;
     }
   handle_success (self, reply);
+  log_duration (self, call, reply);
   if (self->watching)
     handle_changes (self, call, reply);
   else
@@ -253,6 +286,12 @@
              : msclock_now (self->clock) - self->confirmed_at;
 }
 
+msec_t
+feed_call_duration (const feed_t *self)
+{
+  return self->call != NULL ? msclock_now (self->clock) - self->call->started : -1;
+}
+
 void
 feed_resume (feed_t *self)
 {
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -98,6 +98,9 @@
  * never read. */
 msec_t feed_age (const feed_t *self);
 
+/* The time in ms since the call in flight was started; -1: there is none. */
+msec_t feed_call_duration (const feed_t *self);
+
 /* Resumes a suspended feed once should_watch allows it, and reissues a watch that ends
  * too late for max_age.  Call it periodically. */
 void feed_step (feed_t *self);
--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -106,6 +106,9 @@
   add_number (page, "configuration_version", self->directory_version);
   add_number (page, "configuration_age_ms", (uint64_t)feed_age (&self->configuration));
   add_number (page, "targets_age_ms", (uint64_t)feed_age (&self->targets));
+  add_number (page, "coordinator_late_ms", (uint64_t)self->late_ms);
+  add_number (page, "proxy_late_ms", (uint64_t)self->proxy_counts.late_ms);
+  add_number (page, "granter_round_trip_ms", (uint64_t)self->round_trip_ms);
   add_number (page, "store_calls_total", self->store->calls);
   add_number (page, "store_away", self->store_unreachable);
   add_number (page, "granter", self->role.state == ROLE_HELD);
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -265,6 +265,8 @@
 
   if (self->role.state != ROLE_NOT_HELD || update->role_left_ms <= 0)
     return;
+  if (update->report_sent_at > 0)
+    self->round_trip_ms = now - update->report_sent_at;
   self->granter = update->address;
   self->granter_update_expires = now + MIN (update->role_left_ms, UPDATE_VALID_MS);
   role_postpone_check (self, now + update->role_left_ms);
--- a/packages/core/eventlog.c
+++ b/packages/core/eventlog.c
@@ -20,15 +20,26 @@
   size_t len;
   uint64_t dropped;
   uint64_t dropped_reported;
-  int64_t second; /* of the wall clock, in which the routine lines are counted */
-  uint32_t routine_written;
-  uint32_t routine_suppressed;
+  int64_t second; /* of the wall clock, in which lines are counted */
+  struct
+  {
+    uint32_t written;
+    uint32_t suppressed;
+  } counts[EVENT_STATE]; /* by class of limited lines */
 } log_state = { .lock = PTHREAD_MUTEX_INITIALIZER, .fd = -1 };
 
+/* Lines per second and class; state lines are not limited. */
+static const uint32_t lines_per_second[EVENT_STATE] = {
+  [EVENT_ROUTINE] = EVENTLOG_ROUTINE_PER_S,
+  [EVENT_FAILURE] = EVENTLOG_FAILURES_PER_S,
+};
+
 static void
-append (const char *line, size_t len)
+append (event_class_t class, const char *line, size_t len)
 {
-  if (log_state.len + len > sizeof log_state.bytes)
+  size_t reserved = class == EVENT_STATE ? 0 : EVENTLOG_STATE_RESERVE_BYTES;
+
+  if (log_state.len + len > sizeof log_state.bytes - reserved)
     {
       log_state.dropped++;
       return;
@@ -49,27 +60,29 @@
                       event,
                       (unsigned long long)n);
 
-  append (line, (size_t)len);
+  append (EVENT_STATE, line, (size_t)len);
 }
 
-/* Counts a routine line.  Returns whether it is within this second's limit. */
+/* Counts a line of a limited class.  Returns whether it is within this second's limit. */
 static bool
-count_routine (const struct timespec *wall)
+count_line (event_class_t class, const struct timespec *wall)
 {
   if (log_state.second != wall->tv_sec)
     {
-      if (log_state.routine_suppressed > 0)
-        append_count (wall, "suppressed", log_state.routine_suppressed);
+      uint64_t suppressed = 0;
+      for (int i = 0; i < EVENT_STATE; i++)
+        suppressed += log_state.counts[i].suppressed;
+      if (suppressed > 0)
+        append_count (wall, "suppressed", suppressed);
       log_state.second = wall->tv_sec;
-      log_state.routine_written = 0;
-      log_state.routine_suppressed = 0;
+      memset (log_state.counts, 0, sizeof log_state.counts);
     }
-  if (log_state.routine_written < EVENTLOG_ROUTINE_PER_S)
+  if (log_state.counts[class].written < lines_per_second[class])
     {
-      log_state.routine_written++;
+      log_state.counts[class].written++;
       return true;
     }
-  log_state.routine_suppressed++;
+  log_state.counts[class].suppressed++;
   return false;
 }
 
@@ -95,7 +108,7 @@
     return;
   clock_gettime (CLOCK_REALTIME, &wall);
   pthread_mutex_lock (&log_state.lock);
-  bool wanted = class != EVENT_ROUTINE || count_routine (&wall);
+  bool wanted = class == EVENT_STATE || count_line (class, &wall);
   if (wanted)
     {
       int len = snprintf (line,
@@ -116,7 +129,7 @@
           append_count (&wall, "lost", log_state.dropped - log_state.dropped_reported);
           log_state.dropped_reported = log_state.dropped;
         }
-      append (line, (size_t)len);
+      append (class, line, (size_t)len);
     }
   pthread_mutex_unlock (&log_state.lock);
 }
--- a/packages/core/eventlog.h
+++ b/packages/core/eventlog.h
@@ -12,10 +12,11 @@
  * without blocking.  When the reader is blocked and the buffer is full, lines
  * are dropped and counted, and a later line (event=lost) gives their number.
  *
- * Routine lines are limited to EVENTLOG_ROUTINE_PER_S; a line of its own
- * (event=suppressed) gives the number of those left out.  All others are
- * limited by the buffer alone.  All functions can be called from any task,
- * except eventlog_open, which is called before the first task starts.
+ * Lines of requests are limited to EVENTLOG_ROUTINE_PER_S and
+ * EVENTLOG_FAILURES_PER_S; a line of its own (event=suppressed) gives the number
+ * of those left out.  State lines are limited by the buffer alone, of which
+ * EVENTLOG_STATE_RESERVE_BYTES are theirs.  All functions can be called from any
+ * task, except eventlog_open, which is called before the first task starts.
  */
 
 typedef enum
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -143,6 +143,10 @@
 #define EVENTLOG_BUFFER_BYTES (64 * 1024)
 #define EVENTLOG_LINE_BYTES 768   /* the longest line has about 400; longer are cut */
 #define EVENTLOG_ROUTINE_PER_S 20 /* a sample of served requests, at most 5 KB/s */
+#define EVENTLOG_FAILURES_PER_S 100 /* at most 25 KB/s */
+/* A host changes its state most often, some hundred lines per second, when most requests
+ * fail. */
+#define EVENTLOG_STATE_RESERVE_BYTES (24 * 1024)
 #define EVENTLOG_FLUSH_MS 500     /* the delay for an operator who follows the log */
 
 /* Dispatch of requests to targets. */
@@ -331,5 +335,8 @@
 #define FEED_BATCH_MS 150 /* changes within this come in one answer */
 #define FEED_LAG_MS 400   /* a feed that lags for this long queries the store */
 
+/* A task that runs this much later than planned reports it. */
+#define TASK_LATE_MS 200
+
 /* The settings file. */
 #define SETTINGS_CHECK_MS 2000 /* between checks for changes */
--- a/packages/core/tests/test_core.c
+++ b/packages/core/tests/test_core.c
@@ -1,3 +1,5 @@
+#include "../eventlog.h"
+#include "../limits.h"
 #include "../mailbox.h"
 #include "../metrics.h"
 #include "../msclock.h"
@@ -8,6 +10,7 @@
 #include <cmocka.h>
 #include <pthread.h>
 #include <string.h>
+#include <unistd.h>
 
 static void
 test_text_to_u64 (void **state)
@@ -145,6 +148,35 @@
   event_base_free (self.base);
 }
 
+/* The log's reader is blocked until all lines have been written. */
+static void
+test_failures_do_not_displace_state_lines (void **state)
+{
+  char *read_back = g_malloc0 (EVENTLOG_BUFFER_BYTES);
+  int fds[2];
+  size_t len = 0;
+
+  (void)state;
+  assert_int_equal (pipe (fds), 0);
+  eventlog_open (fds[1]);
+  for (int i = 0; i < 2000; i++)
+    eventlog_write (EVENT_FAILURE, "test", "failed", "why=%0500d", i);
+  eventlog_write (EVENT_STATE, "test", "changed", "value=1");
+  for (int i = 0; i < EVENTLOG_BUFFER_BYTES / 4096; i++)
+    {
+      eventlog_flush ();
+      ssize_t n = read (fds[0], read_back + len, 4096);
+      assert_true (n > 0);
+      len += (size_t)n;
+      if (strstr (read_back, "event=changed value=1") != NULL)
+        break;
+    }
+  assert_non_null (strstr (read_back, "event=changed value=1"));
+  close (fds[0]);
+  close (fds[1]);
+  g_free (read_back);
+}
+
 int
 main (void)
 {
@@ -156,6 +188,7 @@
     cmocka_unit_test (test_latency_buckets),
     cmocka_unit_test (test_mailbox_delivers_all_messages),
     cmocka_unit_test (test_post_to_full_mailbox_fails),
+    cmocka_unit_test (test_failures_do_not_displace_state_lines),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -244,6 +244,17 @@
   proxy_dispatch (self, &msg);
 }
 
+static void
+log_in_force (const proxy_t *self, const proxy_msg_t *msg)
+{
+  eventlog_write (EVENT_STATE,
+                  "proxy",
+                  "configuration_in_force",
+                  "version=%llx waited_ms=%lld",
+                  (unsigned long long)msg->directory->version,
+                  (long long)(msclock_now (&self->clock) - msg->posted_at));
+}
+
 static void
 on_message (void *owner, void *item)
 {
@@ -254,6 +265,7 @@
   switch (msg->kind)
     {
     case PROXY_DIRECTORY:
+      log_in_force (self, msg);
       self->limits = msg->directory->limits;
       dispatch_msg.kind = DISPATCH_DIRECTORY;
       dispatch_msg.directory = g_steal_pointer (&msg->directory);
@@ -317,6 +329,23 @@
     event_base_loopbreak (self->base);
 }
 
+static void
+note_tick (proxy_t *self, msec_t now)
+{
+  msec_t period = self->draining ? PROXY_DRAIN_TICK_MS : PROXY_REPORT_MS;
+
+  self->counts.late_ms
+      = self->last_tick > 0 ? MAX (now - self->last_tick - period, 0) : 0;
+  self->last_tick = now;
+  if (self->counts.late_ms >= TASK_LATE_MS)
+    eventlog_write (EVENT_STATE,
+                    "proxy",
+                    "late",
+                    "by_ms=%lld callers=%u",
+                    (long long)self->counts.late_ms,
+                    self->caller_count);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -325,6 +354,7 @@
 
   (void)fd;
   (void)what;
+  note_tick (self, now);
   report_post_counts (self);
   if (self->draining)
     drain_step (self, now);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -38,6 +38,7 @@
   uint32_t host_count;
   router_bounds_t bounds;
   suspect_out_t suspect;
+  msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
 } proxy_msg_t;
 
 /* Outcomes and latencies of one service's requests. */
@@ -59,6 +60,7 @@
   uint64_t caller_connections; /* gauge: open connections of callers */
   uint64_t queued;             /* gauge: requests queued at this host */
   uint64_t retries_left;       /* gauge: retries left in the budgets of all services */
+  msec_t late_ms;              /* gauge: how late the proxy's last tick was */
   service_counts_t services[SERVICE_MAX];
 } proxy_counts_t;
 
@@ -107,6 +109,7 @@
   bool targets_known, draining;
   uint32_t host_count; /* that share the retry budget and the idle connections */
   router_bounds_t bounds;
+  msec_t last_tick;
   msec_t idle_close_at;   /* draining: connections without a request are closed then */
   msec_t drain_until;     /* draining: all other connections are closed then */
   bool key_table_missing; /* a keyed service has no key table yet */
