A read of a newer version is not abandoned while it arrives

Callers' requests were handled by a configuration that had been replaced 4 to 5 s before. A host that was behind the granter's version abandoned its call for the table every 400 ms and issued it again, whatever had arrived. Over a loaded link of 10 Mbit/s a row of 120 to 230 KB takes longer, so that the read never ended; each restart reset the connection and left its bytes in the link's queue.

A call that began before the feed knew of the newer version may hang and is restarted once, after 1 s; one that began later asks the store not to wait and is left to its own time-out, which counts progress.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -410,11 +410,8 @@
                       (long long)feed_age (feed),
                       (long long)feed_call_duration (feed));
     }
-  else if (now >= feed->behind_since + FEED_LAG_MS)
-    {
-      feed_restart_call (feed, now - FEED_LAG_MS);
-      feed_resume (feed);
-    }
+  else
+    feed_catch_up (feed);
 }
 
 void
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -29,7 +29,9 @@
 
   if (self->watching)
     {
-      self->call->wait = MAX (max_age (self) - feed_age (self), 0);
+      self->call->wait = self->behind_since != MSEC_NEVER
+                             ? 0
+                             : MAX (max_age (self) - feed_age (self), 0);
       ops->watch (self->store,
                   self->table,
                   self->version,
@@ -361,6 +363,18 @@
   start_call (self);
 }
 
+void
+feed_catch_up (feed_t *self)
+{
+  msec_t behind_for = msclock_now (self->clock) - self->behind_since;
+
+  g_assert (self->behind_since != MSEC_NEVER);
+  if (behind_for >= FEED_HUNG_MS)
+    feed_restart_call (self, self->behind_since);
+  if (behind_for >= FEED_LAG_MS)
+    feed_resume (self);
+}
+
 void
 feed_init (feed_t *self,
            store_t *store,
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -76,6 +76,11 @@
  */
 void feed_restart_call (feed_t *self, msec_t since);
 
+/* The feed is behind: queries the store once that lasts for FEED_LAG_MS.  A call that
+ * began before may hang and is issued again after FEED_HUNG_MS; a later one is left to
+ * its own time-out, since its reply may be arriving over a slow link. */
+void feed_catch_up (feed_t *self);
+
 /*
  * Applies ROWS (store_row_t) from another host's feed as if a watch had returned them:
  * all changes after version BEFORE, up to AFTER.  If this feed lacks changes before them,
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -191,6 +191,48 @@
   teardown (&fixture);
 }
 
+/* Its reply takes longer than FEED_LAG_MS, and the granter's updates go on. */
+static void
+test_slow_read_of_a_newer_version_is_not_abandoned (void **state)
+{
+  fixture_t fixture;
+  const unsigned *watches = fixture.fake.watches;
+
+  (void)state;
+  setup (&fixture);
+  pass_time (&fixture, 500, FEED_BATCH_MS + 20);
+  for (int i = 0; i < 6; i++)
+    {
+      update (&fixture, 50, 9, 100);
+      pass_time (&fixture, FEED_LAG_MS, 0);
+    }
+  assert_int_equal (watches[STORE_TARGETS], 1);
+  reply (&fixture, STORE_TARGETS, STORE_DONE, 9, "leaving");
+  assert_true (find_target (&fixture)->entry.leaving);
+  teardown (&fixture);
+}
+
+static void
+test_watch_that_misses_a_newer_version_is_restarted_once (void **state)
+{
+  fixture_t fixture;
+  const unsigned *watches = fixture.fake.watches;
+
+  (void)state;
+  setup (&fixture);
+  feed_resume (&fixture.coordinator.targets);
+  void *hung = fixture.fake.owner[STORE_TARGETS];
+  pass_time (&fixture, 100, 0);
+  for (int i = 0; i < 6; i++)
+    {
+      update (&fixture, 50, 9, 100);
+      pass_time (&fixture, FEED_LAG_MS, 0);
+    }
+  assert_int_equal (watches[STORE_TARGETS], 2);
+  g_free (hung);
+  teardown (&fixture);
+}
+
 static void
 test_updates_confirm_only_what_the_host_has (void **state)
 {
@@ -336,6 +378,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_host_watches_the_store_when_the_granters_word_is_old),
+    cmocka_unit_test (test_slow_read_of_a_newer_version_is_not_abandoned),
+    cmocka_unit_test (test_watch_that_misses_a_newer_version_is_restarted_once),
     cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
     cmocka_unit_test (test_leaving_target_states_how_long_it_may_have_been_leaving),
     cmocka_unit_test (
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -334,6 +334,8 @@
 /* Feeds of the store's tables. */
 #define FEED_BATCH_MS 150 /* changes within this come in one answer */
 #define FEED_LAG_MS 400   /* a feed that lags for this long queries the store */
+/* A watch that hangs is recognized within this; its repetition still ends in time. */
+#define FEED_HUNG_MS 1000
 
 /* A task that runs this much later than planned reports it. */
 #define TASK_LATE_MS 200
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -145,6 +145,7 @@
 
     def __init__(self, store):
         self.silent = False
+        self.bytes_per_s = None  # of each response; None: as fast as possible
         self.hung_watches = set()
         self.watches = set()
         self.port = serve_store(store, self)
@@ -173,9 +174,21 @@
         def respond(self, status, body):
             if self.is_silent():  # since the call arrived
                 self.is_unresponsive()
+            elif access is not None and access.bytes_per_s is not None:
+                self.respond_slowly(status, body)
             else:
                 super().respond(status, body)
 
+        def respond_slowly(self, status, body):
+            data = json.dumps(body).encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            piece = max(access.bytes_per_s // 20, 1)
+            for at in range(0, len(data), piece):
+                self.wfile.write(data[at:at + piece])
+                time.sleep(len(data[at:at + piece]) / access.bytes_per_s)
+
         def do_GET(self):
             if self.is_unresponsive():
                 return
