Connections to the store are waited for as long as a busy link may hold them

A connection had 200 ms, less than the half second for which the link of a host that is not excused may hold its packets; attempts at targets on the same host failed with connect_timeout after 400 ms in the same seconds.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -287,6 +287,8 @@
 
 /* The store's client. */
 #define STORE_CALL_MS 1200   /* the slowest answers of a working store take 0.4 s */
+/* The network link of a busy host holds its packets for up to half a second. */
+#define STORE_CONNECT_MS 600
 #define STORE_WATCH_MS 10000 /* a change that wasn't sent is noticed within this */
 /* The store's recovery is noticed well within the time that a configuration may take. */
 #define STORE_RETRY_MS 250
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -290,7 +290,8 @@
 static void
 start_call (httpc_conn_t *self, const httpc_ops_t *ops, void *owner)
 {
-  static const struct timeval connect_tv = { .tv_usec = CONNECT_MS * 1000 };
+  const msec_t connect = self->pool->connect_timeout;
+  const struct timeval connect_tv = { connect / 1000, connect % 1000 * 1000 };
 
   self->ops = ops;
   self->owner = owner;
@@ -311,7 +312,10 @@
                  uint16_t port,
                  msec_t timeout)
 {
-  *self = (httpc_pool_t){ .base = base, .port = port, .timeout = timeout };
+  *self = (httpc_pool_t){ .base = base,
+                          .port = port,
+                          .timeout = timeout,
+                          .connect_timeout = CONNECT_MS };
   self->address = text_dup_c (address);
   self->open = g_hash_table_new (NULL, NULL);
   self->free_event = evtimer_new (base, on_free, self);
@@ -319,6 +323,12 @@
   g_queue_init (&self->closed);
 }
 
+void
+httpc_pool_set_connect_timeout (httpc_pool_t *self, msec_t timeout)
+{
+  self->connect_timeout = timeout;
+}
+
 void
 httpc_pool_finish (httpc_pool_t *self)
 {
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -52,7 +52,8 @@
   struct event_base *base;
   char *address;
   uint16_t port;
-  msec_t timeout;   /* maximum time without progress */
+  msec_t timeout; /* maximum time without progress */
+  msec_t connect_timeout;
   GQueue idle;      /* httpc_conn_t, the most recently used first */
   GQueue closed;    /* httpc_conn_t to free outside of their callbacks */
   GHashTable *open; /* set of httpc_conn_t, idle ones included */
@@ -67,6 +68,9 @@
                       uint16_t port,
                       msec_t timeout);
 
+/* Replaces CONNECT_MS for connections that are opened from now on. */
+void httpc_pool_set_connect_timeout (httpc_pool_t *self, msec_t timeout);
+
 /* Closes all connections; calls in progress end without a callback. */
 void httpc_pool_finish (httpc_pool_t *self);
 
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -74,6 +74,27 @@
   return NULL;
 }
 
+/* Accepts connections after a while, and answers the calls on them, until the listener is
+ * shut down. */
+static void *
+make_room (void *arg)
+{
+  server_t *self = arg;
+  char bytes[4096];
+  int connection;
+
+  usleep (500 * 1000);
+  while ((connection = accept (self->listener, NULL, NULL)) >= 0)
+    {
+      const struct timeval wait = { .tv_usec = 20 * 1000 };
+      setsockopt (connection, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+      if (recv (connection, bytes, sizeof bytes, 0) > 0)
+        send (connection, self->response, strlen (self->response), MSG_NOSIGNAL);
+      close (connection);
+    }
+  return NULL;
+}
+
 static void
 listen_on_loopback (server_t *self)
 {
@@ -318,6 +339,45 @@
   event_base_free (client.base);
 }
 
+/* The server's queue of connections is full for some time, so that the first packet is
+ * sent again after a second. */
+static void
+test_slow_connection_is_waited_for (void **state)
+{
+  static const msec_t timeouts[] = { CONNECT_MS, 3000 };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (timeouts); i++)
+    {
+      server_t server = { .response = SIZED "hello" };
+      client_t client = { .base = event_base_new () };
+      int waiting[3];
+      pthread_t thread;
+      struct sockaddr_in address
+          = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+      listen_on_loopback (&server);
+      assert_int_equal (listen (server.listener, 0), 0);
+      address.sin_port = htons (server.port);
+      for (size_t k = 0; k < G_N_ELEMENTS (waiting); k++)
+        {
+          waiting[k] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+          connect (waiting[k], (struct sockaddr *)&address, sizeof address);
+        }
+      httpc_pool_init (&client.pool, client.base, TEXT ("127.0.0.1"), server.port, 3000);
+      httpc_pool_set_connect_timeout (&client.pool, timeouts[i]);
+      pthread_create (&thread, NULL, make_room, &server);
+      call_once (&client);
+      assert_int_equal (client.done, timeouts[i] > 1000);
+      httpc_pool_finish (&client.pool);
+      event_base_free (client.base);
+      for (size_t k = 0; k < G_N_ELEMENTS (waiting); k++)
+        close (waiting[k]);
+      shutdown (server.listener, SHUT_RDWR);
+      pthread_join (thread, NULL);
+      close (server.listener);
+    }
+}
+
 static void
 test_connection_is_reused (void **state)
 {
@@ -343,6 +403,7 @@
     cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
     cmocka_unit_test (test_refused_connection_sends_nothing),
+    cmocka_unit_test (test_slow_connection_is_waited_for),
     cmocka_unit_test (test_connection_is_reused),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
