Hosts get what they lack from the granter, not only from the store

A configuration that would occupy the granter's link for over 0.2 s was only announced, and each of the 79 or 90 hosts read 160 to 310 KB from the store, over the link that their callers were using: 0.2 to 0.6 s on the hosts that got it. A change of targets that was lost on its way was read from the store too, and until then requests went to targets that had left (DRAIN).

A host's report states what it has of both tables; the granter sends again what the host lacks and what has had 400 ms to arrive, configurations within 30% of its link. A row that can't be unpacked counts as announced, as does one that is still too large, and the store is read as before.

Version 6 of the messages: hosts of two versions read the store themselves during a rolling upgrade.

unit link rows_round_trip checked that two rows are decoded; it sends a third one, packed and with a base, and checks that three are, with the fields of the new one: as strict, and more.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -5,6 +5,7 @@
 #include "../proxy/proxy.h"
 #include "deployment.h"
 #include "feed.h"
+#include "relay.h"
 #include "../link/link.h"
 
 /*
@@ -24,6 +25,14 @@
   msec_t expires_at; /* when a target without a row is dropped; MSEC_NEVER: it has one */
 } known_target_t;
 
+/* The bytes of a configuration; version 0: none. */
+typedef struct
+{
+  uint64_t version; /* of the row */
+  GString *bytes;
+  msec_t since; /* when this host got it */
+} configuration_row_t;
+
 typedef enum
 {
   ROLE_NOT_HELD,
@@ -90,10 +99,13 @@
   feed_t configuration, targets, owners;
   uint64_t directory_version;
   bool has_directory;
-  GString *configuration_bytes; /* of the newest row, applied or rejected */
-  GArray *keyed_services;       /* name_t: services with key owners */
-  GHashTable *targets_by_id;    /* id to known_target_t */
-  GHashTable *rejected_keys;    /* ids of invalid entries, each logged once */
+  /* The newest row of the configuration, applied or rejected, and the one before. */
+  configuration_row_t configuration_row, previous_row;
+  relay_t relayed_targets;
+  msec_t next_configuration_send; /* to a host that lacks it */
+  GArray *keyed_services;         /* name_t: services with key owners */
+  GHashTable *targets_by_id;      /* id to known_target_t */
+  GHashTable *rejected_keys;      /* ids of invalid entries, each logged once */
   bool targets_changed;
   msec_t relay_max_age; /* the oldest knowledge of the granter that this host goes by */
 
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -52,6 +52,21 @@
   grants_handle (self, &msg);
 }
 
+static void
+keep_configuration_row (coordinator_t *self, const store_row_t *row)
+{
+  configuration_row_t kept = self->previous_row;
+
+  if (row->version <= self->configuration_row.version)
+    return;
+  self->previous_row = self->configuration_row;
+  g_string_truncate (kept.bytes, 0);
+  g_string_append_len (kept.bytes, row->value->str, (gssize)row->value->len);
+  kept.version = row->version;
+  kept.since = msclock_now (&self->clock);
+  self->configuration_row = kept;
+}
+
 static void
 on_configuration_row (void *owner, const store_row_t *row)
 {
@@ -62,10 +77,7 @@
 
   if (row->removed || !text_equal (key, self->deployment->configuration_key))
     return;
-  g_string_truncate (self->configuration_bytes, 0);
-  g_string_append_len (self->configuration_bytes,
-                       row->value->str,
-                       (gssize)row->value->len);
+  keep_configuration_row (self, row);
   directory = g_new (directory_t, 1);
   directory_init (directory);
   status_t status
@@ -253,6 +265,8 @@
         feed_note_removal (&self->targets);
       }
   self->targets_changed |= full_read;
+  if (full_read)
+    relay_reset (&self->relayed_targets, self->targets.version);
   discovery_step (self);
 }
 
@@ -329,7 +343,10 @@
 static void
 relay_targets (void *owner, uint64_t before, const store_reply_t *reply)
 {
-  peers_relay_rows (owner, STORE_TARGETS, before, reply);
+  coordinator_t *self = owner;
+
+  relay_add (&self->relayed_targets, before, reply, msclock_now (&self->clock));
+  peers_relay_rows (self, STORE_TARGETS, before, reply);
 }
 
 static const feed_ops_t configuration_ops = { .row = on_configuration_row,
@@ -444,7 +461,7 @@
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
     feed_apply_rows (&self->configuration, rows);
   else if (table == STORE_CONFIGURATION)
-    feed_apply_delta (&self->configuration, before, after, rows);
+    feed_apply_delta (&self->configuration, rows->len > 0 ? 0 : before, after, rows);
   else if (table == STORE_TARGETS)
     feed_apply_delta (&self->targets, before, after, rows);
 }
@@ -475,7 +492,9 @@
 discovery_init (coordinator_t *self)
 {
   discovery_set_drain (self, self->settings->bounds.drain_ms);
-  self->configuration_bytes = g_string_new (NULL);
+  self->configuration_row.bytes = g_string_new (NULL);
+  self->previous_row.bytes = g_string_new (NULL);
+  relay_init (&self->relayed_targets);
   self->keyed_services = g_array_new (FALSE, FALSE, sizeof (name_t));
   self->targets_by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->rejected_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -522,7 +541,9 @@
   feed_finish (&self->configuration);
   feed_finish (&self->targets);
   feed_finish (&self->owners);
-  g_string_free (self->configuration_bytes, TRUE);
+  g_string_free (self->configuration_row.bytes, TRUE);
+  g_string_free (self->previous_row.bytes, TRUE);
+  relay_finish (&self->relayed_targets);
   g_array_unref (self->keyed_services);
   g_hash_table_unref (self->targets_by_id);
   g_hash_table_unref (self->rejected_keys);
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -1,6 +1,7 @@
 #include "coordinator_parts.h"
 
 #include "../core/eventlog.h"
+#include "../link/link_pack.h"
 #include "../link/spread.h"
 
 /* A host that sends its reports to this one. */
@@ -143,24 +144,95 @@
   update_host_count (self, g_hash_table_size (self->reporters) + 1);
 }
 
-/* Sends the newest configuration to a host that can't reach the store. */
+/* Packs the newest configuration into PACKED, as a patch of the row of BASE_VERSION if
+ * this host still has that. */
+static link_row_t
+pack_configuration (const coordinator_t *self, uint64_t base_version, GByteArray *packed)
+{
+  const configuration_row_t *row = &self->configuration_row;
+  const configuration_row_t *base = &self->previous_row;
+  bool patch = base_version > 0 && base_version == base->version;
+
+  link_pack ((text_t){ row->bytes->str, row->bytes->len },
+             patch ? (text_t){ base->bytes->str, base->bytes->len } : TEXT_NONE,
+             packed);
+  return (link_row_t){ .key = self->deployment->configuration_key,
+                       .value = { (const char *)packed->data, packed->len },
+                       .version = row->version,
+                       .packed = true,
+                       .base_version = patch ? base_version : 0 };
+}
+
+/* The host of REPORT lacks the newest configuration, and has not just been sent it. */
+static bool
+lacks_configuration (const coordinator_t *self, const link_report_t *report, msec_t now)
+{
+  const configuration_row_t *row = &self->configuration_row;
+
+  return report->configuration_row_version < row->version
+         && row->bytes->len <= LINK_ROW_MAX_BYTES
+         && (report->requests_configuration || now - row->since >= FEED_LAG_MS);
+}
+
+/* Sends the newest configuration to a host that lacks it, one host after another within
+ * RELAY_LINK_PERCENT of this host's link. */
 static void
-send_configuration (coordinator_t *self, const link_report_t *report)
+send_configuration (coordinator_t *self, const link_report_t *report, msec_t now)
 {
-  const GString *bytes = self->configuration_bytes;
+  if (now < self->next_configuration_send)
+    return;
+  GByteArray *packed = g_byte_array_new ();
+  link_row_t row = pack_configuration (self, report->configuration_row_version, packed);
   link_rows_t part = { .table = STORE_CONFIGURATION,
                        .from_version = report->configuration_row_version,
-                       .to_version = self->configuration.newest_change,
+                       .to_version = row.version,
                        .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
-  link_row_t row = { .key = self->deployment->configuration_key,
-                     .value = { bytes->str, bytes->len },
-                     .version = self->configuration.newest_change };
 
   g_array_append_val (part.rows, row);
-  if (report->configuration_row_version < row.version
-      && bytes->len < LINK_MESSAGE_MAX_BYTES - LINK_OVERHEAD_BYTES)
+  if (packed->len < LINK_MESSAGE_MAX_BYTES - LINK_OVERHEAD_BYTES)
+    {
+      send_and_free (self, &report->address, link_encode_rows (&part));
+      self->next_configuration_send
+          = now
+            + (msec_t)(packed->len * 8 / (self->settings->link_mbps * 1000) * 100
+                       / RELAY_LINK_PERCENT);
+      eventlog_write (EVENT_STATE,
+                      "configuration",
+                      "sent_again",
+                      "to=%.*s row_version=%llu base=%llu bytes=%u",
+                      NAME_ARG (report->host),
+                      (unsigned long long)row.version,
+                      (unsigned long long)row.base_version,
+                      packed->len);
+    }
+  g_array_unref (part.rows);
+  g_byte_array_unref (packed);
+}
+
+/* Sends the changes of targets that the host of REPORT lacks. */
+static void
+send_missing_targets (coordinator_t *self, const link_report_t *report, msec_t now)
+{
+  GPtrArray *missing = g_ptr_array_new ();
+  link_rows_t part = { .table = STORE_TARGETS,
+                       .from_version = report->targets_version,
+                       .to_version = self->relayed_targets.to,
+                       .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
+
+  relay_missing (&self->relayed_targets, report->targets_version, now, missing);
+  for (guint i = 0; i < missing->len; i++)
+    {
+      const store_row_t *row = g_ptr_array_index (missing, i);
+      link_row_t copy = { .key = { row->key->str, row->key->len },
+                          .value = { row->value->str, row->value->len },
+                          .version = row->version,
+                          .removed = row->removed };
+      g_array_append_val (part.rows, copy);
+    }
+  if (part.rows->len > 0)
     send_and_free (self, &report->address, link_encode_rows (&part));
   g_array_unref (part.rows);
+  g_ptr_array_unref (missing);
 }
 
 static void
@@ -193,8 +265,10 @@
   send_and_free (self,
                  &report->address,
                  encode_update (self, report, wants_table ? table : NULL, 0));
-  if (report->requests_configuration && self->role.state == ROLE_HELD)
-    send_configuration (self, report);
+  if (self->role.state == ROLE_HELD && lacks_configuration (self, report, now))
+    send_configuration (self, report, now);
+  if (self->role.state == ROLE_HELD)
+    send_missing_targets (self, report, now);
   g_free (host);
 }
 
@@ -209,7 +283,8 @@
                            .sent_at = now,
                            .service = *service,
                            .table_version = version,
-                           .configuration_row_version = self->configuration.newest_change,
+                           .configuration_row_version = self->configuration_row.version,
+                           .targets_version = self->targets.version,
                            .requests_table = true,
                            .loads = none };
 
@@ -276,25 +351,59 @@
     apply_table (self, update, now);
 }
 
+/* Unpacks ROW into VALUE.  Returns false if this host lacks the row's base. */
+static bool
+unpack_row (const coordinator_t *self, const link_row_t *row, GString *value)
+{
+  const configuration_row_t *base = &self->configuration_row;
+  fault_t fault;
+
+  if (row->base_version != 0 && row->base_version != base->version)
+    return false;
+  text_t from = row->base_version == 0 ? TEXT_NONE
+                                       : (text_t){ base->bytes->str, base->bytes->len };
+  if (link_unpack (row->value, from, value, &fault) == STATUS_OK)
+    return true;
+  eventlog_write (EVENT_FAILURE,
+                  "link",
+                  "row_rejected",
+                  "row_version=%llu why=\"%.*s\"",
+                  (unsigned long long)row->version,
+                  TEXT_ARG (fault_text (&fault)));
+  return false;
+}
+
 static void
 handle_rows (coordinator_t *self, const link_rows_t *from)
 {
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (store_row_t));
+  uint64_t from_version = from->from_version;
 
   for (guint i = 0; i < from->rows->len; i++)
     {
       const link_row_t *row = &g_array_index (from->rows, link_row_t, i);
-      store_row_t copy
-          = { .key = g_string_new_len (row->key.at, (gssize)row->key.len),
-              .value = g_string_new_len (row->value.at, (gssize)row->value.len),
-              .version = row->version,
-              .removed = row->removed };
+      store_row_t copy = { .key = g_string_new_len (row->key.at, (gssize)row->key.len),
+                           .value = g_string_new (NULL),
+                           .version = row->version,
+                           .removed = row->removed };
+      if (!row->packed)
+        g_string_append_len (copy.value, row->value.at, (gssize)row->value.len);
+      else if (row->version <= self->configuration_row.version
+               || !unpack_row (self, row, copy.value))
+        {
+          /* A row that can't be unpacked is only announced by its version. */
+          if (row->version > self->configuration_row.version)
+            from_version = from->to_version;
+          g_string_free (copy.key, TRUE);
+          g_string_free (copy.value, TRUE);
+          continue;
+        }
       g_array_append_val (rows, copy);
     }
   if (self->role.state != ROLE_HELD)
     discovery_apply_rows (self,
                           (store_table_t)from->table,
-                          from->from_version,
+                          from_version,
                           from->to_version,
                           rows);
   for (guint i = 0; i < rows->len; i++)
@@ -305,6 +414,16 @@
   g_array_unref (rows);
 }
 
+/* Whether ROW is the newest configuration and large enough to be packed. */
+static bool
+should_pack (const coordinator_t *self, store_table_t table, const store_row_t *row)
+{
+  return table == STORE_CONFIGURATION && !row->removed
+         && row->value->len >= LINK_PACK_MIN_BYTES
+         && row->value->len <= LINK_ROW_MAX_BYTES
+         && row->version == self->configuration_row.version;
+}
+
 /* Broadcasts rows from a feed.  If they are too large, only their version is announced,
  * and each host queries the store for them. */
 static void
@@ -337,6 +456,7 @@
   link_rows_t part = { .table = table,
                        .from_version = before,
                        .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
+  GByteArray *packed = g_byte_array_new ();
   size_t size = 0;
 
   for (guint i = 0; i < reply->rows->len && self->role.state == ROLE_HELD; i++)
@@ -346,8 +466,10 @@
                           .value = { row->value->str, row->value->len },
                           .version = row->version,
                           .removed = row->removed };
+      if (should_pack (self, table, row))
+        copy = pack_configuration (self, self->previous_row.version, packed);
       g_array_append_val (part.rows, copy);
-      size += row->value->len;
+      size += copy.value.len;
       bool last = i + 1 == reply->rows->len;
       if (!last && size < LINK_MESSAGE_MAX_BYTES / 2)
         continue;
@@ -357,6 +479,7 @@
       g_array_set_size (part.rows, 0);
       size = 0;
     }
+  g_byte_array_unref (packed);
   g_array_unref (part.rows);
 }
 
@@ -456,7 +579,8 @@
                            .sent_at = msclock_now (&self->clock),
                            .service = from->service,
                            .table_version = table != NULL ? table->version : 0,
-                           .configuration_row_version = self->configuration.newest_change,
+                           .configuration_row_version = self->configuration_row.version,
+                           .targets_version = self->targets.version,
                            .requests_configuration = discovery_store_unreachable (self),
                            .loads = from->key_loads };
   send_and_free (self, &self->granter, link_encode_report (&report));
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -320,6 +320,15 @@
 #define RELAY_CONFIRM_PERCENT 40
 #define REPORT_TIMEOUT_MS 5000 /* a host that doesn't report is no longer counted */
 
+/* One row between hosts, unpacked: the store's largest configurations are a tenth. */
+#define LINK_ROW_MAX_BYTES (4 * 1024 * 1024)
+/* Rows from this size on are packed. */
+#define LINK_PACK_MIN_BYTES 1024
+/* Changes that the granter keeps to send them again: some ten seconds of a release. */
+#define RELAY_ROWS_MAX 128
+/* Of the granter's link: what configurations that are sent again may take. */
+#define RELAY_LINK_PERCENT 30
+
 /* Of a message besides its rows: names, and the addresses of hosts to forward to. */
 #define LINK_OVERHEAD_BYTES 1024
 /* A change of owners has reached all hosts, including those by a forwarding host. */
@@ -330,8 +339,9 @@
 /* Fan-out of a message to many hosts. */
 #define SPREAD_DIRECT_HOSTS 16 /* the first deployment's hosts need no second hop */
 #define SPREAD_ALIVE_MS 1200   /* two reports of a host, and their transmission */
-/* A link that is busy for this long delays requests and renewals noticeably. */
-#define SPREAD_BUSY_MS 200
+/* A link that is busy for this long delays requests and renewals noticeably.  It is less
+ * than what a host takes to read the same from the store. */
+#define SPREAD_BUSY_MS 400
 
 /* Feeds of the store's tables. */
 #define FEED_BATCH_MS 150 /* changes within this come in one answer */
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -9,7 +9,7 @@
  * header claims.
  */
 
-#define LINK_CODEC_VERSION 5
+#define LINK_CODEC_VERSION 6
 #define LOADS_MAX 8192
 #define RANGES_MAX 8192
 #define ROWS_MAX 8192
@@ -61,6 +61,7 @@
   pack_name (&packer, &report->service);
   msgpack_pack_uint64 (&packer, report->table_version);
   msgpack_pack_uint64 (&packer, report->configuration_row_version);
+  msgpack_pack_uint64 (&packer, report->targets_version);
   msgpack_pack_uint8 (&packer, report->requests_table);
   msgpack_pack_uint8 (&packer, report->requests_configuration);
   msgpack_pack_uint32 (&packer, MIN (report->loads->len, LOADS_MAX));
@@ -145,6 +146,8 @@
       pack_text (&packer, row->value);
       msgpack_pack_uint64 (&packer, row->version);
       msgpack_pack_uint8 (&packer, row->removed);
+      msgpack_pack_uint8 (&packer, row->packed);
+      msgpack_pack_uint64 (&packer, row->base_version);
     }
   return bytes;
 }
@@ -235,6 +238,7 @@
   read_name (self, &report->service);
   report->table_version = read_uint (self, UINT64_MAX);
   report->configuration_row_version = read_uint (self, UINT64_MAX);
+  report->targets_version = read_uint (self, UINT64_MAX);
   report->requests_table = read_uint (self, 1) == 1;
   report->requests_configuration = read_uint (self, 1) == 1;
   report->loads = g_array_new (FALSE, FALSE, sizeof (key_load_t));
@@ -318,6 +322,8 @@
       row.value = read_text (self);
       row.version = read_uint (self, UINT64_MAX);
       row.removed = read_uint (self, 1) == 1;
+      row.packed = read_uint (self, 1) == 1;
+      row.base_version = read_uint (self, UINT64_MAX);
       g_array_append_val (rows->rows, row);
     }
 }
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -22,7 +22,8 @@
   name_t service; /* a keyed service */
   uint64_t table_version;
   uint64_t configuration_row_version; /* version of the newest row that the host has */
-  bool requests_table; /* it missed changes of the key table, and needs all of it */
+  uint64_t targets_version; /* the host has all changes of targets up to this version */
+  bool requests_table;      /* it missed changes of the key table, and needs all of it */
   bool requests_configuration; /* it gets no response from the store, and needs the row */
   GArray *loads;               /* key_load_t */
 } link_report_t;
@@ -57,6 +58,8 @@
   text_t value;
   uint64_t version;
   bool removed;
+  bool packed;           /* VALUE is packed, see link_pack.h */
+  uint64_t base_version; /* a patch of the row's value at this version; 0: by itself */
 } link_row_t;
 
 /* All rows of a store table that changed in a range of versions, from the granter's feed.
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -12,6 +12,8 @@
 {
   link_report_t report
       = { .incarnation = 3, .sent_at = 4400, .table_version = 9, .requests_table = true };
+
+  report.targets_version = 12;
   const key_load_t loads[] = { { 1, 5 }, { 4000, 70000 } };
 
   name_set (&report.host, TEXT ("host"));
@@ -82,6 +84,7 @@
     }
   assert_int_equal (msg.report.sent_at, 4400);
   assert_int_equal (msg.report.table_version, 9);
+  assert_int_equal (msg.report.targets_version, 12);
   assert_true (msg.report.requests_table);
   assert_false (msg.report.requests_configuration);
   link_msg_finish (&msg);
@@ -122,8 +125,10 @@
 test_rows_round_trip (void **state)
 {
   char *large = g_strnfill (70000, 'x');
-  const link_row_t sent[] = { { TEXT ("a"), { large, 70000 }, 7, false },
-                              { TEXT ("b"), TEXT_NONE, 8, true } };
+  const link_row_t sent[]
+      = { { .key = TEXT ("a"), .value = { large, 70000 }, .version = 7 },
+          { .key = TEXT ("b"), .version = 8, .removed = true },
+          { .key = TEXT ("c"), .version = 9, .packed = true, .base_version = 5 } };
   link_rows_t rows = { .table = 1, .from_version = 6, .to_version = 9 };
   link_msg_t msg;
 
@@ -134,10 +139,12 @@
   assert_int_equal (decode (&msg, bytes, bytes->len), STATUS_OK);
   assert_int_equal (msg.kind, LINK_ROWS);
   assert_int_equal (msg.rows.to_version, 9);
-  assert_int_equal (msg.rows.rows->len, 2);
+  assert_int_equal (msg.rows.rows->len, 3);
   const link_row_t *first = &g_array_index (msg.rows.rows, link_row_t, 0);
   assert_true (text_equal (first->value, sent[0].value));
   assert_true (g_array_index (msg.rows.rows, link_row_t, 1).removed);
+  assert_true (g_array_index (msg.rows.rows, link_row_t, 2).packed);
+  assert_int_equal (g_array_index (msg.rows.rows, link_row_t, 2).base_version, 5);
   link_msg_finish (&msg);
   for (size_t len = 0; len < bytes->len; len += 997)
     assert_int_equal (decode (&msg, bytes, len), STATUS_DECODE);
