The granter's duty and forwarding fall to hosts with fast links

On the grown sites 8 of 79 and of 90 hosts have links of 200 Mbit/s and five times the processor, the others 10 Mbit/s. A message to many hosts was forwarded by the first host of a group in the order of addresses.

A host checks the role later the slower its link is, by 300 ms at 10 Mbit/s and 3 ms at 1 Gbit/s, five times that when it starts, when there are no grants to outlast. Reports state the link's capacity, and the hosts with the fastest links forward, one per group.

unit spread hosts_with_fast_links_forward failed before; the explorer of granting has one host of each kind.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -128,9 +128,7 @@
   keys_init (&self->keys, settings->bounds.hold_max_ms);
   discovery_init (self);
   reload_init (self);
-  g_queue_init (&self->role.pending_tables);
-  self->role.next_check
-      = msclock_now (&self->clock) + (msec_t)rng_below (&self->rng, 300);
+  role_init (self);
   if (!mailbox_init (&self->inbox,
                      self->base,
                      COORDINATOR_MAILBOX_MESSAGES,
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -44,6 +44,7 @@
 void discovery_post (coordinator_t *self, proxy_msg_t *msg);
 
 /* role.c: acquires and renews the granter's role. */
+void role_init (coordinator_t *self);
 void role_step (coordinator_t *self, msec_t now);
 void role_resign (coordinator_t *self, msec_t now);
 
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -8,8 +8,8 @@
 typedef struct
 {
   name_t address;
-  uint64_t incarnation;
   msec_t last_report;
+  uint32_t link_mbps;
 } reporter_t;
 
 static void
@@ -65,7 +65,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const reporter_t *reporter = value;
-      spread_host_t host = { reporter->address, reporter->last_report };
+      spread_host_t host
+          = { reporter->address, reporter->last_report, reporter->link_mbps };
       g_array_append_val (hosts, host);
     }
   spread_plan (hosts, msclock_now (&self->clock), groups);
@@ -256,7 +257,7 @@
       reporter = g_new0 (reporter_t, 1);
       g_hash_table_insert (self->reporters, g_strdup (host), reporter);
     }
-  *reporter = (reporter_t){ report->address, report->incarnation, now };
+  *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
   grants_handle (self, &msg);
   bool wants_table = table != NULL && table->version > report->table_version
@@ -281,6 +282,7 @@
                            .address = self->settings->peers,
                            .incarnation = self->incarnation,
                            .sent_at = now,
+                           .link_mbps = (uint32_t)self->settings->link_mbps,
                            .service = *service,
                            .table_version = version,
                            .configuration_row_version = self->configuration_row.version,
@@ -577,6 +579,7 @@
                            .address = self->settings->peers,
                            .incarnation = self->incarnation,
                            .sent_at = msclock_now (&self->clock),
+                           .link_mbps = (uint32_t)self->settings->link_mbps,
                            .service = from->service,
                            .table_version = table != NULL ? table->version : 0,
                            .configuration_row_version = self->configuration_row.version,
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -69,6 +69,15 @@
   grants_handle (self, &msg);
 }
 
+/* How much later than others this host checks the role: the granter's link carries what
+ * all hosts have to know. */
+static msec_t
+check_handicap (const coordinator_t *self)
+{
+  return (msec_t)(ROLE_HANDICAP_MS * ROLE_HANDICAP_MBPS
+                  / MAX (self->settings->link_mbps, ROLE_HANDICAP_MBPS));
+}
+
 static void
 discard_writes (role_t *role)
 {
@@ -401,9 +410,9 @@
   if (role->version != 0 && reply->clock <= role->row.until)
     {
       self->granter = role->row.address;
-      role->next_check
-          = MIN (role->next_check,
-                 now + role->row.until - reply->clock + ROLE_CHECK_JITTER_MS);
+      role->next_check = MIN (role->next_check,
+                              now + role->row.until - reply->clock + ROLE_CHECK_JITTER_MS
+                                  + check_handicap (self));
       return;
     }
   eventlog_write (EVENT_STATE,
@@ -474,12 +483,22 @@
     write_role (self, now);
 }
 
+void
+role_init (coordinator_t *self)
+{
+  g_queue_init (&self->role.pending_tables);
+  self->role.next_check = msclock_now (&self->clock)
+                          + ROLE_START_HANDICAPS * check_handicap (self)
+                          + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS);
+}
+
 void
 role_postpone_check (coordinator_t *self, msec_t until)
 {
   self->role.next_check
       = MAX (self->role.next_check,
-             until + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS));
+             until + check_handicap (self)
+                 + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS));
 }
 
 void
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -283,6 +283,12 @@
 #define ROLE_CHECK_MS 4000 /* between one host's checks; randomized per host */
 /* Random delay of the hosts' checks after the lease has expired. */
 #define ROLE_CHECK_JITTER_MS 300
+/* A host with a link of ROLE_HANDICAP_MBPS or less checks this much later, one with a
+ * faster link by that factor less.  When hosts start there are no grants to outlast, and
+ * they may start at slightly different times. */
+#define ROLE_HANDICAP_MS 300
+#define ROLE_HANDICAP_MBPS 10
+#define ROLE_START_HANDICAPS 5
 #define ROLE_MARGIN_MS 100 /* from the check to the grant's last byte */
 
 /* The store's client. */
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -58,6 +58,7 @@
   pack_name (&packer, &report->address);
   msgpack_pack_uint64 (&packer, report->incarnation);
   msgpack_pack_uint64 (&packer, (uint64_t)report->sent_at);
+  msgpack_pack_uint32 (&packer, report->link_mbps);
   pack_name (&packer, &report->service);
   msgpack_pack_uint64 (&packer, report->table_version);
   msgpack_pack_uint64 (&packer, report->configuration_row_version);
@@ -235,6 +236,7 @@
   read_name (self, &report->address);
   report->incarnation = read_uint (self, UINT64_MAX);
   report->sent_at = (msec_t)read_uint (self, INT64_MAX);
+  report->link_mbps = (uint32_t)read_uint (self, UINT32_MAX);
   read_name (self, &report->service);
   report->table_version = read_uint (self, UINT64_MAX);
   report->configuration_row_version = read_uint (self, UINT64_MAX);
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -18,8 +18,9 @@
   name_t host;
   name_t address; /* address:port of its link */
   uint64_t incarnation;
-  msec_t sent_at; /* on the sender's clock, > 0; the reply returns it */
-  name_t service; /* a keyed service */
+  msec_t sent_at;     /* on the sender's clock, > 0; the reply returns it */
+  uint32_t link_mbps; /* capacity of its network link */
+  name_t service;     /* a keyed service */
   uint64_t table_version;
   uint64_t configuration_row_version; /* version of the newest row that the host has */
   uint64_t targets_version; /* the host has all changes of targets up to this version */
--- a/packages/link/spread.c
+++ b/packages/link/spread.c
@@ -4,14 +4,16 @@
 
 #include <string.h>
 
+/* The fastest links first, then by address. */
 static int
-compare_addresses (const void *left, const void *right)
+compare_hosts (const void *left, const void *right)
 {
-  const name_t *a = &((const spread_host_t *)left)->address;
-  const name_t *b = &((const spread_host_t *)right)->address;
-  int order = memcmp (a->at, b->at, MIN (a->len, b->len));
+  const spread_host_t *a = left, *b = right;
 
-  return order != 0 ? order : (int)a->len - (int)b->len;
+  if (a->link_mbps != b->link_mbps)
+    return a->link_mbps > b->link_mbps ? -1 : 1;
+  int order = memcmp (a->address.at, b->address.at, MIN (a->address.len, b->address.len));
+  return order != 0 ? order : (int)a->address.len - (int)b->address.len;
 }
 
 /* Above SPREAD_DIRECT_HOSTS: the square root of HOSTS, rounded up. */
@@ -48,16 +50,26 @@
 spread_plan (GArray *hosts, msec_t now, GArray *groups)
 {
   guint n = spread_group_count (hosts->len);
+  guint followers = hosts->len - n;
+  GArray *sorted = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
 
-  g_array_sort (hosts, compare_addresses);
+  g_array_sort (hosts, compare_hosts);
+  g_array_append_vals (sorted, hosts->data, hosts->len);
+  g_array_set_size (hosts, 0);
   for (guint i = 0; i < n; i++)
     {
-      guint first = (guint)((uint64_t)hosts->len * i / n);
-      guint end = (guint)((uint64_t)hosts->len * (i + 1) / n);
-      spread_group_t group = { first, end - first };
+      guint first = (guint)((uint64_t)followers * i / n);
+      guint end = (guint)((uint64_t)followers * (i + 1) / n);
+      spread_group_t group = { hosts->len, end - first + 1 };
+      g_array_append_val (hosts, g_array_index (sorted, spread_host_t, i));
+      if (end > first)
+        g_array_append_vals (hosts,
+                             &g_array_index (sorted, spread_host_t, n + first),
+                             end - first);
       choose_forwarder (hosts, &group, now);
       g_array_append_val (groups, group);
     }
+  g_array_unref (sorted);
 }
 
 bool
--- a/packages/link/spread.h
+++ b/packages/link/spread.h
@@ -12,15 +12,17 @@
  * A larger number is divided into groups, about as many as a group has hosts.  The sender
  * sends to the first host of each group, which forwards the message to the rest of its
  * group, so that the number of messages per host grows with the square root of the number
- * of hosts.  The groups follow the order of addresses and do not change from one message
- * to the next, so that messages to a host stay in order.  A host that was not heard from
- * within SPREAD_ALIVE_MS does not forward, unless this holds for its whole group.
+ * of hosts.  The hosts with the fastest links forward, one per group; the others follow
+ * the order of addresses.  The groups do not change from one message to the next, so that
+ * messages to a host stay in order.  A host that was not heard from within
+ * SPREAD_ALIVE_MS does not forward, unless this holds for its whole group.
  */
 
 typedef struct
 {
   name_t address;
-  msec_t last_heard; /* when its last message arrived */
+  msec_t last_heard;  /* when its last message arrived */
+  uint32_t link_mbps; /* capacity of its network link */
 } spread_host_t;
 
 /* N hosts from index FIRST: the first one forwards the message to the others. */
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -14,6 +14,7 @@
       = { .incarnation = 3, .sent_at = 4400, .table_version = 9, .requests_table = true };
 
   report.targets_version = 12;
+  report.link_mbps = 200;
   const key_load_t loads[] = { { 1, 5 }, { 4000, 70000 } };
 
   name_set (&report.host, TEXT ("host"));
@@ -85,6 +86,7 @@
   assert_int_equal (msg.report.sent_at, 4400);
   assert_int_equal (msg.report.table_version, 9);
   assert_int_equal (msg.report.targets_version, 12);
+  assert_int_equal (msg.report.link_mbps, 200);
   assert_true (msg.report.requests_table);
   assert_false (msg.report.requests_configuration);
   link_msg_finish (&msg);
--- a/packages/link/tests/test_spread.c
+++ b/packages/link/tests/test_spread.c
@@ -106,6 +106,27 @@
   free_fixture (&plan);
 }
 
+static void
+test_hosts_with_fast_links_forward (void **state)
+{
+  fixture_t plan;
+  guint fast = 0;
+
+  (void)state;
+  init_fixture (&plan, 90);
+  for (guint i = 0; i < 90; i++)
+    g_array_index (plan.hosts, spread_host_t, i).link_mbps = i < 8 ? 200 : 10;
+  spread_plan (plan.hosts, NOW, plan.groups);
+  for (guint i = 0; i < plan.groups->len; i++)
+    {
+      guint first = g_array_index (plan.groups, spread_group_t, i).first;
+      fast += g_array_index (plan.hosts, spread_host_t, first).link_mbps == 200;
+    }
+  assert_int_equal (fast, 8);
+  assert_groups_partition_the_hosts (&plan);
+  free_fixture (&plan);
+}
+
 /* Messages to a host have to take the same path, so that they stay in order. */
 static void
 test_groups_do_not_depend_on_the_input_order (void **state)
@@ -149,6 +170,7 @@
     cmocka_unit_test (test_messages_per_host_grow_with_the_square_root),
     cmocka_unit_test (test_silent_host_does_not_forward),
     cmocka_unit_test (test_groups_do_not_depend_on_the_input_order),
+    cmocka_unit_test (test_hosts_with_fast_links_forward),
     cmocka_unit_test (test_large_fan_out_exceeds_a_slow_link),
   };
 
--- a/tests/grants/grants.c
+++ b/tests/grants/grants.c
@@ -118,6 +118,8 @@
   name_set (&service, TEXT ("s"));
   name_set (&settings[0].host, TEXT ("h0"));
   name_set (&settings[1].host, TEXT ("h1"));
+  settings[0].link_mbps = 1000;
+  settings[1].link_mbps = 10;
   if (scenario->count > 0)
     {
       search.scenario = (scenario_t)CLAMP (scenario->ival[0], 0, SCENARIO_COUNT - 1);
