A host that must suspect its copy to be too old rejects requests

Callers' requests were run by the service that a route had left, refused with 404 though their route was there, or sent to targets that had left.

The decision is a slice of its own, currency, without I/O. A host that lacks a version that it knows of queries the store, requeries it once in case the call hangs, and rejects requests once its copy is older than 80% of the time that the change has to take effect: 503, not run, with Retry-After, so that callers go to another host. It serves by the old copy while neither the store nor the granter is heard. A host that can't know whether there is a newer version serves, since an outage of the store looks the same everywhere; only a process that did not run for a second asks first. Versions that arrive in time are no lag, however fast they follow.

--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -40,6 +40,8 @@
                     "by_ms=%lld round_trip_ms=%lld",
                     (long long)self->late_ms,
                     (long long)self->round_trip_ms);
+  if (self->late_ms >= CURRENCY_STALL_MS)
+    discovery_note_stall (self);
 }
 
 static void
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -4,6 +4,7 @@
 #include "../keys/keys.h"
 #include "../proxy/proxy.h"
 #include "deployment.h"
+#include "../currency/currency.h"
 #include "feed.h"
 #include "relay.h"
 #include "../link/link.h"
@@ -97,6 +98,8 @@
   bool stopping;
 
   feed_t configuration, targets, owners;
+  currency_t configuration_currency, targets_currency;
+  bool outdated; /* the proxy was told to reject requests */
   uint64_t directory_version;
   bool has_directory;
   /* The newest row of the configuration, applied or rejected, and the one before. */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -13,12 +13,18 @@
 /* Sets the time within which a leaving target gets no more requests, in ms. */
 void discovery_set_drain (coordinator_t *self, msec_t drain);
 
-/* Resumes suspended feeds, drops targets whose rows have been missing for too long, and
- * publishes changes. */
+/* Sets the time within which a configuration has to be in force, in ms. */
+void discovery_set_apply_time (coordinator_t *self, msec_t time);
+
+/* Resumes suspended feeds, drops targets whose rows have been missing for too long,
+ * publishes changes, and reviews whether requests can be served by what is known. */
 void discovery_step (coordinator_t *self);
 
+/* The process did not run for CURRENCY_STALL_MS or more until now. */
+void discovery_note_stall (coordinator_t *self);
+
 /* The granter's update: a feed that has all that the granter's has is as fresh as that;
- * one that stays behind it for FEED_LAG_MS queries the store again. */
+ * one that lacks something is reviewed by currency. */
 void discovery_handle_update (coordinator_t *self, const link_update_t *update);
 
 /* Applies ROWS (store_row_t) from another host's feed: the changes of TABLE after version
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -250,6 +250,26 @@
   target->parsed = true;
 }
 
+/* Drops targets whose rows have been missing for too long, and publishes changes. */
+static void
+publish_changes (coordinator_t *self)
+{
+  msec_t now = msclock_now (&self->clock);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->targets_by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (now < ((known_target_t *)value)->expires_at)
+        continue;
+      g_hash_table_iter_remove (&iter);
+      self->targets_changed = true;
+    }
+  if (self->targets_changed)
+    publish_targets (self);
+}
+
 static void
 on_targets_batch_done (void *owner, bool full_read)
 {
@@ -267,7 +287,7 @@
   self->targets_changed |= full_read;
   if (full_read)
     relay_reset (&self->relayed_targets, self->targets.version);
-  discovery_step (self);
+  publish_changes (self);
 }
 
 /* Key owners. */
@@ -366,28 +386,13 @@
 discovery_set_drain (coordinator_t *self, msec_t drain)
 {
   self->relay_max_age = MIN (drain * RELAY_DRAIN_PERCENT / 100, RELAY_MAX_AGE_MS);
+  currency_set_limit (&self->targets_currency, drain * CURRENCY_LIMIT_PERCENT / 100);
 }
 
 void
-discovery_step (coordinator_t *self)
+discovery_set_apply_time (coordinator_t *self, msec_t time)
 {
-  msec_t now = msclock_now (&self->clock);
-  GHashTableIter iter;
-  gpointer value;
-
-  feed_step (&self->configuration);
-  feed_step (&self->targets);
-  feed_step (&self->owners);
-  g_hash_table_iter_init (&iter, self->targets_by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      if (now < ((known_target_t *)value)->expires_at)
-        continue;
-      g_hash_table_iter_remove (&iter);
-      self->targets_changed = true;
-    }
-  if (self->targets_changed)
-    publish_targets (self);
+  currency_set_limit (&self->configuration_currency, time * CURRENCY_LIMIT_PERCENT / 100);
 }
 
 /* The time on this host's clock at which the granter's knowledge of a table was last
@@ -401,45 +406,155 @@
   return known ? update->report_sent_at - table->age_ms : MSEC_NEVER;
 }
 
+/* Tells the proxy whether requests are to be rejected, when that changes. */
+static void
+update_outdated (coordinator_t *self)
+{
+  bool outdated
+      = self->configuration_currency.rejecting || self->targets_currency.rejecting;
+
+  if (outdated == self->outdated)
+    return;
+  self->outdated = outdated;
+  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
+  msg->kind = PROXY_CURRENCY;
+  msg->outdated = outdated;
+  discovery_post (self, msg);
+}
+
+static void
+log_currency (const feed_t *feed, const currency_t *currency, const char *event)
+{
+  msec_t now = msclock_now (feed->clock);
+
+  eventlog_write (EVENT_STATE,
+                  "currency",
+                  event,
+                  "feed=%s version=%llu newest=%llu age_ms=%lld behind_ms=%lld",
+                  feed->name,
+                  (unsigned long long)MAX (feed->newest_change, feed->version),
+                  (unsigned long long)currency->newest,
+                  (long long)feed_age (feed),
+                  currency->behind_since == MSEC_NEVER
+                      ? -1LL
+                      : (long long)(now - currency->behind_since));
+}
+
+static void
+perform_currency (feed_t *feed, const currency_t *currency, const currency_out_t *out)
+{
+  switch (out->kind)
+    {
+    case CURRENCY_QUERY:
+      feed_resume (feed);
+      break;
+    case CURRENCY_REQUERY:
+      feed_requery (feed, out->since);
+      break;
+    case CURRENCY_REJECT:
+      log_currency (feed, currency, "rejecting");
+      break;
+    case CURRENCY_SERVE:
+      log_currency (feed, currency, "serving");
+      break;
+    }
+}
+
+static void
+handle_currency (feed_t *feed, currency_t *currency, const currency_msg_t *msg)
+{
+  GArray *out = g_array_new (FALSE, FALSE, sizeof (currency_out_t));
+
+  currency_handle (currency, msg, msclock_now (feed->clock), out);
+  feed->behind_since = currency->behind_since;
+  for (guint i = 0; i < out->len; i++)
+    perform_currency (feed, currency, &g_array_index (out, currency_out_t, i));
+  g_array_unref (out);
+}
+
+static void
+review_table (coordinator_t *self, feed_t *feed, currency_t *currency)
+{
+  const currency_msg_t review = { .kind = CURRENCY_REVIEW,
+                                  .version = MAX (feed->newest_change, feed->version),
+                                  .complete_at = feed->confirmed_at,
+                                  .heard_at = self->outage.answered_at };
+
+  handle_currency (feed, currency, &review);
+}
+
+static void
+review_currency (coordinator_t *self)
+{
+  review_table (self, &self->configuration, &self->configuration_currency);
+  review_table (self, &self->targets, &self->targets_currency);
+  update_outdated (self);
+}
+
+void
+discovery_step (coordinator_t *self)
+{
+  feed_step (&self->configuration);
+  feed_step (&self->targets);
+  feed_step (&self->owners);
+  publish_changes (self);
+  review_currency (self);
+}
+
+void
+discovery_note_stall (coordinator_t *self)
+{
+  const currency_msg_t stalled = { .kind = CURRENCY_STALLED };
+
+  handle_currency (&self->configuration, &self->configuration_currency, &stalled);
+  handle_currency (&self->targets, &self->targets_currency, &stalled);
+  review_currency (self);
+}
+
+/* VERSION of the feed's table exists. */
+static void
+note_newer (feed_t *feed, currency_t *currency, uint64_t version)
+{
+  const currency_msg_t newer = { .kind = CURRENCY_NEWER, .version = version };
+
+  if (version <= MAX (currency->newest, MAX (feed->newest_change, feed->version)))
+    return;
+  eventlog_write (EVENT_STATE,
+                  "store",
+                  "behind",
+                  "feed=%s version=%llu newest=%llu age_ms=%lld call_ms=%lld",
+                  feed->name,
+                  (unsigned long long)feed->version,
+                  (unsigned long long)version,
+                  (long long)feed_age (feed),
+                  (long long)feed_call_duration (feed));
+  handle_currency (feed, currency, &newer);
+}
+
 /* The granter has all changes of the feed's table up to version NEWEST, which it knew to
  * be the newest one at CONFIRMED_AT. */
 static void
-check_version (feed_t *feed, uint64_t newest, msec_t confirmed_at)
+check_version (feed_t *feed, currency_t *currency, uint64_t newest, msec_t confirmed_at)
 {
-  msec_t now = msclock_now (feed->clock);
   bool complete = newest <= MAX (feed->newest_change, feed->version);
 
   if (complete && confirmed_at != MSEC_NEVER)
     feed_confirm (feed, confirmed_at);
-  /* A change takes some time to reach all hosts, so a short lag is tolerated. */
-  if (complete)
-    feed->behind_since = MSEC_NEVER;
-  else if (feed->behind_since == MSEC_NEVER)
-    {
-      feed->behind_since = now;
-      eventlog_write (EVENT_STATE,
-                      "store",
-                      "behind",
-                      "feed=%s version=%llu newest=%llu age_ms=%lld call_ms=%lld",
-                      feed->name,
-                      (unsigned long long)feed->version,
-                      (unsigned long long)newest,
-                      (long long)feed_age (feed),
-                      (long long)feed_call_duration (feed));
-    }
-  else
-    feed_catch_up (feed);
+  note_newer (feed, currency, newest);
 }
 
 void
 discovery_handle_update (coordinator_t *self, const link_update_t *update)
 {
   check_version (&self->configuration,
+                 &self->configuration_currency,
                  update->configuration.newest_change,
                  confirmation_time (update, &update->configuration));
   check_version (&self->targets,
+                 &self->targets_currency,
                  update->targets.newest_change,
                  confirmation_time (update, &update->targets));
+  review_currency (self);
 }
 
 void
@@ -456,6 +571,8 @@
                     "row_version=%llu current=%llu",
                     (unsigned long long)after,
                     (unsigned long long)self->configuration.newest_change);
+  if (table == STORE_CONFIGURATION && rows->len == 0)
+    note_newer (&self->configuration, &self->configuration_currency, after);
   /* Until this host has read the table itself, it has no version that the rows could
    * follow.  They apply all the same, since each holds a complete configuration. */
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
@@ -464,6 +581,7 @@
     feed_apply_delta (&self->configuration, rows->len > 0 ? 0 : before, after, rows);
   else if (table == STORE_TARGETS)
     feed_apply_delta (&self->targets, before, after, rows);
+  review_currency (self);
 }
 
 void
@@ -491,7 +609,10 @@
 void
 discovery_init (coordinator_t *self)
 {
+  currency_init (&self->configuration_currency, 0);
+  currency_init (&self->targets_currency, 0);
   discovery_set_drain (self, self->settings->bounds.drain_ms);
+  discovery_set_apply_time (self, self->settings->bounds.apply_ms);
   self->configuration_row.bytes = g_string_new (NULL);
   self->previous_row.bytes = g_string_new (NULL);
   relay_init (&self->relayed_targets);
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -29,7 +29,7 @@
 
   if (self->watching)
     {
-      self->call->wait = self->behind_since != MSEC_NEVER
+      self->call->wait = self->requeried || self->behind_since != MSEC_NEVER
                              ? 0
                              : MAX (max_age (self) - feed_age (self), 0);
       ops->watch (self->store,
@@ -364,15 +364,12 @@
 }
 
 void
-feed_catch_up (feed_t *self)
+feed_requery (feed_t *self, msec_t since)
 {
-  msec_t behind_for = msclock_now (self->clock) - self->behind_since;
-
-  g_assert (self->behind_since != MSEC_NEVER);
-  if (behind_for >= FEED_HUNG_MS)
-    feed_restart_call (self, self->behind_since);
-  if (behind_for >= FEED_LAG_MS)
-    feed_resume (self);
+  self->requeried = true;
+  feed_restart_call (self, since);
+  feed_resume (self);
+  self->requeried = false;
 }
 
 void
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -51,7 +51,8 @@
   /* Version of the newest change that was delivered: of a row, or of a full read that
    * lacked rows. */
   uint64_t newest_change;
-  msec_t behind_since; /* first report of a newer row elsewhere; MSEC_NEVER: none */
+  msec_t behind_since; /* the store is known to have a newer row since; MSEC_NEVER */
+  bool requeried;      /* the next call does not wait for changes */
   GString *last_key;   /* last key of the previous page */
   msec_t retry_delay;  /* backoff; 0: the last call succeeded */
   msec_t read_started; /* start of the full read in progress, or of the last one */
@@ -76,10 +77,9 @@
  */
 void feed_restart_call (feed_t *self, msec_t since);
 
-/* The feed is behind: queries the store once that lasts for FEED_LAG_MS.  A call that
- * began before may hang and is issued again after FEED_HUNG_MS; a later one is left to
- * its own time-out, since its reply may be arriving over a slow link. */
-void feed_catch_up (feed_t *self);
+/* Abandons a call in flight that was started before SINCE.  Unless one is left, asks the
+ * store for changes now, without waiting for later ones. */
+void feed_requery (feed_t *self, msec_t since);
 
 /*
  * Applies ROWS (store_row_t) from another host's feed as if a watch had returned them:
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -437,9 +437,11 @@
       || is_heavy (self, body->len))
     {
       GArray *none = g_array_new (FALSE, FALSE, sizeof (link_row_t));
+      uint64_t newest
+          = g_array_index (part->rows, link_row_t, part->rows->len - 1).version;
       link_rows_t announced = { .table = part->table,
-                                .from_version = part->to_version,
-                                .to_version = part->to_version,
+                                .from_version = newest,
+                                .to_version = newest,
                                 .rows = none };
       g_byte_array_unref (body);
       body = link_encode_rows (&announced);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -141,13 +141,13 @@
 /* The structured log. */
 /* About 300 lines: more than one second of a burst. */
 #define EVENTLOG_BUFFER_BYTES (64 * 1024)
-#define EVENTLOG_LINE_BYTES 768   /* the longest line has about 400; longer are cut */
-#define EVENTLOG_ROUTINE_PER_S 20 /* a sample of served requests, at most 5 KB/s */
+#define EVENTLOG_LINE_BYTES 768     /* the longest line has about 400; longer are cut */
+#define EVENTLOG_ROUTINE_PER_S 20   /* a sample of served requests, at most 5 KB/s */
 #define EVENTLOG_FAILURES_PER_S 100 /* at most 25 KB/s */
 /* A host changes its state most often, some hundred lines per second, when most requests
  * fail. */
 #define EVENTLOG_STATE_RESERVE_BYTES (24 * 1024)
-#define EVENTLOG_FLUSH_MS 500     /* the delay for an operator who follows the log */
+#define EVENTLOG_FLUSH_MS 500 /* the delay for an operator who follows the log */
 
 /* Dispatch of requests to targets. */
 /* Estimated service time of a target before its first answer. */
@@ -292,7 +292,7 @@
 #define ROLE_MARGIN_MS 100 /* from the check to the grant's last byte */
 
 /* The store's client. */
-#define STORE_CALL_MS 1200   /* the slowest answers of a working store take 0.4 s */
+#define STORE_CALL_MS 1200 /* the slowest answers of a working store take 0.4 s */
 /* The network link of a busy host holds its packets for up to half a second. */
 #define STORE_CONNECT_MS 600
 #define STORE_WATCH_MS 10000 /* a change that wasn't sent is noticed within this */
@@ -355,6 +355,17 @@
 /* A watch that hangs is recognized within this; its repetition still ends in time. */
 #define FEED_HUNG_MS 1000
 
+/* Copies of tables that may be outdated. */
+/* Of the time in which a change has to take effect, until an outdated copy is not used
+ * any more; the rest is for requests on their way. */
+#define CURRENCY_LIMIT_PERCENT 80
+/* A change that was learned of later than this may still be in time. */
+#define CURRENCY_PATIENCE_MS 800
+/* The store is expected to answer if it did so within this. */
+#define CURRENCY_SOURCE_MS 2500
+#define CURRENCY_STALL_MS 1000
+#define CURRENCY_UNSURE_MS 1500 /* a call to the store, and its time to connect */
+
 /* A task that runs this much later than planned reports it. */
 #define TASK_LATE_MS 200
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -112,6 +112,11 @@
       end (self, request, REASON_DEADLINE, now, out);
       return;
     }
+  if (self->outdated)
+    {
+      end (self, request, REASON_OUTDATED, now, out);
+      return;
+    }
   if (losses_is_blocked (self, request, now))
     {
       end (self, request, REASON_CRASHES_TARGETS, now, out);
@@ -219,6 +224,11 @@
       end (self, request, REASON_NO_CONFIGURATION, now, out);
       return;
     }
+  if (self->outdated)
+    {
+      end (self, request, REASON_OUTDATED, now, out);
+      return;
+    }
   request->directory_version = self->directory->version;
   int i = directory_match_route (self->directory, msg->host, msg->path);
   if (i < 0)
@@ -451,6 +461,10 @@
     case DISPATCH_SUSPECT:
       losses_apply_remote (self, &msg->suspect, now);
       break;
+    case DISPATCH_CURRENCY:
+      self->outdated = msg->outdated;
+      process_queues (self, now, out);
+      break;
     case DISPATCH_DRAIN:
       self->draining = true;
       break;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -34,6 +34,7 @@
   DISPATCH_TIMER,       /* the request's timer expired */
   DISPATCH_BOUNDS,      /* new bounds take effect */
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
+  DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried */
 } dispatch_msg_kind_t;
 
@@ -74,6 +75,7 @@
   uint32_t key;                /* DISPATCH_ARRIVED */
   uint64_t fingerprint;  /* DISPATCH_ARRIVED: identifies equal requests; 0: unknown */
   suspect_out_t suspect; /* DISPATCH_SUSPECT */
+  bool outdated;         /* DISPATCH_CURRENCY */
   bool not_replayable;   /* DISPATCH_ARRIVED: the body cannot be sent again */
   msec_t timeout; /* DISPATCH_ARRIVED: the caller's timeout in ms; -1: none given */
   dispatch_answer_t answer; /* DISPATCH_ANSWERED */
@@ -109,6 +111,7 @@
 {
   REASON_NONE,
   REASON_NO_CONFIGURATION,
+  REASON_OUTDATED, /* the configuration or the list of targets may be too old */
   REASON_NO_ROUTE,
   REASON_NO_TARGET,    /* no usable target is listed or reachable */
   REASON_NO_OWNER,     /* the key has no owner at present, or the owner is unreachable */
@@ -234,6 +237,7 @@
   suspect_t suspects;
   rng_t rng;
   bool draining; /* the process is shutting down */
+  bool outdated; /* requests are rejected, as currency decided */
 } dispatch_t;
 
 void dispatch_init (dispatch_t *self, text_t data_centre, uint64_t seed);
--- a/packages/dispatch/services.c
+++ b/packages/dispatch/services.c
@@ -88,6 +88,7 @@
   static const char *const names[] = {
     [REASON_NONE] = "none",
     [REASON_NO_CONFIGURATION] = "no-configuration",
+    [REASON_OUTDATED] = "outdated",
     [REASON_NO_ROUTE] = "no-route",
     [REASON_NO_TARGET] = "no-target",
     [REASON_NO_OWNER] = "no-owner",
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -435,6 +435,31 @@
   end (&fixture);
 }
 
+static void
+test_host_with_an_outdated_copy_rejects_requests_as_not_run (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t sent, refused, unrouted;
+  const dispatch_msg_t outdated = { .kind = DISPATCH_CURRENCY, .outdated = true };
+  const dispatch_msg_t current = { .kind = DISPATCH_CURRENCY };
+
+  (void)state;
+  begin (&fixture);
+  arrive (&fixture, &sent, TEXT ("/order/"));
+  handle_msg (&fixture, &outdated);
+  arrive (&fixture, &refused, TEXT ("/order/"));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_OUTDATED);
+  assert_true (find_out (&fixture, DISPATCH_END)->retry_after > 0);
+  arrive (&fixture, &unrouted, TEXT ("/nowhere/"));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_OUTDATED);
+  answer (&fixture, &sent, ANSWER_RUN, 200);
+  assert_non_null (find_out (&fixture, DISPATCH_DELIVER));
+  handle_msg (&fixture, &current);
+  arrive (&fixture, &refused, TEXT ("/order/"));
+  assert_non_null (find_out (&fixture, DISPATCH_SEND));
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -459,6 +484,7 @@
     cmocka_unit_test (test_refused_connection_confirms_target_exit),
     cmocka_unit_test (test_lost_responses_do_not_block_requests),
     cmocka_unit_test (test_losses_reported_by_other_hosts_block_request),
+    cmocka_unit_test (test_host_with_an_outdated_copy_rejects_requests_as_not_run),
   };
 
   return cmocka_run_group_tests_name ("dispatch", tests, NULL, NULL);
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -290,6 +290,11 @@
       self->bounds = msg->bounds;
       update_bounds (self);
       break;
+    case PROXY_CURRENCY:
+      dispatch_msg.kind = DISPATCH_CURRENCY;
+      dispatch_msg.outdated = msg->outdated;
+      proxy_dispatch (self, &dispatch_msg);
+      break;
     case PROXY_SUSPECT:
       dispatch_msg.kind = DISPATCH_SUSPECT;
       dispatch_msg.suspect = msg->suspect;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -25,6 +25,7 @@
   PROXY_KEY_TABLE,  /* the key owners of one service; takes ownership of KEY_TABLE */
   PROXY_HOST_COUNT, /* HOST_COUNT hosts share the retry budget */
   PROXY_BOUNDS,     /* new BOUNDS take effect */
+  PROXY_CURRENCY,   /* OUTDATED: requests are rejected until further notice */
   PROXY_SUSPECT,    /* another host reports or clears a suspect request */
   PROXY_DRAIN,      /* shut down gracefully, within the grace period */
 } proxy_msg_kind_t;
@@ -37,6 +38,7 @@
   key_table_t key_table;
   uint32_t host_count;
   router_bounds_t bounds;
+  bool outdated;
   suspect_out_t suspect;
   msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
 } proxy_msg_t;
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -8,8 +8,9 @@
 report_service_counts (proxy_t *self, const dispatch_request_t *request)
 {
   uint32_t i = MIN (request->service + 1, SERVICE_MAX - 1);
-  bool routed
-      = request->reason != REASON_NO_ROUTE && request->reason != REASON_NO_CONFIGURATION;
+  bool routed = request->reason != REASON_NO_ROUTE
+                && request->reason != REASON_NO_CONFIGURATION
+                && request->reason != REASON_OUTDATED;
 
   if (!routed)
     return &self->counts.services[0];
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -26,6 +26,8 @@
 
 static const form_field_t bound_fields[] = {
   FIELD ("drain_ms", FORM_UINT, bounds.drain_ms, false, 1, TIME_MAX, TIME_EXPECTED),
+  FIELD (
+      "config_apply_ms", FORM_UINT, bounds.apply_ms, false, 1, TIME_MAX, TIME_EXPECTED),
   FIELD ("grace_s", FORM_REAL, bounds.grace_s, false, 1, 600, "seconds, from 1 to 600"),
   FIELD ("hold_max_ms", FORM_UINT, bounds.hold_max_ms, false, 1, TIME_MAX, TIME_EXPECTED),
   FIELD ("retry_ratio", FORM_REAL, bounds.retry_ratio, false, 0, 10, "from 0 to 10"),
@@ -74,6 +76,7 @@
 /* The values of the users' first deployments; a settings file may override them. */
 static const router_bounds_t default_bounds = {
   .drain_ms = 2000,
+  .apply_ms = 2000,
   .grace_s = 6,
   .hold_max_ms = 10000,
   .retry_ratio = 0.2,
--- a/packages/settings/router_settings.h
+++ b/packages/settings/router_settings.h
@@ -16,6 +16,7 @@
 typedef struct
 {
   uint32_t drain_ms;       /* after this a leaving target gets no new requests */
+  uint32_t apply_ms;       /* after this a configuration is in force on all hosts */
   double grace_s;          /* from SIGTERM to SIGKILL */
   uint32_t hold_max_ms;    /* the longest grant that a target accepts */
   double retry_ratio;      /* retries allowed per request, over all hosts */
