A granter counts how long a target has been leaving from what the store confirmed

The time that a leaving owner still gets requests counted from 1.4 s before, the most that a host which goes by the granter can be late; the granter's own watches are never that long, so the bound hid their lateness. On the granter it is the age of the feed.

unit discovery granter_whose_watch_was_late_counts_from_its_last_confirmation failed before (1400 instead of 1900).

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -196,13 +196,16 @@
 }
 
 /* How long ago a target's row that is being delivered can have changed.  A change during
- * a watch arrives at once, whatever the feed's age. */
+ * a long watch arrives well before its end.  The granter's watches are short, so that an
+ * old feed shows how late it is. */
 static msec_t
 longest_since_change (const coordinator_t *self)
 {
   msec_t age = feed_age (&self->targets);
 
-  return self->targets.watching ? MIN (age, self->relay_max_age) : age;
+  return self->targets.watching && self->role.state != ROLE_HELD
+             ? MIN (age, self->relay_max_age)
+             : age;
 }
 
 static void
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -270,6 +270,24 @@
   teardown (&fixture);
 }
 
+static void
+test_granter_whose_watch_was_late_counts_from_its_last_confirmation (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  fixture.coordinator.role.state = ROLE_HELD;
+  fixture.coordinator.reporters = g_hash_table_new (g_str_hash, g_str_equal);
+  feed_resume (&fixture.coordinator.targets);
+  pass_time (&fixture, 1900, 0);
+  reply (&fixture, STORE_TARGETS, STORE_DONE, 7, "leaving");
+  assert_int_equal (find_target (&fixture)->entry.leaving_for, 1900);
+  g_hash_table_unref (fixture.coordinator.reporters);
+  fixture.coordinator.role.state = ROLE_NOT_HELD;
+  teardown (&fixture);
+}
+
 /* Makes the feed of configurations fail once and its next watch be suspended. */
 static void
 fail_configuration (fixture_t *self)
@@ -382,6 +400,8 @@
     cmocka_unit_test (test_watch_that_misses_a_newer_version_is_restarted_once),
     cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
     cmocka_unit_test (test_leaving_target_states_how_long_it_may_have_been_leaving),
+    cmocka_unit_test (
+        test_granter_whose_watch_was_late_counts_from_its_last_confirmation),
     cmocka_unit_test (
         test_removed_target_is_kept_only_while_an_outage_may_have_removed_it),
     cmocka_unit_test (test_late_failure_does_not_prolong_an_outage_that_is_over),
