A change is not lost when the proxy's mailbox is full

The coordinator dropped messages to the proxy when its mailbox was full: a configuration, the list of targets or a key table, of which no other copy came until the next change.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -6,6 +6,7 @@
 #include "deployment.h"
 #include "../currency/currency.h"
 #include "feed.h"
+#include "outbox.h"
 #include "relay.h"
 #include "../link/link.h"
 
@@ -82,6 +83,7 @@
   bool store_unreachable; /* the last call for the role row failed */
   outage_t outage;
   proxy_t *proxy;
+  outbox_t outbox;
   mailbox_t inbox;             /* proxy_report_t */
   msclock_t clock;             /* includes time in system suspend */
   struct evhttp *metrics;      /* NULL: metrics are not served */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -45,8 +45,9 @@
 /* Whether the configuration, the targets and the owners have been read. */
 bool discovery_is_complete (const coordinator_t *self);
 
-/* Sends MSG to the proxy and takes ownership of it.  It is dropped if the proxy's mailbox
- * is full. */
+/* Sends MSG to the proxy, at once or when its mailbox has room, and takes ownership of
+ * it.
+ */
 void discovery_post (coordinator_t *self, proxy_msg_t *msg);
 
 /* role.c: acquires and renews the granter's role. */
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -5,10 +5,10 @@
 void
 discovery_post (coordinator_t *self, proxy_msg_t *msg)
 {
-  if (self->proxy != NULL && mailbox_post (&self->proxy->inbox, msg))
-    return;
-  eventlog_write (EVENT_FAILURE, "coordinator", "mailbox_full", "to=proxy");
-  proxy_msg_free (msg);
+  if (self->proxy != NULL)
+    outbox_post (&self->outbox, &self->proxy->inbox, msg);
+  else
+    proxy_msg_free (msg);
 }
 
 static void
@@ -502,6 +502,8 @@
   feed_step (&self->owners);
   publish_changes (self);
   review_currency (self);
+  if (self->proxy != NULL)
+    outbox_flush (&self->outbox, &self->proxy->inbox);
 }
 
 void
@@ -619,6 +621,7 @@
   self->configuration_row.bytes = g_string_new (NULL);
   self->previous_row.bytes = g_string_new (NULL);
   relay_init (&self->relayed_targets);
+  outbox_init (&self->outbox);
   self->keyed_services = g_array_new (FALSE, FALSE, sizeof (name_t));
   self->targets_by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->rejected_keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -668,6 +671,7 @@
   g_string_free (self->configuration_row.bytes, TRUE);
   g_string_free (self->previous_row.bytes, TRUE);
   relay_finish (&self->relayed_targets);
+  outbox_finish (&self->outbox);
   g_array_unref (self->keyed_services);
   g_hash_table_unref (self->targets_by_id);
   g_hash_table_unref (self->rejected_keys);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -302,6 +302,8 @@
 /* Entries that expired in an outage are renewed within this time after it. */
 #define STORE_ENTRY_RENEWAL_MS 2000
 #define STORE_RECOVERY_MS 3000          /* all calls recover from an outage within this */
+#define OUTBOX_MAX 64        /* reports of requests that crash targets */
+#define OUTBOX_LOG_EVERY 100 /* of the messages that wait */
 #define COORDINATOR_TICK_MS 100         /* a tenth of the shortest time that it checks */
 #define COORDINATOR_MAILBOX_MESSAGES 64 /* proxy reports: two per second and service */
 /* A release is answered when the running requests have ended. */
