--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -60,6 +60,7 @@
   if (self->role.state != ROLE_HELD)
     return;
   grants_handle (self, &msg);
+  peers_step_rates (self, now);
   role_step (self, now);
 }
 
@@ -128,6 +129,7 @@
   msclock_init_boot (&self->clock);
   rng_init (&self->rng, text_hash (name_text (&settings->host)) ^ self->incarnation);
   keys_init (&self->keys, settings->bounds.hold_max_ms);
+  rate_fleet_init (&self->rates);
   discovery_init (self);
   reload_init (self);
   role_init (self);
@@ -182,6 +184,7 @@
   event_free (self->on_hup);
   mailbox_finish (&self->inbox);
   keys_finish (&self->keys);
+  rate_fleet_finish (&self->rates);
   g_array_unref (self->key_actions);
   event_base_free (self->base);
 }
--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -114,6 +114,7 @@
   bool targets_changed;
   msec_t relay_max_age; /* the oldest knowledge of the granter that this host goes by */
 
+  rate_fleet_t rates;
   keys_t keys;
   GArray *key_actions; /* keys_out_t */
   role_t role;
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -91,6 +91,9 @@
                        uint64_t before,
                        const store_reply_t *reply);
 
+/* On the granter, sends the shares of targets whose rate is limited to all hosts. */
+void peers_step_rates (coordinator_t *self, msec_t now);
+
 /* Whether this host is the granter, or received an update from it recently. */
 bool peers_granter_is_live (const coordinator_t *self);
 
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -260,6 +260,7 @@
   *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
   grants_handle (self, &msg);
+  rate_fleet_report (&self->rates, report->rates, now);
   bool wants_table = table != NULL && table->version > report->table_version
                      && (report->requests_table || report->table_version == 0
                          || now >= self->table_broadcast_at + TABLE_BROADCAST_MS);
@@ -516,6 +517,58 @@
   discovery_post (self, msg);
 }
 
+/* Takes ownership of SHARES. */
+static void
+apply_shares (coordinator_t *self, GArray *shares)
+{
+  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
+
+  msg->kind = PROXY_SHARES;
+  msg->shares = shares;
+  discovery_post (self, msg);
+}
+
+static void
+log_shares (const GArray *shares)
+{
+  double limit = 0, wanted = 0, admitted = 0;
+
+  for (guint i = 0; i < shares->len; i++)
+    {
+      const rate_share_t *share = &g_array_index (shares, rate_share_t, i);
+      limit += share->limit;
+      wanted += share->wanted;
+      admitted += share->wanted * share->share;
+    }
+  eventlog_write (EVENT_STATE,
+                  "rate",
+                  "shares",
+                  "targets=%u limit=%.1f wanted=%.1f admitted=%.1f",
+                  shares->len,
+                  limit,
+                  wanted,
+                  admitted);
+}
+
+void
+peers_step_rates (coordinator_t *self, msec_t now)
+{
+  link_shares_t shares = { g_array_new (FALSE, FALSE, sizeof (rate_share_t)) };
+  keys_msg_t limits = { .kind = KEYS_RATE_LIMITS, .shares = shares.shares };
+
+  if (!rate_fleet_plan (&self->rates, now, shares.shares))
+    {
+      g_array_unref (shares.shares);
+      return;
+    }
+  log_shares (shares.shares);
+  GByteArray *body = link_encode_shares (&shares);
+  broadcast_body (self, body);
+  g_byte_array_unref (body);
+  grants_handle (self, &limits);
+  apply_shares (self, shares.shares);
+}
+
 static void
 on_message (void *owner, text_t bytes)
 {
@@ -546,8 +599,10 @@
     handle_update (self, &msg.update);
   else if (msg.kind == LINK_ROWS)
     handle_rows (self, &msg.rows);
-  else
+  else if (msg.kind == LINK_SUSPECT)
     handle_suspect (self, &msg.suspect);
+  else if (self->role.state != ROLE_HELD)
+    apply_shares (self, g_steal_pointer (&msg.shares.shares));
   link_msg_finish (&msg);
 }
 
@@ -570,6 +625,8 @@
 
   if (self->role.state == ROLE_HELD)
     {
+      if (from->rates != NULL)
+        rate_fleet_report (&self->rates, from->rates, msclock_now (&self->clock));
       grants_handle (self, &service_times);
       grants_handle (self, &msg);
       count_hosts (self, msclock_now (&self->clock));
@@ -587,7 +644,8 @@
                            .configuration_row_version = self->configuration_row.version,
                            .targets_version = self->targets.version,
                            .requests_configuration = discovery_store_unreachable (self),
-                           .loads = from->key_loads };
+                           .loads = from->key_loads,
+                           .rates = from->rates };
   send_and_free (self, &self->granter, link_encode_report (&report));
 }
 
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -108,6 +108,7 @@
                     NAME_ARG (role->row.host));
   role->state = ROLE_NOT_HELD;
   role->lease_end = 0;
+  rate_fleet_clear (&self->rates);
   role->needs_tables = false;
   role->next_check
       = now + STORE_RETRY_MS + (msec_t)rng_below (&self->rng, STORE_RETRY_MAX_MS);
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -103,6 +103,7 @@
                          .key_actions = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
   msclock_init_settable (&host->clock, 20000);
   keys_init (&host->keys, 10000);
+  rate_fleet_init (&host->rates);
   discovery_init (host);
   discovery_start (host);
   reply (self, STORE_CONFIGURATION, STORE_DONE, 5, NULL);
@@ -119,6 +120,7 @@
   owners_finish (host);
   discovery_finish (host);
   keys_finish (&host->keys);
+  rate_fleet_finish (&host->rates);
   g_array_unref (host->key_actions);
   event_base_free (host->base);
   for (int i = 0; i < STORE_TABLES; i++)
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -244,6 +244,9 @@
  * outlast a store that is unreachable. */
 #define KEYS_FINAL_RENEWAL_MS 900
 
+/* Of a target that takes nearly no requests. */
+#define KEYS_PLANNED_TIME_MAX_MS 100000
+
 /* Rebalancing of keys by load. */
 #define KEYS_PLAN_MS 500         /* between plans */
 #define KEYS_LOAD_RETENTION 0.85 /* share of a load kept per plan: about 3 s count */
@@ -302,8 +305,8 @@
 /* Entries that expired in an outage are renewed within this time after it. */
 #define STORE_ENTRY_RENEWAL_MS 2000
 #define STORE_RECOVERY_MS 3000          /* all calls recover from an outage within this */
-#define OUTBOX_MAX 64        /* reports of requests that crash targets */
-#define OUTBOX_LOG_EVERY 100 /* of the messages that wait */
+#define OUTBOX_MAX 64                   /* reports of requests that crash targets */
+#define OUTBOX_LOG_EVERY 100            /* of the messages that wait */
 #define COORDINATOR_TICK_MS 100         /* a tenth of the shortest time that it checks */
 #define COORDINATOR_MAILBOX_MESSAGES 64 /* proxy reports: two per second and service */
 /* A release is answered when the running requests have ended. */
@@ -371,5 +374,24 @@
 /* A task that runs this much later than planned reports it. */
 #define TASK_LATE_MS 200
 
+/* Limits that targets state on the requests from all hosts. */
+#define RATE_WINDOW_MS                                                                   \
+  2000                     /* over which demand is counted: four reports of each host    \
+                            */
+#define RATE_PLAN_MS 300   /* between the granter's lists of shares */
+#define RATE_SHARE_MS 3000 /* a share is valid for: the granter may change meanwhile */
+#define RATE_STATEMENT_MS 2000 /* an own response counts more than the granter's list */
+/* A limit that nobody states any more is forgotten after the first, or, if it is so low
+ * that few responses come, after the time of RATE_KEEP_REQUESTS requests up to the
+ * second. */
+#define RATE_KEEP_MS 10000
+#define RATE_KEEP_MAX_MS 60000
+#define RATE_KEEP_REQUESTS 10
+#define RATE_BURST_MS 500 /* of the limit: what one host may send at once */
+/* Of the demand in half the window: beyond what random variation makes of it. */
+#define RATE_RISE_PERCENT 90
+/* Of the limit: the rest is for the variation of the demand. */
+#define RATE_FILL_PERCENT 95
+
 /* The settings file. */
 #define SETTINGS_CHECK_MS 2000 /* between checks for changes */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -86,6 +86,8 @@
   dispatch_target_t *to = target_at (self, target);
 
   dequeue (self, request);
+  request->admitted_to = -1;
+  request->not_admitted = 0;
   request->state = REQUEST_SENT;
   request->target = (int32_t)target;
   request->attempts++;
@@ -138,6 +140,8 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_RETRY_BUDGET, now, out);
+  else if (reason == REASON_RATE_LIMIT)
+    end (self, request, reason, now, out);
   else if (waits_owner_saturated (self, request, owner)
            || waits_cannot_finish (self, request, now))
     end (self, request, reason, now, out);
@@ -461,6 +465,9 @@
     case DISPATCH_SUSPECT:
       losses_apply_remote (self, &msg->suspect, now);
       break;
+    case DISPATCH_SHARES:
+      targets_set_shares (self, msg->shares, now);
+      break;
     case DISPATCH_CURRENCY:
       self->outdated = msg->outdated;
       process_queues (self, now, out);
@@ -506,5 +513,6 @@
   *self = (dispatch_request_t){ .timer_at = MSEC_NEVER,
                                 .target = -1,
                                 .queued_owner = -1,
+                                .admitted_to = -1,
                                 .last_failed_target = -1 };
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -2,6 +2,7 @@
 
 #include "../core/rng.h"
 #include "../directory/directory.h"
+#include "../rate/rate.h"
 #include "../suspect/suspect.h"
 #include "budget.h"
 
@@ -34,6 +35,7 @@
   DISPATCH_TIMER,       /* the request's timer expired */
   DISPATCH_BOUNDS,      /* new bounds take effect */
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
+  DISPATCH_SHARES,      /* the granter's list of limited targets */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried */
 } dispatch_msg_kind_t;
@@ -81,6 +83,9 @@
   dispatch_answer_t answer; /* DISPATCH_ANSWERED */
   unsigned status;          /* DISPATCH_ANSWERED: HTTP status */
   load_report_t load;       /* DISPATCH_ANSWERED */
+  bool rate_limited;        /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
+  double rate_limit;        /* DISPATCH_ANSWERED: requests per second, from all hosts */
+  const GArray *shares;     /* DISPATCH_SHARES: rate_share_t */
   dispatch_bounds_t bounds; /* DISPATCH_BOUNDS */
   bool sent;                /* DISPATCH_FAILED: part of the request may have been sent */
   bool connected;           /* DISPATCH_FAILED: the connection was established */
@@ -116,6 +121,7 @@
   REASON_NO_TARGET,    /* no usable target is listed or reachable */
   REASON_NO_OWNER,     /* the key has no owner at present, or the owner is unreachable */
   REASON_OVERLOAD,     /* no target has capacity in time */
+  REASON_RATE_LIMIT,   /* targets limited the requests from all hosts */
   REASON_RETRY_BUDGET, /* a retry is needed and the retry budget is spent */
   REASON_ANSWER_LOST,  /* the response was lost, invalid, overdue or a server error */
   REASON_CRASHES_TARGETS, /* the request is known to crash targets */
@@ -167,7 +173,10 @@
   bool streaming;      /* the response is being forwarded as it arrives */
   bool caller_left; /* the caller of a sent mutating request left; the attempt goes on */
   int32_t target;   /* of the last attempt, or -1 */
-  int32_t queued_owner;       /* key owner whose capacity it waits for, or -1 */
+  int32_t queued_owner; /* key owner whose capacity it waits for, or -1 */
+  int32_t admitted_to;  /* target whose rate limit admitted the next attempt, or -1 */
+  /* Bits of the targets, by index modulo 64, whose rate limits didn't admit it. */
+  uint64_t not_admitted;
   int32_t last_failed_target; /* selected again only at a penalty; or -1 */
   msec_t sent_at;
   uint32_t load_at_send;    /* requests at the target at that time, including this one */
@@ -205,7 +214,8 @@
   bool saturated; /* the last of these requests to leave the queue was not sent in time */
   dispatch_loss_t losses[DISPATCH_LOSS_HISTORY]; /* ring buffer of the most recent ones */
   uint32_t next_loss;
-  msec_t leaving_at;    /* when this host first saw it leaving; MSEC_NEVER: not leaving */
+  msec_t leaving_at; /* when this host first saw it leaving; MSEC_NEVER: not leaving */
+  rate_limit_t rate;
   msec_t leaving_since; /* the earliest time at which it can have begun to leave */
 } dispatch_target_t;
 
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -112,6 +112,8 @@
     }
   if (msg->answer == ANSWER_WRONG_TARGET)
     self->address_reused = true;
+  if (msg->answer != ANSWER_WRONG_TARGET)
+    rate_limit_state (&self->rate, msg->rate_limited, msg->rate_limit, now);
   update_average (&self->errors_permille,
                   (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
 }
@@ -176,6 +178,7 @@
                                  .reported_at = now - DISPATCH_LOAD_REPORT_MAX_AGE_MS,
                                  .warm_up_end = now + entry->warm_up_left,
                                  .leaving_at = MSEC_NEVER };
+  rate_limit_init (&target->rate, (double)rng_below (&self->rng, 1000) / 1000);
   return target;
 }
 
@@ -279,6 +282,59 @@
          && !target->address_reused;
 }
 
+void
+targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now)
+{
+  GHashTable *by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = 0; i < shares->len; i++)
+    {
+      const rate_share_t *share = &g_array_index (shares, rate_share_t, i);
+      g_hash_table_insert (by_id,
+                           text_dup_c (name_text (&share->target)),
+                           (gpointer)share);
+    }
+  for (guint i = 0; i < self->targets->len; i++)
+    {
+      dispatch_target_t *target = at (self, i);
+      char *id = text_dup_c (name_text (&target->entry.id));
+      if (target->in_use)
+        rate_limit_set_share (&target->rate, g_hash_table_lookup (by_id, id), now);
+      g_free (id);
+    }
+  g_hash_table_unref (by_id);
+}
+
+void
+targets_report_rates (dispatch_t *self, msec_t now, GArray *reports)
+{
+  for (guint i = 0; i < self->targets->len; i++)
+    {
+      dispatch_target_t *target = at (self, i);
+      rate_report_t report = { .target = target->entry.id };
+      if (target->in_use && rate_limit_report (&target->rate, now, &report))
+        g_array_append_val (reports, report);
+    }
+}
+
+/* Whether the rate limit of target I admits the request.  It is asked once per attempt.
+ */
+static bool
+is_admitted (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
+{
+  if (request->admitted_to == (int32_t)i)
+    return true;
+  if ((request->not_admitted & 1ull << i % 64) != 0)
+    return false;
+  if (rate_limit_admit (&at (self, i)->rate, self->bounds.hosts, now))
+    {
+      request->admitted_to = at (self, i)->rate.limited ? (int32_t)i : -1;
+      return true;
+    }
+  request->not_admitted |= 1ull << i % 64;
+  return false;
+}
+
 /* Whether this host is below its share of the connections that TARGET accepts from all
  * hosts. */
 static bool
@@ -324,11 +380,13 @@
   return expected;
 }
 
-int
-targets_select (dispatch_t *self,
-                const dispatch_request_t *request,
-                msec_t now,
-                dispatch_reason_t *reason)
+/* The target with the lowest cost of those whose rate limits have not rejected REQUEST.
+ */
+static int
+select_cheapest (dispatch_t *self,
+                 const dispatch_request_t *request,
+                 msec_t now,
+                 dispatch_reason_t *reason)
 {
   int best = -1;
   msec_t best_cost = MSEC_NEVER;
@@ -340,9 +398,11 @@
       const dispatch_target_t *target = at (self, i);
       if (!is_available (target) || target->service != request->service)
         continue;
-      if (*reason == REASON_NO_TARGET)
-        *reason = REASON_OVERLOAD;
-      if (!has_connection_quota (self, target)
+      bool rejected
+          = target->rate.limited && (request->not_admitted & 1ull << i % 64) != 0;
+      if (*reason == REASON_NO_TARGET || !rejected)
+        *reason = rejected ? REASON_RATE_LIMIT : REASON_OVERLOAD;
+      if (rejected || !has_connection_quota (self, target)
           || !target_has_capacity (target, request->objective, now))
         continue;
       msec_t cost = selection_cost (self, target, request, now);
@@ -358,6 +418,19 @@
   return best;
 }
 
+int
+targets_select (dispatch_t *self,
+                dispatch_request_t *request,
+                msec_t now,
+                dispatch_reason_t *reason)
+{
+  int best = select_cheapest (self, request, now, reason);
+
+  while (best >= 0 && !is_admitted (self, request, (guint)best, now))
+    best = select_cheapest (self, request, now, reason);
+  return best;
+}
+
 static guint
 range_index (const dispatch_service_t *service, const key_range_t *range)
 {
@@ -411,6 +484,9 @@
   const dispatch_target_t *target = at (self, (uint32_t)i);
   if (now < target->backoff_until || has_left (self, target, now))
     return -1;
+  *reason = REASON_RATE_LIMIT;
+  if (!is_admitted (self, request, (guint)i, now))
+    return -1;
   *reason = REASON_OVERLOAD;
   *owner = i;
   return has_connection_quota (self, target)
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -34,12 +34,20 @@
  * OUT, and reports of requests lost there unless the target was leaving. */
 void targets_update (dispatch_t *self, const GArray *entries, msec_t now, GArray *out);
 
+/* SHARES (rate_share_t) lists all targets whose rate is limited, as the granter knows. */
+void targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now);
+
+/* Appends what is to be reported of targets with rate limits (rate_report_t) to REPORTS.
+ */
+void targets_report_rates (dispatch_t *self, msec_t now, GArray *reports);
+
 /*
  * The best target for REQUEST, of a service without key owners, or -1.  *REASON then
- * says whether there is no usable target or only none with capacity.
+ * says whether there is no usable target, none with capacity, or only such whose rate
+ * limits don't admit the request.
  */
 int targets_select (dispatch_t *self,
-                    const dispatch_request_t *request,
+                    dispatch_request_t *request,
                     msec_t now,
                     dispatch_reason_t *reason);
 
@@ -50,8 +58,9 @@
 
 /*
  * The owner of the request's key if it can take the request now, or -1.  If it only lacks
- * capacity, *REASON is REASON_OVERLOAD.  *OWNER is the owner if it is usable, with or
- * without capacity, else -1.  Notes the key table's version in REQUEST.
+ * capacity, *REASON is REASON_OVERLOAD, if its rate is limited, REASON_RATE_LIMIT. *OWNER
+ * is the owner if it is usable, with or without capacity, else -1.  Notes the key table's
+ * version in REQUEST.
  */
 int targets_find_owner (dispatch_t *self,
                         dispatch_request_t *request,
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -460,6 +460,57 @@
   end (&fixture);
 }
 
+/* The granter's list has only TARGET, which takes nothing for now; empty: no target. */
+static void
+limit_target (fixture_t *self, text_t target)
+{
+  GArray *shares = g_array_new (FALSE, TRUE, sizeof (rate_share_t));
+  const dispatch_msg_t msg = { .kind = DISPATCH_SHARES, .shares = shares };
+  rate_share_t share = { .limit = 5 };
+
+  name_set (&share.target, target);
+  if (target.len > 0)
+    g_array_append_val (shares, share);
+  handle_msg (self, &msg);
+  g_array_unref (shares);
+}
+
+static void
+test_request_beyond_the_owners_rate_limit_is_rejected_at_once (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t first, second;
+
+  (void)state;
+  begin (&fixture);
+  fixture.dispatch.bounds.hosts = 8;
+  limit_target (&fixture, TEXT ("k1"));
+  arrive (&fixture, &first, TEXT ("/keyed/"));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_RATE_LIMIT);
+  limit_target (&fixture, TEXT_NONE);
+  arrive (&fixture, &second, TEXT ("/keyed/"));
+  assert_non_null (find_out (&fixture, DISPATCH_SEND));
+  end (&fixture);
+}
+
+static void
+test_request_beyond_a_rate_limit_goes_to_another_target (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t requests[8];
+
+  (void)state;
+  begin (&fixture);
+  fixture.dispatch.bounds.hosts = 8;
+  limit_target (&fixture, TEXT ("p1"));
+  for (size_t i = 0; i < 3; i++)
+    {
+      arrive (&fixture, &requests[i], TEXT ("/read/"));
+      assert_true (text_equal (sent_to (&fixture), TEXT ("p2")));
+    }
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -485,6 +536,8 @@
     cmocka_unit_test (test_lost_responses_do_not_block_requests),
     cmocka_unit_test (test_losses_reported_by_other_hosts_block_request),
     cmocka_unit_test (test_host_with_an_outdated_copy_rejects_requests_as_not_run),
+    cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
+    cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
   };
 
   return cmocka_run_group_tests_name ("dispatch", tests, NULL, NULL);
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -146,27 +146,62 @@
   return service_ms;
 }
 
+/* Targets with rate limits by id, as pointers to rate_share_t. */
+static GHashTable *
+index_rate_limits (const keys_t *keys)
+{
+  GHashTable *index = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = 0; i < keys->rate_limits->len; i++)
+    {
+      const rate_share_t *share = &g_array_index (keys->rate_limits, rate_share_t, i);
+      g_hash_table_insert (index,
+                           text_dup_c (name_text (&share->target)),
+                           (gpointer)share);
+    }
+  return index;
+}
+
+/* The time per request in ms, as measured, or longer if the target's rate is limited: the
+ * one at which the limit would fill its slots.  0: unknown. */
+static uint32_t
+planned_time_ms (const key_service_t *self,
+                 const target_entry_t *target,
+                 GHashTable *rate_limits)
+{
+  uint32_t measured = service_time_ms (self, &target->id);
+  char *id = text_dup_c (name_text (&target->id));
+  const rate_share_t *share = g_hash_table_lookup (rate_limits, id);
+
+  g_free (id);
+  if (share == NULL)
+    return measured;
+  double limited = MAX (target->slots, 1) * 1000 / MAX (share->limit, 0.001);
+  return MAX (measured, (uint32_t)MIN (limited, KEYS_PLANNED_TIME_MAX_MS));
+}
+
 /* Sets each target's cost in units of the mean; an unknown one counts as the mean. */
 static void
-set_relative_costs (const key_service_t *self, GArray *candidates)
+set_relative_costs (const keys_t *keys, const key_service_t *self, GArray *candidates)
 {
+  GHashTable *rate_limits = index_rate_limits (keys);
+  uint32_t *times = g_new (uint32_t, candidates->len);
   double sum = 0;
   guint known = 0;
 
   for (guint i = 0; i < candidates->len; i++)
     {
-      uint32_t service_ms
-          = service_time_ms (self,
-                             &g_array_index (candidates, key_candidate_t, i).target->id);
-      sum += service_ms;
-      known += service_ms > 0 ? 1 : 0;
+      const target_entry_t *target
+          = g_array_index (candidates, key_candidate_t, i).target;
+      times[i] = planned_time_ms (self, target, rate_limits);
+      sum += times[i];
+      known += times[i] > 0 ? 1 : 0;
     }
   for (guint i = 0; i < candidates->len; i++)
-    {
-      key_candidate_t *candidate = &g_array_index (candidates, key_candidate_t, i);
-      uint32_t service_ms = service_time_ms (self, &candidate->target->id);
-      candidate->cost = service_ms > 0 ? service_ms * known / sum : 1;
-    }
+    g_array_index (candidates, key_candidate_t, i).cost
+        = times[i] > 0 ? times[i] * known / sum : 1;
+  g_free (times);
+  g_hash_table_unref (rate_limits);
 }
 
 static GArray *
@@ -199,7 +234,7 @@
       candidate->keys += range->last - range->first + 1;
     }
   g_free (candidate_of_target);
-  set_relative_costs (self, candidates);
+  set_relative_costs (keys, self, candidates);
   return candidates;
 }
 
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -329,6 +329,8 @@
         service_at (self, i)->table_loaded = false;
         service_at (self, i)->commit_pending = false;
       }
+  if (until == 0)
+    g_array_set_size (self->rate_limits, 0);
   self->role_until = until;
 }
 
@@ -375,6 +377,10 @@
       if (service != NULL)
         update_service_times (service, msg->service_times);
       break;
+    case KEYS_RATE_LIMITS:
+      g_array_set_size (self->rate_limits, 0);
+      g_array_append_vals (self->rate_limits, msg->shares->data, msg->shares->len);
+      break;
     case KEYS_RESIGN:
       self->resigning = true;
       break;
@@ -383,7 +389,7 @@
     }
   /* These messages are frequent, and the next tick acts on them early enough. */
   if (msg->kind != KEYS_LOADS && msg->kind != KEYS_SERVICE_TIMES
-      && msg->kind != KEYS_GRANTED)
+      && msg->kind != KEYS_RATE_LIMITS && msg->kind != KEYS_GRANTED)
     step (self, now, out);
 }
 
@@ -403,6 +409,7 @@
   *self = (keys_t){ .hold_max = hold_max,
                     .next_fence = 1,
                     .services = g_ptr_array_new_with_free_func (free_service),
+                    .rate_limits = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
                     .targets = g_array_new (FALSE, TRUE, sizeof (target_entry_t)) };
 }
 
@@ -411,6 +418,7 @@
 {
   g_ptr_array_unref (self->services);
   g_array_unref (self->targets);
+  g_array_unref (self->rate_limits);
 }
 
 void
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -35,6 +35,7 @@
   KEYS_CALL_FAILED,     /* a grant or release got no answer */
   KEYS_LOADS,           /* requests by key bucket, as counted by one host */
   KEYS_SERVICE_TIMES,   /* time per request of the targets, as measured by this host */
+  KEYS_RATE_LIMITS,     /* all targets whose rate is limited */
   KEYS_RESIGN,          /* the host is about to stop */
   KEYS_TICK,
 } keys_msg_kind_t;
@@ -57,6 +58,7 @@
   name_t handover;          /* RELEASED */
   const GArray *loads;      /* LOADS: key_load_t, of one host since its last report */
   const GArray *service_times; /* SERVICE_TIMES: target_service_time_t */
+  const GArray *shares;        /* RATE_LIMITS: rate_share_t */
 } keys_msg_t;
 
 typedef enum
@@ -140,6 +142,7 @@
   uint64_t next_fence;
   GPtrArray *services; /* key_service_t */
   GArray *targets;     /* target_entry_t */
+  GArray *rate_limits; /* rate_share_t: the targets whose rate is limited */
 } keys_t;
 
 /* HOLD_MAX: longest duration of a grant. */
--- a/packages/keys/tests/test_key_moves.c
+++ b/packages/keys/tests/test_key_moves.c
@@ -226,6 +226,47 @@
   end (&fixture);
 }
 
+/* Four targets of which two take 15 requests per second each, of 100 in all. */
+static void
+test_keys_leave_targets_that_limit_their_rate (void **state)
+{
+  fixture_t fixture;
+  GArray *service_times = g_array_new (FALSE, TRUE, sizeof (target_service_time_t));
+  GArray *loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
+  GArray *shares = g_array_new (FALSE, TRUE, sizeof (rate_share_t));
+
+  (void)state;
+  begin (&fixture, 4);
+  assign_all_keys (&fixture);
+  for (guint i = 0; i < 4; i++)
+    {
+      const name_t id = target (&fixture, i)->id;
+      g_array_append_val (service_times, ((target_service_time_t){ id, 50 }));
+      if (i < 2)
+        g_array_append_val (shares, ((rate_share_t){ .target = id, .limit = 15 }));
+    }
+  handle_msg (&fixture,
+              (keys_msg_t){ .kind = KEYS_SERVICE_TIMES, .service_times = service_times });
+  for (uint32_t key = 0; key < KEY_BUCKETS; key += KEY_BUCKETS / 50)
+    g_array_append_val (loads, ((key_load_t){ (uint16_t)key, 1 }));
+  for (msec_t until = fixture.now + 10000; fixture.now < until; fixture.now += 50)
+    {
+      renew_role (&fixture);
+      complete_all (&fixture);
+      if ((until - fixture.now) % KEYS_PLAN_MS != 0)
+        continue;
+      handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_RATE_LIMITS, .shares = shares });
+      handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_LOADS, .loads = loads });
+      complete_all (&fixture);
+    }
+  for (guint i = 0; i < 2; i++)
+    assert_true (load_share_of (&fixture, &target (&fixture, i)->id, loads) <= 0.15);
+  g_array_unref (service_times);
+  g_array_unref (loads);
+  g_array_unref (shares);
+  end (&fixture);
+}
+
 /* Guards against releasing ranges while the store refuses commits: nobody can own them
  * until it accepts one. */
 static void
@@ -382,6 +423,7 @@
     cmocka_unit_test (test_hot_keys_reach_many_targets_at_once),
     cmocka_unit_test (test_random_variation_causes_few_moves),
     cmocka_unit_test (test_the_hottest_key_goes_to_a_fast_target),
+    cmocka_unit_test (test_keys_leave_targets_that_limit_their_rate),
     cmocka_unit_test (test_no_rebalancing_while_the_store_is_unreachable),
     cmocka_unit_test (test_a_rejected_commit_returns_released_keys),
     cmocka_unit_test (test_rows_round_trip),
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -14,6 +14,12 @@
 #define RANGES_MAX 8192
 #define ROWS_MAX 8192
 #define FORWARD_MAX 1024
+#define RATES_MAX 8192
+
+/* Limits and shares are sent in thousandths, limits up to a million. */
+#define THOUSANDTHS 1000
+#define LIMIT_MAX (1000 * 1000)
+#define AGE_MAX (1000 * 1000)
 
 /* First bytes of the MessagePack types that messages use. */
 #define LEAD_FIXINT_MAX 0x7f
@@ -48,6 +54,30 @@
   return bytes;
 }
 
+static void
+pack_thousandths (msgpack_packer *packer, double value, double max)
+{
+  msgpack_pack_uint64 (packer, (uint64_t)(CLAMP (value, 0, max) * THOUSANDTHS + 0.5));
+}
+
+static void
+pack_rates (msgpack_packer *packer, const GArray *rates)
+{
+  guint n = rates != NULL ? MIN (rates->len, RATES_MAX) : 0;
+
+  msgpack_pack_uint32 (packer, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const rate_report_t *rate = &g_array_index (rates, rate_report_t, i);
+      pack_name (packer, &rate->target);
+      msgpack_pack_uint8 (packer, rate->stated);
+      msgpack_pack_uint8 (packer, rate->limited);
+      pack_thousandths (packer, rate->limit, LIMIT_MAX);
+      msgpack_pack_uint64 (packer, (uint64_t)CLAMP (rate->age, 0, AGE_MAX));
+      msgpack_pack_uint32 (packer, rate->wanted);
+    }
+}
+
 GByteArray *
 link_encode_report (const link_report_t *report)
 {
@@ -72,6 +102,25 @@
       msgpack_pack_uint32 (&packer, load->bucket);
       msgpack_pack_uint32 (&packer, load->count);
     }
+  pack_rates (&packer, report->rates);
+  return bytes;
+}
+
+GByteArray *
+link_encode_shares (const link_shares_t *shares)
+{
+  msgpack_packer packer;
+  GByteArray *bytes = start_body (&packer, LINK_SHARES);
+  guint n = MIN (shares->shares->len, RATES_MAX);
+
+  msgpack_pack_uint32 (&packer, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const rate_share_t *share = &g_array_index (shares->shares, rate_share_t, i);
+      pack_name (&packer, &share->target);
+      pack_thousandths (&packer, share->limit, LIMIT_MAX);
+      pack_thousandths (&packer, share->share, 1);
+    }
   return bytes;
 }
 
@@ -229,6 +278,43 @@
              && name_set (name, (text_t){ value->via.str.ptr, value->via.str.size });
 }
 
+static double
+read_thousandths (reader_t *self, double max)
+{
+  return (double)read_uint (self, (uint64_t)(max * THOUSANDTHS)) / THOUSANDTHS;
+}
+
+static void
+read_rates (reader_t *self, link_report_t *report)
+{
+  report->rates = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+  for (uint64_t n = read_uint (self, RATES_MAX); n > 0 && self->ok; n--)
+    {
+      rate_report_t rate = { 0 };
+      read_name (self, &rate.target);
+      rate.stated = read_uint (self, 1) == 1;
+      rate.limited = read_uint (self, 1) == 1;
+      rate.limit = read_thousandths (self, LIMIT_MAX);
+      rate.age = (msec_t)read_uint (self, AGE_MAX);
+      rate.wanted = (uint32_t)read_uint (self, UINT32_MAX);
+      g_array_append_val (report->rates, rate);
+    }
+}
+
+static void
+read_shares (reader_t *self, link_shares_t *shares)
+{
+  shares->shares = g_array_new (FALSE, FALSE, sizeof (rate_share_t));
+  for (uint64_t n = read_uint (self, RATES_MAX); n > 0 && self->ok; n--)
+    {
+      rate_share_t share = { 0 };
+      read_name (self, &share.target);
+      share.limit = read_thousandths (self, LIMIT_MAX);
+      share.share = read_thousandths (self, 1);
+      g_array_append_val (shares->shares, share);
+    }
+}
+
 static void
 read_report (reader_t *self, link_report_t *report)
 {
@@ -251,6 +337,7 @@
       load.count = (uint32_t)read_uint (self, UINT32_MAX);
       g_array_append_val (report->loads, load);
     }
+  read_rates (self, report);
 }
 
 static void
@@ -361,15 +448,17 @@
   *msg = (link_msg_t){ 0 };
   msgpack_unpacked_init (&reader.value);
   read_envelope (&reader, msg);
-  msg->kind = (link_kind_t)read_uint (&reader, LINK_SUSPECT);
+  msg->kind = (link_kind_t)read_uint (&reader, LINK_SHARES);
   if (msg->kind == LINK_REPORT)
     read_report (&reader, &msg->report);
   else if (msg->kind == LINK_UPDATE)
     read_update (&reader, &msg->update);
   else if (msg->kind == LINK_ROWS)
     read_rows (&reader, &msg->rows);
-  else
+  else if (msg->kind == LINK_SUSPECT)
     read_suspect (&reader, &msg->suspect);
+  else
+    read_shares (&reader, &msg->shares);
   msgpack_unpacked_destroy (&reader.value);
   if (reader.ok && reader.at == bytes.len)
     return STATUS_OK;
@@ -387,6 +476,10 @@
     g_array_unref (self->forward_to);
   if (self->report.loads != NULL)
     g_array_unref (self->report.loads);
+  if (self->report.rates != NULL)
+    g_array_unref (self->report.rates);
+  if (self->shares.shares != NULL)
+    g_array_unref (self->shares.shares);
   if (self->rows.rows != NULL)
     g_array_unref (self->rows.rows);
   if (self->update.table.ranges != NULL)
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -2,6 +2,7 @@
 
 #include "../core/fault.h"
 #include "../directory/directory.h"
+#include "../rate/rate.h"
 
 /*
  * LINK_CODEC: encoding of the messages between coordinators, in MessagePack.
@@ -27,8 +28,15 @@
   bool requests_table;      /* it missed changes of the key table, and needs all of it */
   bool requests_configuration; /* it gets no response from the store, and needs the row */
   GArray *loads;               /* key_load_t */
+  GArray *rates;               /* rate_report_t */
 } link_report_t;
 
+/* The granter's list of all targets whose rate is limited. */
+typedef struct
+{
+  GArray *shares; /* rate_share_t */
+} link_shares_t;
+
 /* What the granter knows of a store table. */
 typedef struct
 {
@@ -87,6 +95,7 @@
   LINK_UPDATE,
   LINK_ROWS,
   LINK_SUSPECT,
+  LINK_SHARES,
 } link_kind_t;
 
 typedef struct
@@ -98,6 +107,7 @@
   link_update_t update;
   link_rows_t rows;
   link_suspect_t suspect;
+  link_shares_t shares;
 } link_msg_t;
 
 /* These return a body, which the caller frees. */
@@ -105,6 +115,7 @@
 GByteArray *link_encode_update (const link_update_t *update);
 GByteArray *link_encode_rows (const link_rows_t *rows);
 GByteArray *link_encode_suspect (const link_suspect_t *suspect);
+GByteArray *link_encode_shares (const link_shares_t *shares);
 
 /* Returns a message with BODY, for its receiver to forward to N addresses. */
 GByteArray *link_encode_message (text_t body, const name_t *forward_to, guint n);
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -21,6 +21,11 @@
   name_set (&report.address, TEXT ("10.0.0.1:70"));
   name_set (&report.service, TEXT ("s"));
   report.loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
+  report.rates = g_array_new (FALSE, TRUE, sizeof (rate_report_t));
+  rate_report_t rate
+      = { .stated = true, .limited = true, .limit = 7.25, .age = 40, .wanted = 9 };
+  name_set (&rate.target, TEXT ("t"));
+  g_array_append_val (report.rates, rate);
   g_array_append_vals (report.loads, loads, G_N_ELEMENTS (loads));
   return report;
 }
@@ -84,6 +89,9 @@
       assert_int_equal (received->count, sent->count);
     }
   assert_int_equal (msg.report.sent_at, 4400);
+  assert_memory_equal (msg.report.rates->data,
+                       report.rates->data,
+                       sizeof (rate_report_t));
   assert_int_equal (msg.report.table_version, 9);
   assert_int_equal (msg.report.targets_version, 12);
   assert_int_equal (msg.report.link_mbps, 200);
@@ -94,6 +102,29 @@
     assert_int_equal (decode (&msg, bytes, len), STATUS_DECODE);
   g_byte_array_unref (bytes);
   g_array_unref (report.loads);
+  g_array_unref (report.rates);
+}
+
+static void
+test_shares_round_trip (void **state)
+{
+  rate_share_t share = { .limit = 7.25, .share = 0.125 };
+  link_shares_t shares = { g_array_new (FALSE, TRUE, sizeof (rate_share_t)) };
+  link_msg_t msg;
+
+  (void)state;
+  name_set (&share.target, TEXT ("t"));
+  g_array_append_val (shares.shares, share);
+  GByteArray *bytes = wrap_body (link_encode_shares (&shares));
+  assert_int_equal (decode (&msg, bytes, bytes->len), STATUS_OK);
+  assert_int_equal (msg.kind, LINK_SHARES);
+  assert_int_equal (msg.shares.shares->len, 1);
+  assert_memory_equal (msg.shares.shares->data, &share, sizeof share);
+  link_msg_finish (&msg);
+  for (size_t len = 0; len < bytes->len; len++)
+    assert_int_equal (decode (&msg, bytes, len), STATUS_DECODE);
+  g_byte_array_unref (bytes);
+  g_array_unref (shares.shares);
 }
 
 static void
@@ -267,6 +298,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_report_round_trip),
+    cmocka_unit_test (test_shares_round_trip),
     cmocka_unit_test (test_update_round_trip),
     cmocka_unit_test (test_forwarded_body_is_unchanged),
     cmocka_unit_test (test_rows_round_trip),
--- a/packages/proxy/dialect.h
+++ b/packages/proxy/dialect.h
@@ -25,6 +25,8 @@
   bool not_run;         /* the target reports that it did not run the request */
   bool content_encoded; /* the body has a Content-Encoding other than identity */
   load_report_t load;
+  bool rate_limited;   /* the target states RATE_LIMIT */
+  double rate_limit;   /* requests per second that it takes from all hosts */
   msec_t idle_timeout; /* the target's idle timeout in milliseconds; -1: none given */
 } response_facts_t;
 
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -222,6 +222,8 @@
     }
   if (msg->targets != NULL)
     g_array_unref (msg->targets);
+  if (msg->shares != NULL)
+    g_array_unref (msg->shares);
   if (msg->key_table.ranges != NULL)
     key_table_finish (&msg->key_table);
   g_free (msg);
@@ -290,6 +292,11 @@
       self->bounds = msg->bounds;
       update_bounds (self);
       break;
+    case PROXY_SHARES:
+      dispatch_msg.kind = DISPATCH_SHARES;
+      dispatch_msg.shares = msg->shares;
+      proxy_dispatch (self, &dispatch_msg);
+      break;
     case PROXY_CURRENCY:
       dispatch_msg.kind = DISPATCH_CURRENCY;
       dispatch_msg.outdated = msg->outdated;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -25,6 +25,7 @@
   PROXY_KEY_TABLE,  /* the key owners of one service; takes ownership of KEY_TABLE */
   PROXY_HOST_COUNT, /* HOST_COUNT hosts share the retry budget */
   PROXY_BOUNDS,     /* new BOUNDS take effect */
+  PROXY_SHARES,     /* targets whose rate is limited; takes ownership of SHARES */
   PROXY_CURRENCY,   /* OUTDATED: requests are rejected until further notice */
   PROXY_SUSPECT,    /* another host reports or clears a suspect request */
   PROXY_DRAIN,      /* shut down gracefully, within the grace period */
@@ -38,6 +39,7 @@
   key_table_t key_table;
   uint32_t host_count;
   router_bounds_t bounds;
+  GArray *shares; /* rate_share_t */
   bool outdated;
   suspect_out_t suspect;
   msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
@@ -82,6 +84,7 @@
   name_t service;
   GArray *key_loads;     /* key_load_t since the last report; owned by the report */
   GArray *service_times; /* target_service_time_t; owned by the report */
+  GArray *rates;         /* rate_report_t; owned by the report; NULL: none */
 } proxy_report_t;
 
 typedef struct caller caller_t;
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "../core/eventlog.h"
+#include "../dispatch/targets.h"
 
 /* The counters of the request's service.  Entry 0 is for requests without a route, and
  * services beyond the table share its last entry. */
@@ -63,6 +64,16 @@
   return service_times;
 }
 
+/* Of the targets of all services. */
+static GArray *
+take_rates (proxy_t *self)
+{
+  GArray *rates = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+
+  targets_report_rates (&self->dispatch, msclock_now (&self->clock), rates);
+  return rates;
+}
+
 void
 proxy_report_free (void *item)
 {
@@ -72,6 +83,8 @@
     g_array_unref (report->key_loads);
   if (report->service_times != NULL)
     g_array_unref (report->service_times);
+  if (report->rates != NULL)
+    g_array_unref (report->rates);
   g_free (report);
 }
 
@@ -117,6 +130,8 @@
       report->service = service->name;
       report->key_loads = take_key_loads (service);
       report->service_times = list_service_times (self, i);
+      if (!posted)
+        report->rates = take_rates (self);
       post_report (self, report);
       posted = true;
     }
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -248,7 +248,9 @@
                          .request = &exchange->request,
                          .answer = response_classify (self),
                          .status = self->status,
-                         .load = self->facts.load };
+                         .load = self->facts.load,
+                         .rate_limited = self->facts.rate_limited,
+                         .rate_limit = self->facts.rate_limit };
 
   if (self->facts.content_encoded)
     {
--- /dev/null
+++ b/packages/rate/tests/test_rate.c
@@ -0,0 +1,366 @@
+#include "../rate.h"
+#include "../../core/limits.h"
+#include "../../core/rng.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+#include <math.h>
+
+#define START 100000
+
+/* Asks every STEP ms from FROM to TO.  Returns how many requests were admitted. */
+static unsigned
+admitted (rate_limit_t *limit, uint32_t hosts, msec_t from, msec_t to, msec_t step)
+{
+  unsigned n = 0;
+
+  for (msec_t now = from; now < to; now += step)
+    n += rate_limit_admit (limit, hosts, now);
+  return n;
+}
+
+static void
+test_target_without_a_limit_admits_everything (void **state)
+{
+  rate_limit_t limit;
+  rate_report_t report;
+
+  (void)state;
+  rate_limit_init (&limit, 0);
+  assert_int_equal (admitted (&limit, 8, START, START + 1000, 1), 1000);
+  rate_limit_state (&limit, false, 0, START);
+  assert_false (rate_limit_report (&limit, START, &report));
+}
+
+static void
+test_host_without_a_share_takes_an_equal_part (void **state)
+{
+  rate_limit_t limit;
+
+  (void)state;
+  rate_limit_init (&limit, 0);
+  for (msec_t now = START; now < START + 20000; now += 1000)
+    {
+      rate_limit_state (&limit, true, 40, now);
+      unsigned n = admitted (&limit, 8, now, now + 1000, 10);
+      if (now >= START + RATE_WINDOW_MS)
+        assert_in_range (n, 4, 6);
+    }
+}
+
+static void
+test_limit_ends_when_the_target_no_longer_states_it (void **state)
+{
+  const rate_share_t share = { .limit = 5, .share = 0.1 };
+  rate_limit_t limit;
+  rate_report_t report;
+
+  (void)state;
+  rate_limit_init (&limit, 0);
+  rate_limit_state (&limit, true, 5, START);
+  rate_limit_set_share (&limit, &share, START + 100);
+  assert_in_range (admitted (&limit, 8, START + 100, START + 1100, 10), 4, 8);
+  rate_limit_state (&limit, false, 0, START + 1200);
+  rate_limit_set_share (&limit, &share, START + 1300); /* sent before that was known */
+  assert_int_equal (admitted (&limit, 8, START + 1300, START + 1400, 1), 100);
+  assert_true (rate_limit_report (&limit, START + 1400, &report));
+  assert_true (report.stated && !report.limited);
+}
+
+/* The limit is known from other hosts alone. */
+static void
+test_limit_ends_when_the_list_no_longer_has_it (void **state)
+{
+  const rate_share_t share = { .limit = 5, .share = 0.1 };
+  rate_limit_t limit;
+
+  (void)state;
+  rate_limit_init (&limit, 0);
+  rate_limit_set_share (&limit, &share, START);
+  assert_true (admitted (&limit, 8, START, START + 100, 1) < 15);
+  rate_limit_set_share (&limit, NULL, START + 500);
+  assert_int_equal (admitted (&limit, 8, START + 500, START + 600, 1), 100);
+  rate_limit_set_share (&limit, &share, START + 1000);
+  admitted (&limit, 8, START + 1000, START + 1010, 1);
+  assert_int_equal (
+      admitted (&limit, 8, START + 1000 + RATE_KEEP_MS, START + 1100 + RATE_KEEP_MS, 1),
+      100);
+}
+
+/* A whole fleet: hosts with unequal load that come and go, and a granter that changes. */
+
+#define HOSTS_MAX 90
+#define DELAY_MS 100 /* of messages and responses */
+
+typedef struct
+{
+  rate_limit_t limit;
+  bool up;
+  msec_t told_at; /* of its first response that stated the limit; MSEC_NEVER */
+  double weight;
+} sim_host_t;
+
+typedef struct
+{
+  sim_host_t hosts[HOSTS_MAX];
+  guint n;
+  double limit;
+  rate_fleet_t fleet;
+  GArray *list; /* rate_share_t: on its way, arrives at list_at */
+  msec_t list_at;
+  rng_t rng;
+  GArray *arrivals; /* msec_t: at the target */
+  GArray *counted;  /* of these, the ones from hosts that it had told before */
+} sim_t;
+
+static double
+draw (sim_t *self)
+{
+  return (double)rng_below (&self->rng, 1000000) / 1000000;
+}
+
+static double
+total_weight (const sim_t *self)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < self->n; i++)
+    sum += self->hosts[i].up ? self->hosts[i].weight : 0;
+  return sum;
+}
+
+static void
+start_host (sim_t *self, guint i)
+{
+  self->hosts[i].up = true;
+  self->hosts[i].told_at = MSEC_NEVER;
+  rate_limit_init (&self->hosts[i].limit, draw (self));
+}
+
+static void
+sim_begin (sim_t *self, guint n, double limit, uint64_t seed)
+{
+  *self = (sim_t){ .n = n,
+                   .limit = limit,
+                   .list = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
+                   .list_at = MSEC_NEVER,
+                   .arrivals = g_array_new (FALSE, FALSE, sizeof (msec_t)),
+                   .counted = g_array_new (FALSE, FALSE, sizeof (msec_t)) };
+  rng_init (&self->rng, seed);
+  rate_fleet_init (&self->fleet);
+  for (guint i = 0; i < n; i++)
+    {
+      start_host (self, i);
+      self->hosts[i].weight = 0.2 + 2 * draw (self) * draw (self);
+    }
+}
+
+static void
+sim_end (sim_t *self)
+{
+  rate_fleet_finish (&self->fleet);
+  g_array_unref (self->list);
+  g_array_unref (self->arrivals);
+  g_array_unref (self->counted);
+}
+
+static void
+host_report (sim_t *self, sim_host_t *host, msec_t now)
+{
+  GArray *reports = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+  rate_report_t report = { 0 };
+
+  name_set (&report.target, TEXT ("t"));
+  if (rate_limit_report (&host->limit, now - DELAY_MS, &report))
+    g_array_append_val (reports, report);
+  rate_fleet_report (&self->fleet, reports, now);
+  g_array_unref (reports);
+}
+
+static void
+receive_list (sim_t *self, msec_t now)
+{
+  if (now < self->list_at)
+    return;
+  self->list_at = MSEC_NEVER;
+  for (guint i = 0; i < self->n; i++)
+    rate_limit_set_share (
+        &self->hosts[i].limit,
+        self->list->len > 0 ? &g_array_index (self->list, rate_share_t, 0) : NULL,
+        now);
+}
+
+/* One millisecond in which callers make WANTED requests per second for the target. */
+static void
+sim_step (sim_t *self, double wanted, bool states_limit, msec_t now)
+{
+  double total = total_weight (self);
+
+  for (guint i = 0; i < self->n; i++)
+    {
+      sim_host_t *host = &self->hosts[i];
+      if (!host->up)
+        continue;
+      if (draw (self) < wanted / 1000 * host->weight / total
+          && rate_limit_admit (&host->limit, self->n, now))
+        {
+          g_array_append_val (self->arrivals, now);
+          if (host->told_at != MSEC_NEVER && now - host->told_at >= 500)
+            g_array_append_val (self->counted, now);
+          if (host->told_at == MSEC_NEVER)
+            host->told_at = now;
+          rate_limit_state (&host->limit, states_limit, self->limit, now);
+        }
+      if ((now + (msec_t)i * 37) % 500 == 0)
+        host_report (self, host, now);
+    }
+  receive_list (self, now);
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (rate_share_t));
+  if (rate_fleet_plan (&self->fleet, now, list))
+    {
+      g_array_set_size (self->list, 0);
+      g_array_append_vals (self->list, list->data, list->len);
+      self->list_at = now + DELAY_MS;
+    }
+  g_array_unref (list);
+}
+
+static guint
+count_between (const GArray *times, msec_t from, msec_t to)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < times->len; i++)
+    {
+      msec_t at = g_array_index (times, msec_t, i);
+      n += at >= from && at < to;
+    }
+  return n;
+}
+
+/* The users' bound: in any 4 s, from 3 s after the limit was first stated, the requests
+ * from hosts that had passed on such a response half a second before. */
+static void
+assert_limit_is_kept (const sim_t *self, msec_t from, msec_t to)
+{
+  guint most = (guint)(1.5 * self->limit * 4 + 5);
+
+  for (msec_t at = from; at + 4000 <= to; at += 50)
+    assert_true (count_between (self->counted, at, at + 4000) <= most);
+}
+
+typedef struct
+{
+  guint hosts;
+  double limit, wanted;
+} fleet_case_t;
+
+static const fleet_case_t cases[] = {
+  { 1, 5, 12 },  { 8, 5, 12 },   { 12, 6, 9 },    { 8, 20, 200 },
+  { 90, 5, 12 }, { 90, 12, 60 }, { 79, 0.5, 10 }, { 90, 200, 500 },
+};
+
+static void
+test_fleet_serves_up_to_the_limit (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (uint64_t seed = 1; seed <= 5; seed++)
+      {
+        sim_t sim;
+        sim_begin (&sim, cases[i].hosts, cases[i].limit, seed);
+        for (msec_t now = START; now < START + 60000; now++)
+          sim_step (&sim, cases[i].wanted, true, now);
+        assert_limit_is_kept (&sim, START + 3000, START + 60000);
+        guint served = count_between (sim.arrivals, START + 10000, START + 60000);
+        double most = cases[i].limit * 50;
+        assert_true (served >= 0.9 * most - 2 * sqrt (most));
+        assert_true (served <= most + 2 * sqrt (most));
+        sim_end (&sim);
+      }
+}
+
+static void
+test_fleet_serves_everything_below_the_limit (void **state)
+{
+  sim_t sim;
+
+  (void)state;
+  sim_begin (&sim, 90, 20, 3);
+  for (msec_t now = START; now < START + 5000; now++)
+    sim_step (&sim, 60, true, now);
+  guint before = sim.arrivals->len;
+  for (msec_t now = START + 5000; now < START + 45000; now++)
+    sim_step (&sim, 12, true, now);
+  assert_true (sim.arrivals->len - before >= 0.93 * 12 * 40);
+  sim_end (&sim);
+}
+
+/* A burst of callers; half of the hosts leave and come back; another granter takes over,
+ * and one second later all hosts' shares may be from either. */
+static void
+test_limit_is_kept_while_hosts_come_and_go (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (uint64_t seed = 11; seed <= 15; seed++)
+      {
+        sim_t sim;
+        sim_begin (&sim, cases[i].hosts, cases[i].limit, seed);
+        for (msec_t now = START; now < START + 40000; now++)
+          {
+            msec_t at = now - START;
+            if (at == 18000)
+              for (guint k = 1; k < sim.n; k += 2)
+                sim.hosts[k].up = false;
+            if (at == 24000)
+              for (guint k = 1; k < sim.n; k += 2)
+                start_host (&sim, k);
+            if (at == 30000)
+              {
+                rate_fleet_clear (&sim.fleet);
+                sim.fleet.next_plan = now + 1200;
+              }
+            sim_step (&sim,
+                      cases[i].wanted * (at >= 10000 && at < 15000 ? 3 : 1),
+                      true,
+                      now);
+          }
+        assert_limit_is_kept (&sim, START + 3000, START + 40000);
+        sim_end (&sim);
+      }
+}
+
+static void
+test_fleet_is_unlimited_again_when_the_target_recovers (void **state)
+{
+  sim_t sim;
+
+  (void)state;
+  sim_begin (&sim, 90, 5, 21);
+  for (msec_t now = START; now < START + 10000; now++)
+    sim_step (&sim, 40, true, now);
+  for (msec_t now = START + 10000; now < START + 20000; now++)
+    sim_step (&sim, 40, false, now);
+  assert_true (count_between (sim.arrivals, START + 14000, START + 20000)
+               >= 0.85 * 40 * 6);
+  sim_end (&sim);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_target_without_a_limit_admits_everything),
+    cmocka_unit_test (test_host_without_a_share_takes_an_equal_part),
+    cmocka_unit_test (test_limit_ends_when_the_target_no_longer_states_it),
+    cmocka_unit_test (test_limit_ends_when_the_list_no_longer_has_it),
+    cmocka_unit_test (test_fleet_serves_up_to_the_limit),
+    cmocka_unit_test (test_fleet_serves_everything_below_the_limit),
+    cmocka_unit_test (test_limit_is_kept_while_hosts_come_and_go),
+    cmocka_unit_test (test_fleet_is_unlimited_again_when_the_target_recovers),
+  };
+
+  return cmocka_run_group_tests_name ("rate", tests, NULL, NULL);
+}
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -129,6 +129,7 @@
   msclock_init_settable (&self->clock, sim->now);
   rng_init (&self->rng, host->index);
   keys_init (&self->keys, HOLD_MAX_MS);
+  rate_fleet_init (&self->rates);
   discovery_init (self);
   g_queue_init (&self->role.pending_tables);
   self->role.next_check = sim->now + host->index * 100;
@@ -164,6 +165,7 @@
   owners_finish (self);
   discovery_finish (self);
   keys_finish (&self->keys);
+  rate_fleet_finish (&self->rates);
   g_array_unref (self->key_actions);
   g_hash_table_unref (self->reporters);
   event_base_free (self->base);
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -307,6 +307,8 @@
         self.executed, self.abandoned, self.bodies, self.deadlines_ms = [], [], [], []
         self.grants = []
         self.fences = []
+        self.executed_at = []
+        self.limit = None  # requests per second that its responses state as the limit
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -413,6 +415,8 @@
             "HTTP/1.1 " + status, "Request-Id: " + request_id, "Server-Signature: " + self.name
         ]
         lines += ["%s: %s" % (k.replace("_", "-"), v) for k, v in more.items()]
+        if self.limit is not None:
+            lines.append("Server-Limit: %.1f" % self.limit)
         return ("\r\n".join(lines) + "\r\n").encode()
 
     def _ok_response(self, request_id, body=b"hello"):
@@ -420,6 +424,7 @@
 
     def _handle_ok(self, sock, request_id, body, headers):
         self.executed.append(request_id)
+        self.executed_at.append(time.monotonic())
         self.bodies.append(body)
         self.deadlines_ms.append(int(headers["deadline-ms"]))
         sock.sendall(self._ok_response(request_id))
