A 0 byte in a store key does not stop the host from following the targets

Another writer's entry whose key contains a 0 byte made the whole reply of the store unreadable to the JSON parser, with each retry: the host no longer followed the table, and one that started never became ready. Strings with 0 bytes are accepted, and such a row is rejected by itself, logged once.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -2,6 +2,8 @@
 
 #include "../core/eventlog.h"
 
+#include <string.h>
+
 void
 discovery_post (coordinator_t *self, proxy_msg_t *msg)
 {
@@ -208,6 +210,23 @@
              : age;
 }
 
+/* Logs each key once. */
+static void
+log_rejected_entry (coordinator_t *self, const store_row_t *row, text_t why)
+{
+  char *key = g_strescape (row->key->str, NULL);
+
+  if (g_hash_table_add (self->rejected_keys, g_strdup (row->key->str)))
+    eventlog_write (EVENT_STATE,
+                    "targets",
+                    "entry_rejected",
+                    "key=\"%s\" row_version=%llu why=\"%.*s\"",
+                    key,
+                    (unsigned long long)row->version,
+                    TEXT_ARG (why));
+  g_free (key);
+}
+
 static void
 on_target_row (void *owner, const store_row_t *row)
 {
@@ -216,6 +235,11 @@
   target_entry_t entry;
   fault_t fault;
 
+  if (strlen (row->key->str) != row->key->len)
+    {
+      log_rejected_entry (self, row, TEXT ("0 byte in its key"));
+      return;
+    }
   if (row->removed)
     {
       target = g_hash_table_lookup (self->targets_by_id, row->key->str);
@@ -230,14 +254,7 @@
                                        &fault);
   if (status != STATUS_OK)
     {
-      if (g_hash_table_add (self->rejected_keys, g_strdup (row->key->str)))
-        eventlog_write (EVENT_STATE,
-                        "targets",
-                        "entry_rejected",
-                        "key=%s row_version=%llu why=\"%.*s\"",
-                        row->key->str,
-                        (unsigned long long)row->version,
-                        TEXT_ARG (fault_text (&fault)));
+      log_rejected_entry (self, row, fault_text (&fault));
       return;
     }
   target = find_or_add_target (self, row->key->str);
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -98,7 +98,7 @@
 void httpc_set_timeout (httpc_conn_t *conn, msec_t timeout);
 
 /* Parses the body of a response that was not streamed as JSON; NULL if it is not valid.
- */
+ * Its strings may contain 0 bytes. */
 json_t *httpc_json (struct evhttp_request *response);
 
 /* Aborts the call on CONN without a callback and resets the connection. */
