A rejection that a target writes again does not count for the next attempt

A target that had rejected a request with Not-Executed or 421 and wrote that response once more on the kept connection, where the response to the next attempt at the same request was due, made the router take the attempt for rejected while the target ran it: the order ran twice, or its caller was told 'not run' (REFUSED, TWICE). The request's id, which tells apart responses to other requests, is the same for all attempts.

A request is not sent again on a connection on which it was rejected.

--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -39,6 +39,9 @@
   bool response_ready;     /* RESPONSE is final and can be written to the caller */
   bool close;              /* the caller's connection is closed after the response */
   unsigned status;         /* HTTP status of the response */
+  /* Serial numbers of the connections on which a target rejected the request. */
+  uint64_t rejected_on[DISPATCH_ATTEMPTS_MAX];
+  uint32_t n_rejected;
   struct evbuffer *response;
   struct event *timer;
   TAILQ_ENTRY (exchange) link;
--- a/packages/proxy/pool.c
+++ b/packages/proxy/pool.c
@@ -84,14 +84,26 @@
   evtimer_add (self->timer, &after);
 }
 
+static bool
+was_rejected_on (const exchange_t *exchange, const target_conn_t *conn)
+{
+  for (uint32_t i = 0; i < exchange->n_rejected; i++)
+    if (exchange->rejected_on[i] == conn->serial)
+      return true;
+  return false;
+}
+
 target_conn_t *
-pool_take (proxy_t *proxy, uint32_t target, request_kind_t kind)
+pool_take (proxy_t *proxy, uint32_t target, const exchange_t *exchange)
 {
   target_conn_t *conn = TAILQ_FIRST (idle_list (proxy, target));
   msec_t now = msclock_now (&proxy->clock);
 
+  while (conn != NULL && was_rejected_on (exchange, conn))
+    conn = TAILQ_NEXT (conn, link);
   if (conn == NULL
-      || (kind == KIND_MUTATING && conn->idle_until - now < conn->idle_timeout / 2))
+      || (exchange->request.kind == KIND_MUTATING
+          && conn->idle_until - now < conn->idle_timeout / 2))
     return NULL;
   TAILQ_REMOVE (idle_list (proxy, target), conn, link);
   evtimer_del (conn->timer);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -110,6 +110,7 @@
   caller_limits_t limits;
   struct caller_list callers;
   uint32_t caller_count;
+  uint64_t connections_opened; /* to targets */
   GPtrArray *idle; /* by target: target_conn_list, the most recently used first */
   bool targets_known, draining;
   uint32_t host_count; /* that share the retry budget and the idle connections */
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -258,7 +258,11 @@
       return;
     }
   if (msg.answer != ANSWER_RUN)
-    response_log_refusal (self, msg.answer);
+    {
+      response_log_refusal (self, msg.answer);
+      if (exchange->n_rejected < DISPATCH_ATTEMPTS_MAX)
+        exchange->rejected_on[exchange->n_rejected++] = self->serial;
+    }
   detach (self);
   evtimer_del (self->timer);
   if (exchange->request_streaming && !exchange->request_complete)
@@ -420,6 +424,7 @@
   struct sockaddr_in address;
 
   self->proxy = proxy;
+  self->serial = ++proxy->connections_opened;
   self->target = target;
   self->bev = bufferevent_socket_new (proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
   self->body = evbuffer_new ();
@@ -452,7 +457,7 @@
 target_conn_send (proxy_t *proxy, exchange_t *exchange, uint32_t target, msec_t wait)
 {
   const dispatch_target_t *to = dispatch_target (&proxy->dispatch, target);
-  target_conn_t *conn = pool_take (proxy, target, exchange->request.kind);
+  target_conn_t *conn = pool_take (proxy, target, exchange);
   GString *head = g_string_new_len (exchange->head->str, (gssize)exchange->head->len);
   size_t body = evbuffer_get_length (exchange->body);
 
--- a/packages/proxy/target_conn.h
+++ b/packages/proxy/target_conn.h
@@ -9,6 +9,7 @@
 struct target_conn
 {
   proxy_t *proxy;
+  uint64_t serial; /* number of the connection, from 1 */
   uint32_t target;
   exchange_t *exchange; /* NULL: idle */
   struct bufferevent *bev;
@@ -39,9 +40,11 @@
  * were received after the response. */
 void pool_put (target_conn_t *self, bool extra);
 
-/* Takes an idle connection out of the pool; NULL if there is none.  A mutating request
- * gets only a recently used one, since the target may be about to close an older one. */
-target_conn_t *pool_take (proxy_t *proxy, uint32_t target, request_kind_t kind);
+/* Takes an idle connection for EXCHANGE out of the pool; NULL if there is none.  A
+ * mutating request gets only a recently used one, since the target may be about to close
+ * an older one.  No request gets one on which it was rejected: a target that writes that
+ * response again would reject an attempt that it runs. */
+target_conn_t *pool_take (proxy_t *proxy, uint32_t target, const exchange_t *exchange);
 
 /* response.c */
 
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -308,6 +308,7 @@
         self.grants = []
         self.fences = []
         self.executed_at = []
+        self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
@@ -430,6 +431,25 @@
         sock.sendall(self._ok_response(request_id))
         return True
 
+    def _handle_repeats_refusal(self, sock, request_id, body, headers):
+        """Rejects a request once.  Writes that again where the response to its repetition is due,
+        if it arrives on the same connection, and runs it."""
+        refusal = (
+            b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
+            b"Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
+            % (self.name.encode(), request_id.encode())
+        )
+        refused_on = self.refused_on.setdefault(request_id, sock)
+        if request_id not in self.refused:
+            self.refused.add(request_id)
+            sock.sendall(refusal)
+            return True
+        if refused_on is sock:
+            sock.sendall(refusal)
+        self.executed.append(request_id)
+        sock.sendall(self._ok_response(request_id))
+        return True
+
     def _handle_big(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         sock.sendall(self._ok_response(request_id, BIG))
