--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -230,6 +230,45 @@
   assert_false (http_header_is_hop_by_hop (TEXT ("Content-Type")));
 }
 
+static void
+test_response_cut_at_any_byte_is_not_complete (void **state)
+{
+  static const struct
+  {
+    const char *bytes;
+    const char
+        *head; /* of a response that ends with its connection; NULL: it is framed */
+  } responses[] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nRequest-Id: 9c41\r\n\r\nhello", NULL },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: 9c41\r\nContent-Length: 12\r\n\r\nhello, world",
+      NULL },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+      NULL },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: 9c41\r\nConnection: close\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nRequest-Id: 9c41\r\nConnection: close\r\n\r\n" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (responses); i++)
+    {
+      size_t end
+          = strlen (responses[i].head != NULL ? responses[i].head : responses[i].bytes);
+      for (size_t cut = 0; cut < end; cut++)
+        for (int bytewise = 0; bytewise < 2; bytewise++)
+          {
+            char *part = g_strndup (responses[i].bytes, cut);
+            fixture_t fixture;
+            setup (&fixture, HTTP_RESPONSES);
+            http_progress_t progress
+                = bytewise ? feed_bytewise (&fixture, part) : feed (&fixture, part);
+            assert_int_equal (progress, HTTP_INCOMPLETE);
+            assert_int_not_equal (http_reader_eof (&fixture.reader), HTTP_COMPLETE);
+            teardown (&fixture);
+            g_free (part);
+          }
+    }
+}
+
 int
 main (void)
 {
@@ -238,6 +277,7 @@
     cmocka_unit_test (test_chunked_body_ends_with_the_last_chunk),
     cmocka_unit_test (test_unframed_response_ends_with_the_connection),
     cmocka_unit_test (test_truncated_response_is_not_complete),
+    cmocka_unit_test (test_response_cut_at_any_byte_is_not_complete),
     cmocka_unit_test (test_request_smuggling_is_rejected),
     cmocka_unit_test (test_pipelined_requests_are_read_one_at_a_time),
     cmocka_unit_test (test_oversized_head_is_rejected),
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -308,6 +308,7 @@
         self.grants = []
         self.fences = []
         self.executed_at = []
+        self.cut_at, self.cut_resets, self.cut_framing = 0, False, "length"
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
         self.floods = 0  # responses without end that are being sent
@@ -450,6 +451,24 @@
         sock.sendall(self._ok_response(request_id))
         return True
 
+    def _handle_part(self, sock, request_id, body, headers):
+        """The first bytes of a response, as many as `cut_at` says; then the connection ends, with a
+        reset if `cut_resets`."""
+        self.executed.append(request_id)
+        sock.sendall(self.cut_response(request_id)[: self.cut_at])
+        if self.cut_resets:
+            time.sleep(0.002)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        return False
+
+    def cut_response(self, request_id):
+        return {
+            "length": self._ok_response(request_id),
+            "chunked": self._head(request_id, Transfer_Encoding="chunked")
+            + b"\r\n5\r\nhello\r\n0\r\n\r\n",
+            "unframed": self._head(request_id, Connection="close") + b"\r\n",
+        }[self.cut_framing]
+
     def _handle_big(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         sock.sendall(self._ok_response(request_id, BIG))
