Soak: targets that limit their rate, with the check of LIMIT

A target states a limit of 10 requests per second in its responses for some seconds. In any 4 s, from 3 s after that, it gets at most one and a half times as many and 5 from the hosts that it had told half a second before, unless a fault affects them.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,9 +35,11 @@
 ]
 N_CALLERS = 10
 MANY_ROUTES = 3000  # a configuration of some 300 KB
+LIMIT_WINDOW_MS = 4000
+LIMIT_TOLD_MS = 500  # a host counts this long after it passed on the first limit
 # The time limits of some checks hold during these.
 OPERATIONS = ("stop_router", "reload", "add_route", "drain_target", "add_routes_in_series",
-              "add_many_routes", "signals_in_series", "slow_store_link")
+              "add_many_routes", "signals_in_series", "limit_target", "slow_store_link")
 
 
 def now_ms():
@@ -289,6 +291,17 @@
             time.sleep(self.rng.uniform(0, 0.3))
         return lambda: self.finish_stop(i), i
 
+    def limit_target(self):
+        target = self.rng.choice(self.targets)
+        process = target.process
+        process.send_signal(signal.SIGUSR2)
+        time.sleep(self.rng.uniform(4, 10))
+
+        def finish():
+            if process.poll() is None:
+                process.send_signal(signal.SIGUSR2)
+        return finish, None
+
     def slow_store_link(self):
         """One host's link to the store is slow; changes reach it all the same."""
         i = self.pick_router()
@@ -413,6 +426,7 @@
         self.check_holds(lines)
         self.check_drains(lines)
         self.check_configurations()
+        self.check_limits(lines)
         late = [r for r in self.results if r[5] > recovered_by and r[1] != "added"]
         served = sum(r[7] == 200 for r in late)
         if not late or served < 0.9 * len(late):
@@ -479,12 +493,37 @@
                             and self.fault_log.is_quiet(
                                 hosts[line["id"]], announced, line["ms"],
                                 ("drain_target", "add_route", "add_routes_in_series",
-                                 "add_many_routes", "slow_store_link"))):
+                                 "add_many_routes", "limit_target", "slow_store_link"))):
                         self.report(
                             "DRAIN", "%s got %s from h%d %d ms after it announced that it drains" % (
                                 target.name, line["id"], hosts[line["id"]],
                                 line["ms"] - announced))
 
+    def check_limits(self, lines):
+        """In any LIMIT_WINDOW_MS, from QUIET_MS after a target first stated its limit, it gets at
+        most one and a half times what that allows and 5 requests from hosts that it had told."""
+        hosts = {result[0]: result[3] for result in self.results}
+        for target in self.targets:
+            limit, since, told, counted = None, 0, {}, []
+            for line in [*(l for l in lines if l["target"] == target.name), {"limit": None}]:
+                if "limit" in line or any(b > since and b < line["ms"]
+                                          for b, _e in target.lifetimes):
+                    limit, since, told, counted = line.get("limit"), line.get("ms"), {}, []
+                if limit is None or "id" not in line or line["id"] not in hosts:
+                    continue
+                host, ms = hosts[line["id"]], line["ms"]
+                if (ms > told.setdefault(host, ms) + LIMIT_TOLD_MS
+                        and ms > since + QUIET_MS
+                        and self.fault_log.is_quiet(
+                            host, ms, ms, ("reload", "add_route", "drain_target", "limit_target",
+                                           "add_routes_in_series", "add_many_routes",
+                                           "slow_store_link"))):
+                    counted = [at for at in counted if at > ms - LIMIT_WINDOW_MS] + [ms]
+                if len(counted) > 1.5 * limit * LIMIT_WINDOW_MS / 1000 + 5:
+                    self.report("LIMIT", "%s got %d requests in %d ms under a limit of %d" % (
+                        target.name, len(counted), LIMIT_WINDOW_MS, limit))
+                    counted = []
+
     def check_configurations(self):
         acknowledged = dict(self.added)
         for request_id, kind, path, i, started_at, begun, ended, status, _reused in self.results:
@@ -499,7 +538,7 @@
                   and self.fault_log.is_quiet(
                       i, acknowledged[route], ended,
                       ("add_route", "reload", "add_routes_in_series", "add_many_routes",
-                       "drain_target", "slow_store_link"))):
+                       "drain_target", "limit_target", "slow_store_link"))):
                 self.report("CONFIG", "%s: h%d doesn't serve %s after %d ms" % (
                     request_id, i, route, begun - acknowledged[route]))
 
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -4,7 +4,8 @@
 the port that it listens on, and a log file. The log has a JSON line for each grant, release
 and started request; a request's line has the time (ms of the monotonic clock, which all
 processes share), the request's id, its key and the fence under which the target holds the
-key. On SIGUSR1 the target announces that it is draining.
+key. On SIGUSR1 the target announces that it is draining; on SIGUSR2 its responses state a limit
+of LIMIT requests per second, or no longer do so.
 """
 
 import json
@@ -20,6 +21,7 @@
 from platform_fixture import Target  # noqa: E402
 
 ANNOUNCE_INTERVAL_S = 0.5
+LIMIT = 10
 
 
 class RemoteStore:
@@ -66,6 +68,11 @@
                 self._write(release=[call["from"], call["to"]])
             return super()._apply_grant_call(path, body)
 
+    def toggle_limit(self):
+        self.limit = LIMIT if self.limit is None else None
+        with self.lock:
+            self._write(limit=self.limit)
+
     def fence_of(self, key):
         now = time.monotonic()
         fences = [
@@ -96,10 +103,15 @@
     target = SoakTarget(RemoteStore(store_port), name, service, address, int(own_port), log)
     state = ["ready"]
     signal.signal(signal.SIGUSR1, lambda *args: state.__setitem__(0, "draining"))
+    toggles = [0]
+    signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
     print("ready", flush=True)
     announced = "ready"
     while True:
         time.sleep(ANNOUNCE_INTERVAL_S)
+        while toggles[0] > 0:
+            toggles[0] -= 1
+            target.toggle_limit()
         if announced == state[0]:
             continue
         try:
