--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -140,9 +140,7 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_RETRY_BUDGET, now, out);
-  else if (reason == REASON_RATE_LIMIT)
-    end (self, request, reason, now, out);
-  else if (waits_owner_saturated (self, request, owner)
+  else if (reason == REASON_RATE_LIMIT || waits_owner_saturated (self, request, owner)
            || waits_cannot_finish (self, request, now))
     end (self, request, reason, now, out);
   else if (now >= waits_queue_deadline (self, request, reason))
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -392,7 +392,10 @@
 
   if (len == 0)
     return NULL;
-  return json_loadb ((const char *)evbuffer_pullup (body, -1), len, JSON_ALLOW_NUL, &error);
+  return json_loadb ((const char *)evbuffer_pullup (body, -1),
+                     len,
+                     JSON_ALLOW_NUL,
+                     &error);
 }
 
 void
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -361,7 +361,8 @@
       for (size_t k = 0; k < G_N_ELEMENTS (waiting); k++)
         {
           waiting[k] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-          connect (waiting[k], (struct sockaddr *)&address, sizeof address);
+          int done = connect (waiting[k], (struct sockaddr *)&address, sizeof address);
+          assert_true (done == 0 || errno == EINPROGRESS);
         }
       httpc_pool_init (&client.pool, client.base, TEXT ("127.0.0.1"), server.port, 3000);
       httpc_pool_set_connect_timeout (&client.pool, timeouts[i]);
