A host that was just told of a limit forgets it when the granter's list does

A target that no longer states its limit is left out of the granter's list, which is sent without it once. A host with an own statement from the last 2 s kept the limit, as it should, but then for up to 10 s, since nothing ended it: callers were rejected although the target took their requests. The limit now ends 2 s after the host's own statement.

unit rate own_statement_outlives_the_list_briefly failed before.

--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -87,8 +87,9 @@
   if (share == NULL)
     {
       self->share_until = 0;
-      if (!stated_lately)
+      if (!self->stated || !stated_lately)
         self->limited = false;
+      self->valid_until = self->stated_at + RATE_STATEMENT_MS;
       return;
     }
   if (stated_lately && !self->stated)
--- a/packages/rate/tests/test_rate.c
+++ b/packages/rate/tests/test_rate.c
@@ -88,6 +88,25 @@
       100);
 }
 
+/* The list is sent without the target once; the host's own statement is 1 s old. */
+static void
+test_own_statement_outlives_the_list_briefly (void **state)
+{
+  rate_limit_t limit;
+
+  (void)state;
+  rate_limit_init (&limit, 0);
+  rate_limit_state (&limit, true, 5, START);
+  rate_limit_set_share (&limit, NULL, START + 1000);
+  assert_true (admitted (&limit, 8, START + 1000, START + 1100, 1) < 100);
+  assert_int_equal (admitted (&limit,
+                              8,
+                              START + RATE_STATEMENT_MS,
+                              START + RATE_STATEMENT_MS + 100,
+                              1),
+                    100);
+}
+
 /* A whole fleet: hosts with unequal load that come and go, and a granter that changes. */
 
 #define HOSTS_MAX 90
@@ -356,6 +375,7 @@
     cmocka_unit_test (test_host_without_a_share_takes_an_equal_part),
     cmocka_unit_test (test_limit_ends_when_the_target_no_longer_states_it),
     cmocka_unit_test (test_limit_ends_when_the_list_no_longer_has_it),
+    cmocka_unit_test (test_own_statement_outlives_the_list_briefly),
     cmocka_unit_test (test_fleet_serves_up_to_the_limit),
     cmocka_unit_test (test_fleet_serves_everything_below_the_limit),
     cmocka_unit_test (test_limit_is_kept_while_hosts_come_and_go),
