Demand for limited targets is what the hosts measured, not when their reports arrive

The granter counted requests by the arrival of the reports. On the platform all hosts start at the same time and report in step, so that its estimate of the demand swung between 130 and 200 each 0.3 s, and the part that was admitted with it.

Hosts report the rate over their own window, and the granter adds up the latest of each; a host that is silent for 1.2 s no longer counts. With the swing gone the whole limit is shared out instead of 95 in 100.

--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -260,7 +260,7 @@
   *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
   grants_handle (self, &msg);
-  rate_fleet_report (&self->rates, report->rates, now);
+  rate_fleet_report (&self->rates, &report->host, report->rates, now);
   bool wants_table = table != NULL && table->version > report->table_version
                      && (report->requests_table || report->table_version == 0
                          || now >= self->table_broadcast_at + TABLE_BROADCAST_MS);
@@ -626,7 +626,10 @@
   if (self->role.state == ROLE_HELD)
     {
       if (from->rates != NULL)
-        rate_fleet_report (&self->rates, from->rates, msclock_now (&self->clock));
+        rate_fleet_report (&self->rates,
+                           &self->settings->host,
+                           from->rates,
+                           msclock_now (&self->clock));
       grants_handle (self, &service_times);
       grants_handle (self, &msg);
       count_hosts (self, msclock_now (&self->clock));
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -380,6 +380,7 @@
                             */
 #define RATE_PLAN_MS 300   /* between the granter's lists of shares */
 #define RATE_SHARE_MS 3000 /* a share is valid for: the granter may change meanwhile */
+#define RATE_REPORT_MS 1200     /* two reports of a host may be lost */
 #define RATE_STATEMENT_MS 2000 /* an own response counts more than the granter's list */
 /* A limit that nobody states any more is forgotten after the first, or, if it is so low
  * that few responses come, after the time of RATE_KEEP_REQUESTS requests up to the
@@ -390,8 +391,6 @@
 #define RATE_BURST_MS 500 /* of the limit: what one host may send at once */
 /* Of the demand in half the window: beyond what random variation makes of it. */
 #define RATE_RISE_PERCENT 90
-/* Of the limit: the rest is for the variation of the demand. */
-#define RATE_FILL_PERCENT 95
 
 /* The settings file. */
 #define SETTINGS_CHECK_MS 2000 /* between checks for changes */
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -74,7 +74,8 @@
       msgpack_pack_uint8 (packer, rate->limited);
       pack_thousandths (packer, rate->limit, LIMIT_MAX);
       msgpack_pack_uint64 (packer, (uint64_t)CLAMP (rate->age, 0, AGE_MAX));
-      msgpack_pack_uint32 (packer, rate->wanted);
+      pack_thousandths (packer, rate->wanted, LIMIT_MAX);
+      pack_thousandths (packer, rate->wanted_lately, LIMIT_MAX);
     }
 }
 
@@ -296,7 +297,8 @@
       rate.limited = read_uint (self, 1) == 1;
       rate.limit = read_thousandths (self, LIMIT_MAX);
       rate.age = (msec_t)read_uint (self, AGE_MAX);
-      rate.wanted = (uint32_t)read_uint (self, UINT32_MAX);
+      rate.wanted = read_thousandths (self, LIMIT_MAX);
+      rate.wanted_lately = read_thousandths (self, LIMIT_MAX);
       g_array_append_val (report->rates, rate);
     }
 }
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -22,8 +22,12 @@
   name_set (&report.service, TEXT ("s"));
   report.loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
   report.rates = g_array_new (FALSE, TRUE, sizeof (rate_report_t));
-  rate_report_t rate
-      = { .stated = true, .limited = true, .limit = 7.25, .age = 40, .wanted = 9 };
+  rate_report_t rate = { .stated = true,
+                         .limited = true,
+                         .limit = 7.25,
+                         .age = 40,
+                         .wanted = 9.5,
+                         .wanted_lately = 0.25 };
   name_set (&rate.target, TEXT ("t"));
   g_array_append_val (report.rates, rate);
   g_array_append_vals (report.loads, loads, G_N_ELEMENTS (loads));
--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -128,7 +128,6 @@
   if (!self->limited)
     return true;
   window_add (&self->wanted, 1, now);
-  self->unreported++;
   fill_tokens (self, now);
   self->credit += current_share (self, hosts, now);
   if (self->credit < 1 || self->tokens < 1)
@@ -144,14 +143,16 @@
 bool
 rate_limit_report (rate_limit_t *self, msec_t now, rate_report_t *report)
 {
-  if (self->unreported == 0 && !self->unreported_statement)
+  report->wanted = self->limited ? window_rate (&self->wanted, RATE_BUCKETS, now) : 0;
+  report->wanted_lately
+      = self->limited ? window_rate (&self->wanted, RATE_BUCKETS / 2, now) : 0;
+  if (report->wanted <= 0 && !self->reported_demand && !self->unreported_statement)
     return false;
   report->stated = self->unreported_statement;
   report->limited = self->stated;
   report->limit = self->limit;
   report->age = now - self->stated_at;
-  report->wanted = self->unreported;
-  self->unreported = 0;
+  self->reported_demand = report->wanted > 0;
   self->unreported_statement = false;
   return true;
 }
@@ -164,16 +165,32 @@
 
 /* The fleet. */
 
+/* The demand of one host. */
+typedef struct
+{
+  double wanted, wanted_lately;
+  msec_t at; /* of its last report */
+} fleet_host_t;
+
 typedef struct
 {
   bool limited;
   double limit;
-  msec_t stated_at; /* of the latest statement */
-  rate_window_t wanted;
+  msec_t stated_at;  /* of the latest statement */
+  GHashTable *hosts; /* name to fleet_host_t */
 } fleet_target_t;
 
+static void
+free_target (void *item)
+{
+  fleet_target_t *target = item;
+
+  g_hash_table_unref (target->hosts);
+  g_free (target);
+}
+
 static fleet_target_t *
-find_or_add (rate_fleet_t *self, const name_t *target, msec_t now)
+find_or_add (rate_fleet_t *self, const name_t *target)
 {
   char *id = text_dup_c (name_text (target));
   fleet_target_t *found = g_hash_table_lookup (self->targets, id);
@@ -184,36 +201,64 @@
       return found;
     }
   found = g_new0 (fleet_target_t, 1);
-  found->wanted = (rate_window_t){ .newest = now / BUCKET_MS };
+  found->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_insert (self->targets, id, found);
   return found;
 }
 
+static void
+set_demand (fleet_target_t *self,
+            const name_t *host,
+            const rate_report_t *report,
+            msec_t now)
+{
+  fleet_host_t *demand = g_new (fleet_host_t, 1);
+
+  *demand = (fleet_host_t){ report->wanted, report->wanted_lately, now };
+  g_hash_table_insert (self->hosts, text_dup_c (name_text (host)), demand);
+}
+
 void
-rate_fleet_report (rate_fleet_t *self, const GArray *reports, msec_t now)
+rate_fleet_report (rate_fleet_t *self,
+                   const name_t *host,
+                   const GArray *reports,
+                   msec_t now)
 {
   for (guint i = 0; i < reports->len; i++)
     {
       const rate_report_t *report = &g_array_index (reports, rate_report_t, i);
-      fleet_target_t *target = find_or_add (self, &report->target, now);
+      fleet_target_t *target = find_or_add (self, &report->target);
       if (report->stated && now - report->age >= target->stated_at)
         {
           target->limited = report->limited;
           target->limit = report->limit;
           target->stated_at = now - report->age;
         }
-      if (report->wanted > 0)
-        window_add (&target->wanted, report->wanted, now);
+      set_demand (target, host, report, now);
     }
 }
 
-/* A sudden rise of the demand counts before it fills the window. */
+/* Of all hosts that reported lately.  A sudden rise counts before it fills the window. */
 static double
-demand (fleet_target_t *self, msec_t now)
+sum_demand (fleet_target_t *self, msec_t now)
 {
-  return MAX (window_rate (&self->wanted, RATE_BUCKETS, now),
-              window_rate (&self->wanted, RATE_BUCKETS / 2, now) * RATE_RISE_PERCENT
-                  / 100);
+  double wanted = 0, lately = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const fleet_host_t *host = value;
+      if (now - host->at >= RATE_REPORT_MS)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      wanted += host->wanted;
+      lately += host->wanted_lately;
+    }
+  return MAX (wanted, lately * RATE_RISE_PERCENT / 100);
 }
 
 bool
@@ -236,11 +281,11 @@
         }
       if (!target->limited)
         continue;
-      double wanted = demand (target, now);
-      double fill = target->limit * RATE_FILL_PERCENT / 100;
-      rate_share_t share = { .limit = target->limit,
-                             .wanted = wanted,
-                             .share = wanted > fill ? fill / wanted : 1 };
+      double wanted = sum_demand (target, now);
+      rate_share_t share
+          = { .limit = target->limit,
+              .wanted = wanted,
+              .share = wanted > target->limit ? target->limit / wanted : 1 };
       name_set (&share.target, text_from_c (id));
       g_array_append_val (out, share);
     }
@@ -260,7 +305,7 @@
 rate_fleet_init (rate_fleet_t *self)
 {
   *self = (rate_fleet_t){
-    .targets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+    .targets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_target),
   };
 }
 
--- a/packages/rate/rate.h
+++ b/packages/rate/rate.h
@@ -50,8 +50,8 @@
   double tokens; /* that this host may send at once, whatever its share */
   msec_t tokens_at;
   rate_window_t wanted;
-  uint32_t unreported; /* requests wanted since the last rate_limit_report */
   bool unreported_statement;
+  bool reported_demand; /* the last report had some */
 } rate_limit_t;
 
 /* A host's report on one target. */
@@ -62,7 +62,8 @@
   bool limited;
   double limit;
   msec_t age;
-  uint32_t wanted; /* requests that it had for the target since its last report */
+  double wanted;        /* requests that it had for the target, over RATE_WINDOW_MS */
+  double wanted_lately; /* and over about half of that */
 } rate_report_t;
 
 /* The part of its requests for a target that every host may send. */
@@ -104,8 +105,11 @@
 /* Forgets everything; the host is no longer the granter. */
 void rate_fleet_clear (rate_fleet_t *self);
 
-/* REPORTS (rate_report_t) of one host arrived. */
-void rate_fleet_report (rate_fleet_t *self, const GArray *reports, msec_t now);
+/* REPORTS (rate_report_t) of HOST arrived. */
+void rate_fleet_report (rate_fleet_t *self,
+                        const name_t *host,
+                        const GArray *reports,
+                        msec_t now);
 
 /*
  * Each RATE_PLAN_MS, appends the shares (rate_share_t) of all limited targets to OUT and
--- a/packages/rate/tests/test_rate.c
+++ b/packages/rate/tests/test_rate.c
@@ -116,6 +116,7 @@
 {
   rate_limit_t limit;
   bool up;
+  msec_t phase;   /* of its reports */
   msec_t told_at; /* of its first response that stated the limit; MSEC_NEVER */
   double weight;
 } sim_host_t;
@@ -172,6 +173,7 @@
     {
       start_host (self, i);
       self->hosts[i].weight = 0.2 + 2 * draw (self) * draw (self);
+      self->hosts[i].phase = seed % 2 == 0 ? 0 : (msec_t)i * 37; /* all may be in step */
     }
 }
 
@@ -193,7 +195,11 @@
   name_set (&report.target, TEXT ("t"));
   if (rate_limit_report (&host->limit, now - DELAY_MS, &report))
     g_array_append_val (reports, report);
-  rate_fleet_report (&self->fleet, reports, now);
+  char name[16];
+  name_t id;
+  g_snprintf (name, sizeof name, "h%d", (int)(host - self->hosts));
+  name_set (&id, text_from_c (name));
+  rate_fleet_report (&self->fleet, &id, reports, now);
   g_array_unref (reports);
 }
 
@@ -231,7 +237,7 @@
             host->told_at = now;
           rate_limit_state (&host->limit, states_limit, self->limit, now);
         }
-      if ((now + (msec_t)i * 37) % 500 == 0)
+      if ((now + host->phase) % 500 == 0)
         host_report (self, host, now);
     }
   receive_list (self, now);
