A signal at the end of a stop does not kill the process

A second SIGTERM arrived while the process freed its state: libevent had restored the default action. The same holds before the handlers are installed. Nothing is served at either time, so the process ends with 0; SIGHUP is ignored.

--- a/bin/router.c
+++ b/bin/router.c
@@ -63,6 +63,13 @@
   return EXIT_OK;
 }
 
+static void
+end_process (int number)
+{
+  (void)number;
+  _exit (EXIT_OK);
+}
+
 int
 router_main (const char *settings_file)
 {
@@ -70,6 +77,11 @@
   fault_t fault;
   form_t form;
 
+  /* Before the coordinator installs its handlers and after it has removed them, nothing
+   * is being served. */
+  signal (SIGTERM, end_process);
+  signal (SIGINT, end_process);
+  signal (SIGHUP, SIG_IGN);
   fault_clear (&fault);
   status_t status = router_settings_load (&settings, settings_file, &form, &fault);
   form_conclude (&form, status, stderr);
@@ -81,6 +93,5 @@
   signal (SIGPIPE, SIG_IGN);
   evthread_use_pthreads ();
   eventlog_open (STDOUT_FILENO);
-  signal (SIGHUP, SIG_IGN); /* until the coordinator installs its handler */
   return serve (&settings, settings_file);
 }
