A configuration that can't be unpacked is announced, with whatever came in the same message

Second reading: a message with such a row and others would have moved the feed past the row, so that the host would have waited for the next change.

--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -376,44 +376,45 @@
   return false;
 }
 
+static void
+clear_row (void *item)
+{
+  store_row_t *row = item;
+
+  g_string_free (row->key, TRUE);
+  g_string_free (row->value, TRUE);
+}
+
 static void
 handle_rows (coordinator_t *self, const link_rows_t *from)
 {
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (store_row_t));
-  uint64_t from_version = from->from_version;
+  bool complete = true;
 
-  for (guint i = 0; i < from->rows->len; i++)
+  g_array_set_clear_func (rows, clear_row);
+  for (guint i = 0; i < from->rows->len && complete; i++)
     {
       const link_row_t *row = &g_array_index (from->rows, link_row_t, i);
+      if (row->packed && row->version <= self->configuration_row.version)
+        continue; /* its base may be gone */
       store_row_t copy = { .key = g_string_new_len (row->key.at, (gssize)row->key.len),
                            .value = g_string_new (NULL),
                            .version = row->version,
                            .removed = row->removed };
-      if (!row->packed)
+      if (row->packed)
+        complete = unpack_row (self, row, copy.value);
+      else
         g_string_append_len (copy.value, row->value.at, (gssize)row->value.len);
-      else if (row->version <= self->configuration_row.version
-               || !unpack_row (self, row, copy.value))
-        {
-          /* A row that can't be unpacked is only announced by its version. */
-          if (row->version > self->configuration_row.version)
-            from_version = from->to_version;
-          g_string_free (copy.key, TRUE);
-          g_string_free (copy.value, TRUE);
-          continue;
-        }
       g_array_append_val (rows, copy);
     }
+  if (!complete)
+    g_array_set_size (rows, 0); /* their version is announced all the same */
   if (self->role.state != ROLE_HELD)
     discovery_apply_rows (self,
                           (store_table_t)from->table,
-                          from_version,
+                          complete ? from->from_version : from->to_version,
                           from->to_version,
                           rows);
-  for (guint i = 0; i < rows->len; i++)
-    {
-      g_string_free (g_array_index (rows, store_row_t, i).key, TRUE);
-      g_string_free (g_array_index (rows, store_row_t, i).value, TRUE);
-    }
   g_array_unref (rows);
 }
 
