Hosts report the demand for limited targets each 0.2 s

When keys move, the demand for a limited target that was below its limit multiplies at once, and for some 0.75 s, two reports' and a plan's time, hosts admitted by the old demand.

While any target limits its rate, hosts report each 0.2 s instead of 0.5, and the granter plans as often.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -222,6 +222,8 @@
 #define PROXY_MAILBOX_MESSAGES 256 /* a burst of configurations has a few dozen */
 /* Between reports of key loads, which also request updates from the granter. */
 #define PROXY_REPORT_MS 500
+/* The same while targets limit their rate: the demand for them may multiply at once. */
+#define PROXY_LIMITED_REPORT_MS 200
 #define PROXY_GRACE_MARGIN_MS 500 /* from the last connection's end to SIGKILL */
 /* Two failed readiness probes, a second apart, and a margin. */
 #define PROXY_UNREADY_MS 2600
@@ -378,7 +380,7 @@
 #define RATE_WINDOW_MS                                                                   \
   2000                     /* over which demand is counted: four reports of each host    \
                             */
-#define RATE_PLAN_MS 300   /* between the granter's lists of shares */
+#define RATE_PLAN_MS 200   /* between the granter's lists of shares */
 #define RATE_SHARE_MS 3000 /* a share is valid for: the granter may change meanwhile */
 #define RATE_REPORT_MS 1200     /* two reports of a host may be lost */
 #define RATE_STATEMENT_MS 2000 /* an own response counts more than the granter's list */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -305,6 +305,15 @@
   g_hash_table_unref (by_id);
 }
 
+bool
+targets_are_limited (const dispatch_t *self)
+{
+  for (guint i = 0; i < self->targets->len; i++)
+    if (at (self, i)->in_use && at (self, i)->rate.limited)
+      return true;
+  return false;
+}
+
 void
 targets_report_rates (dispatch_t *self, msec_t now, GArray *reports)
 {
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -37,6 +37,9 @@
 /* SHARES (rate_share_t) lists all targets whose rate is limited, as the granter knows. */
 void targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now);
 
+/* Whether any target limits its rate. */
+bool targets_are_limited (const dispatch_t *self);
+
 /* Appends what is to be reported of targets with rate limits (rate_report_t) to REPORTS.
  */
 void targets_report_rates (dispatch_t *self, msec_t now, GArray *reports);
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "../core/eventlog.h"
+#include "../dispatch/targets.h"
 
 #include <event2/buffer.h>
 #include <event2/thread.h>
@@ -188,17 +189,27 @@
     }
 }
 
+/* Sets the time between ticks. */
+static void
+set_tick_period (proxy_t *self, msec_t period)
+{
+  const struct timeval interval = { period / 1000, period % 1000 * 1000 };
+
+  if (period == self->tick_period)
+    return;
+  self->tick_period = period;
+  event_add (self->tick, &interval);
+}
+
 static void
 start_draining (proxy_t *self)
 {
   if (self->draining)
     return;
-  const struct timeval interval
-      = { PROXY_DRAIN_TICK_MS / 1000, PROXY_DRAIN_TICK_MS % 1000 * 1000 };
   const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN };
   self->draining = true;
   proxy_dispatch (self, &drain);
-  event_add (self->tick, &interval);
+  set_tick_period (self, PROXY_DRAIN_TICK_MS);
   self->idle_close_at = msclock_now (&self->clock) + PROXY_UNREADY_MS;
   msec_t grace = (msec_t)(self->bounds.grace_s * 1000);
   self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
@@ -344,10 +355,8 @@
 static void
 note_tick (proxy_t *self, msec_t now)
 {
-  msec_t period = self->draining ? PROXY_DRAIN_TICK_MS : PROXY_REPORT_MS;
-
   self->counts.late_ms
-      = self->last_tick > 0 ? MAX (now - self->last_tick - period, 0) : 0;
+      = self->last_tick > 0 ? MAX (now - self->last_tick - self->tick_period, 0) : 0;
   self->last_tick = now;
   if (self->counts.late_ms >= TASK_LATE_MS)
     eventlog_write (EVENT_STATE,
@@ -370,6 +379,10 @@
   report_post_counts (self);
   if (self->draining)
     drain_step (self, now);
+  else
+    set_tick_period (self,
+                     targets_are_limited (&self->dispatch) ? PROXY_LIMITED_REPORT_MS
+                                                           : PROXY_REPORT_MS);
 }
 
 static void
@@ -471,11 +484,9 @@
 proxy_run (void *arg)
 {
   proxy_t *self = arg;
-  const struct timeval interval
-      = { PROXY_REPORT_MS / 1000, PROXY_REPORT_MS % 1000 * 1000 };
 
   self->tick = event_new (self->base, -1, EV_PERSIST, on_tick, self);
-  event_add (self->tick, &interval);
+  set_tick_period (self, PROXY_REPORT_MS);
   event_base_dispatch (self->base);
   proxy_report_t *ended = g_new0 (proxy_report_t, 1);
   ended->kind = PROXY_REPORT_DRAINED;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -115,7 +115,7 @@
   bool targets_known, draining;
   uint32_t host_count; /* that share the retry budget and the idle connections */
   router_bounds_t bounds;
-  msec_t last_tick;
+  msec_t last_tick, tick_period;
   msec_t idle_close_at;   /* draining: connections without a request are closed then */
   msec_t drain_until;     /* draining: all other connections are closed then */
   bool key_table_missing; /* a keyed service has no key table yet */
--- a/packages/rate/tests/test_rate.c
+++ b/packages/rate/tests/test_rate.c
@@ -237,7 +237,7 @@
             host->told_at = now;
           rate_limit_state (&host->limit, states_limit, self->limit, now);
         }
-      if ((now + host->phase) % 500 == 0)
+      if ((now + host->phase) % PROXY_LIMITED_REPORT_MS == 0)
         host_report (self, host, now);
     }
   receive_list (self, now);
@@ -357,6 +357,30 @@
       }
 }
 
+/* From below the limit to four times as much, as when hot keys move to the target. */
+static void
+test_limit_is_kept_when_the_demand_jumps (void **state)
+{
+  static const fleet_case_t jumps[]
+      = { { 8, 5, 0 }, { 12, 6, 0 }, { 12, 8.9, 0 }, { 90, 12, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (jumps); i++)
+    for (uint64_t seed = 1; seed <= 20; seed++)
+      {
+        sim_t sim;
+        sim_begin (&sim, jumps[i].hosts, jumps[i].limit, seed);
+        for (msec_t now = START; now < START + 24000; now++)
+          {
+            msec_t at = now - START;
+            bool high = (at >= 8000 && at < 12000) || at >= 18000;
+            sim_step (&sim, jumps[i].limit * (high ? 4 : 0.7), true, now);
+          }
+        assert_limit_is_kept (&sim, START + 3000, START + 24000);
+        sim_end (&sim);
+      }
+}
+
 static void
 test_fleet_is_unlimited_again_when_the_target_recovers (void **state)
 {
@@ -385,6 +409,7 @@
     cmocka_unit_test (test_fleet_serves_up_to_the_limit),
     cmocka_unit_test (test_fleet_serves_everything_below_the_limit),
     cmocka_unit_test (test_limit_is_kept_while_hosts_come_and_go),
+    cmocka_unit_test (test_limit_is_kept_when_the_demand_jumps),
     cmocka_unit_test (test_fleet_is_unlimited_again_when_the_target_recovers),
   };
 
