--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -378,11 +378,11 @@
 
 /* Limits that targets state on the requests from all hosts. */
 #define RATE_WINDOW_MS                                                                   \
-  2000                     /* over which demand is counted: four reports of each host    \
-                            */
-#define RATE_PLAN_MS 200   /* between the granter's lists of shares */
-#define RATE_SHARE_MS 3000 /* a share is valid for: the granter may change meanwhile */
-#define RATE_REPORT_MS 1200     /* two reports of a host may be lost */
+  2000                      /* over which demand is counted: four reports of each host   \
+                             */
+#define RATE_PLAN_MS 200    /* between the granter's lists of shares */
+#define RATE_SHARE_MS 3000  /* a share is valid for: the granter may change meanwhile */
+#define RATE_REPORT_MS 1200 /* two reports of a host may be lost */
 #define RATE_STATEMENT_MS 2000 /* an own response counts more than the granter's list */
 /* A limit that nobody states any more is forgotten after the first, or, if it is so low
  * that few responses come, after the time of RATE_KEEP_REQUESTS requests up to the
