Soak: callers don't use connections that were idle for longer than the users' callers do

Traced: all 60 routers run and every request in their logs of the last 3 s was served; with that many hosts a caller comes back to one after more than the configuration's idle time-out of 5 s, when the router has closed the connection. The users' callers use connections that were idle for up to four fifths of it, and so do these now.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,8 @@
     ["order", "t.example", "/order/", "mutating", 1500, 500, 0, None, 2, "plain"],
 ]
 N_CALLERS = 10
+# Of the configuration's idle time-out: callers don't use a connection that was idle for longer.
+REUSE_IDLE_S = 0.8 * 5
 MANY_ROUTES = 3000  # a configuration of some 300 KB
 LIMIT_WINDOW_MS = 4000
 LIMIT_TOLD_MS = 500  # a host counts this long after it passed on the first limit
@@ -334,16 +336,20 @@
         if rng.random() < 0.05 and self.added:
             kind, path = "added", rng.choice(self.added)[0] + "work"
         begun, started_at = now_ms(), self.started_at[i]
-        status, body, reused = None, b"", i in connections
+        caller, used_at = connections.pop(i, (None, 0))
+        if caller is not None and time.monotonic() - used_at > REUSE_IDLE_S:
+            caller.close()
+            caller = None
+        status, body, reused = None, b"", caller is not None
         try:
-            caller = connections.pop(i, None) or Caller(self.routers[i])
+            caller = caller or Caller(self.routers[i])
             caller.send(path, request_id, "POST" if kind == "order" else "GET",
                         b"order" if kind == "order" else None, key=rng.choice(KEYS))
             response = caller.receive()
             if response is not None:
                 status, body = response.status, response.body
                 if response.headers.get("connection") != "close":
-                    connections[i] = caller
+                    connections[i] = caller, time.monotonic()
         except (OSError, ValueError):
             pass
         ended = now_ms()
