A busy host does not take its own failed calls for an outage of the store

The granter's updates show that the store answered, but counted only when the host had all that the granter had, which a busy host has not.

The time at which the store answered the granter ends the outage whether or not the host has all changes. unit discovery busy_host_does_not_take_its_own_failures_for_an_outage failed before.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -560,6 +560,8 @@
 {
   bool complete = newest <= MAX (feed->newest_change, feed->version);
 
+  if (confirmed_at != MSEC_NEVER)
+    outage_note_answer (feed->outage, confirmed_at);
   if (complete && confirmed_at != MSEC_NEVER)
     feed_confirm (feed, confirmed_at);
   note_newer (feed, currency, newest);
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -322,6 +322,26 @@
   teardown (&fixture);
 }
 
+/* Its own link is at fault: the granter, which it lags behind, hears the store. */
+static void
+test_busy_host_does_not_take_its_own_failures_for_an_outage (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  fail_configuration (&fixture);
+  for (int i = 0; i < 3; i++)
+    {
+      pass_time (&fixture, 800, 0);
+      update (&fixture, 100, 9 + (uint64_t)i, 30);
+    }
+  relay (&fixture, 5, 7, NULL);
+  pass_time (&fixture, 800 + STORE_ENTRY_RENEWAL_MS - 2400, 0);
+  assert_null (find_target (&fixture));
+  teardown (&fixture);
+}
+
 /* The feed of owners goes by the granter's updates without an age, and one whose watch is
  * in flight has no success until that returns. */
 static void
@@ -406,6 +426,7 @@
         test_granter_whose_watch_was_late_counts_from_its_last_confirmation),
     cmocka_unit_test (
         test_removed_target_is_kept_only_while_an_outage_may_have_removed_it),
+    cmocka_unit_test (test_busy_host_does_not_take_its_own_failures_for_an_outage),
     cmocka_unit_test (test_late_failure_does_not_prolong_an_outage_that_is_over),
     cmocka_unit_test (test_outage_ends_for_feeds_that_have_no_success_of_their_own),
     cmocka_unit_test (test_target_that_expired_in_an_outage_is_kept_for_its_renewal),
