A call is not abandoned while its reply arrives, whatever the reason

The store's interface tells whether the reply to a call has begun to arrive, and the feed then leaves the call alone; one that stops within its reply ends by its own time-out without progress.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -350,7 +350,10 @@
 void
 feed_restart_call (feed_t *self, msec_t since)
 {
-  if (self->call == NULL || self->call->started >= since)
+  const store_ops_t *ops = self->store->ops;
+
+  if (self->call == NULL || self->call->started >= since
+      || (ops->is_arriving != NULL && ops->is_arriving (self->store, self->call)))
     return;
   eventlog_write (EVENT_STATE,
                   "store",
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -72,13 +72,14 @@
 void feed_finish (feed_t *self);
 
 /*
- * Abandons a call in flight that was started before SINCE and issues it again.  After an
- * outage the store may never answer such a call, although it answers new ones.
+ * Abandons a call in flight that was started before SINCE and issues it again, unless its
+ * reply has begun to arrive.  After an outage the store may never answer such a call,
+ * although it answers new ones.
  */
 void feed_restart_call (feed_t *self, msec_t since);
 
-/* Abandons a call in flight that was started before SINCE.  Unless one is left, asks the
- * store for changes now, without waiting for later ones. */
+/* Asks the store for changes now, without waiting for later ones, unless a call that was
+ * started at SINCE or later is in flight, or its reply is arriving. */
 void feed_requery (feed_t *self, msec_t since);
 
 /*
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -48,7 +48,7 @@
   self->watches[table]++;
 }
 
-static const store_ops_t store_ops = { read_table, watch_table, NULL, NULL };
+static const store_ops_t store_ops = { .read = read_table, .watch = watch_table };
 
 static status_t
 read_target (text_t id, text_t bytes, target_entry_t *target, fault_t *fault)
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -12,7 +12,8 @@
   store_done_t done;
   void *owner;
   unsigned reads, watches;
-  msec_t wait; /* of the last watch */
+  msec_t wait;   /* of the last watch */
+  bool arriving; /* the reply to the pending call */
 } fake_store_t;
 
 typedef struct
@@ -58,7 +59,16 @@
   self->watches++;
 }
 
-static const store_ops_t store_ops = { read_table, watch_table, NULL, NULL };
+static bool
+is_arriving (const store_t *store, const void *owner)
+{
+  const fake_store_t *self = (const fake_store_t *)store;
+
+  return self->arriving && owner == self->owner;
+}
+
+static const store_ops_t store_ops
+    = { .read = read_table, .watch = watch_table, .is_arriving = is_arriving };
 
 static void
 on_row (void *owner, const store_row_t *row)
@@ -272,6 +282,25 @@
   teardown (&fixture);
 }
 
+/* As when the store counts as lost for a moment, or when the host becomes the granter. */
+static void
+test_call_whose_reply_is_arriving_is_not_abandoned (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  fixture.fake.arriving = true;
+  feed_restart_call (&fixture.feed, MSEC_NEVER);
+  fixture.max_age = 600;
+  feed_step (&fixture.feed);
+  feed_requery (&fixture.feed, msclock_now (&fixture.clock) + 1);
+  assert_int_equal (fixture.fake.watches, 1);
+  reply (&fixture, STORE_DONE, 6);
+  assert_int_equal (fixture.feed.version, 6);
+  teardown (&fixture);
+}
+
 static void
 test_late_watch_does_not_undo_relayed_changes (void **state)
 {
@@ -383,6 +412,7 @@
     cmocka_unit_test (test_hanging_watch_is_restarted),
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
     cmocka_unit_test (test_retries_after_refusal),
+    cmocka_unit_test (test_call_whose_reply_is_arriving_is_not_abandoned),
     cmocka_unit_test (test_late_watch_does_not_undo_relayed_changes),
     cmocka_unit_test (test_age_counts_from_what_the_store_confirmed),
     cmocka_unit_test (test_watch_ends_in_time_for_the_maximum_age),
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -383,6 +383,12 @@
   return NULL;
 }
 
+bool
+httpc_is_receiving (const httpc_conn_t *conn)
+{
+  return conn->ops != NULL && conn->head_received;
+}
+
 json_t *
 httpc_json (struct evhttp_request *response)
 {
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -94,6 +94,9 @@
                           void *owner,
                           msec_t now);
 
+/* Whether the response to the call on CONN has begun to arrive: its head is complete. */
+bool httpc_is_receiving (const httpc_conn_t *conn);
+
 /* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on it. */
 void httpc_set_timeout (httpc_conn_t *conn, msec_t timeout);
 
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -379,6 +379,47 @@
     }
 }
 
+static void
+test_response_is_arriving_once_its_head_is_complete (void **state)
+{
+  static const struct
+  {
+    const char *response;
+    bool receiving;
+  } cases[] = { { NULL, false },
+                { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", false },
+                { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true },
+                { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", true } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct timeval while_silent = { .tv_usec = 100 * 1000 };
+      server_t server = { .response = cases[i].response, .stays_open = true };
+      client_t client = { .base = event_base_new () };
+      pthread_t thread;
+      listen_on_loopback (&server);
+      pthread_create (&thread, NULL, serve, &server);
+      httpc_pool_init (&client.pool, client.base, TEXT ("127.0.0.1"), server.port, 5000);
+      struct evhttp_request *request = httpc_request_new ();
+      evhttp_add_header (evhttp_request_get_output_headers (request), "Host", "test");
+      httpc_conn_t *conn = httpc_call (&client.pool,
+                                       request,
+                                       EVHTTP_REQ_GET,
+                                       "/x",
+                                       &ops,
+                                       &client,
+                                       g_get_monotonic_time () / 1000);
+      event_base_loopexit (client.base, &while_silent);
+      event_base_dispatch (client.base);
+      assert_int_equal (httpc_is_receiving (conn), cases[i].receiving);
+      httpc_pool_finish (&client.pool);
+      event_base_free (client.base);
+      pthread_join (thread, NULL);
+      close (server.listener);
+    }
+}
+
 static void
 test_connection_is_reused (void **state)
 {
@@ -405,6 +446,7 @@
     cmocka_unit_test (test_aborted_call_resets_its_connection),
     cmocka_unit_test (test_refused_connection_sends_nothing),
     cmocka_unit_test (test_slow_connection_is_waited_for),
+    cmocka_unit_test (test_response_is_arriving_once_its_head_is_complete),
     cmocka_unit_test (test_connection_is_reused),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -89,6 +89,8 @@
                   const store_commit_t *commit,
                   store_done_t done,
                   void *owner);
+  /* Whether the reply to OWNER's latest call has begun to arrive.  NULL: unknown. */
+  bool (*is_arriving) (const store_t *self, const void *owner);
   void (*close) (store_t *self);
 } store_ops_t;
 
