After a stall a host asks the store until a reply confirms its copy

A process that did not run asked the store once. If a reply from before the stall was arriving, or the call failed, the next call waited for changes for up to 10 s, so that the host served by its old copy when CURRENCY_UNSURE_MS had passed.

The query is repeated until a call that began after the stall has been answered, and until then calls don't wait for changes. unit feed calls_do_not_wait_until_one_confirms_the_table failed before; so did currency process_that_did_not_run_asks_before_it_serves, which now expects the query at each review until the copy is confirmed and none after that, where it expected one with the stall: stricter.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -29,9 +29,9 @@
 
   if (self->watching)
     {
-      self->call->wait = self->requeried || self->behind_since != MSEC_NEVER
-                             ? 0
-                             : MAX (max_age (self) - feed_age (self), 0);
+      bool urgent
+          = self->behind_since != MSEC_NEVER || self->confirmed_at < self->confirm_after;
+      self->call->wait = urgent ? 0 : MAX (max_age (self) - feed_age (self), 0);
       ops->watch (self->store,
                   self->table,
                   self->version,
@@ -369,10 +369,9 @@
 void
 feed_requery (feed_t *self, msec_t since)
 {
-  self->requeried = true;
+  self->confirm_after = MAX (self->confirm_after, since);
   feed_restart_call (self, since);
   feed_resume (self);
-  self->requeried = false;
 }
 
 void
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -51,12 +51,12 @@
   /* Version of the newest change that was delivered: of a row, or of a full read that
    * lacked rows. */
   uint64_t newest_change;
-  msec_t behind_since; /* the store is known to have a newer row since; MSEC_NEVER */
-  bool requeried;      /* the next call does not wait for changes */
-  GString *last_key;   /* last key of the previous page */
-  msec_t retry_delay;  /* backoff; 0: the last call succeeded */
-  msec_t read_started; /* start of the full read in progress, or of the last one */
-  msec_t confirmed_at; /* all changes up to then were delivered; MSEC_NEVER: unknown */
+  msec_t behind_since;  /* the store is known to have a newer row since; MSEC_NEVER */
+  msec_t confirm_after; /* calls don't wait for changes until one confirms a later time */
+  GString *last_key;    /* last key of the previous page */
+  msec_t retry_delay;   /* backoff; 0: the last call succeeded */
+  msec_t read_started;  /* start of the full read in progress, or of the last one */
+  msec_t confirmed_at;  /* all changes up to then were delivered; MSEC_NEVER: unknown */
 } feed_t;
 
 void feed_init (feed_t *self,
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -301,6 +301,28 @@
   teardown (&fixture);
 }
 
+static void
+test_calls_do_not_wait_until_one_confirms_the_table (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  pass_time (&fixture, 5000);
+  msec_t since = msclock_now (&fixture.clock);
+  fixture.fake.arriving = true;
+  feed_requery (&fixture.feed, since);
+  fixture.fake.arriving = false;
+  reply (&fixture, STORE_DONE, 6); /* to a call from before */
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  assert_int_equal (fixture.fake.watches, 2);
+  assert_int_equal (fixture.fake.wait, 0);
+  reply (&fixture, STORE_DONE, 0);
+  assert_int_equal (fixture.fake.watches, 3);
+  assert_true (fixture.fake.wait > 0);
+  teardown (&fixture);
+}
+
 static void
 test_late_watch_does_not_undo_relayed_changes (void **state)
 {
@@ -413,6 +435,7 @@
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
     cmocka_unit_test (test_retries_after_refusal),
     cmocka_unit_test (test_call_whose_reply_is_arriving_is_not_abandoned),
+    cmocka_unit_test (test_calls_do_not_wait_until_one_confirms_the_table),
     cmocka_unit_test (test_late_watch_does_not_undo_relayed_changes),
     cmocka_unit_test (test_age_counts_from_what_the_store_confirmed),
     cmocka_unit_test (test_watch_ends_in_time_for_the_maximum_age),
--- a/packages/currency/currency.c
+++ b/packages/currency/currency.c
@@ -56,6 +56,8 @@
       self->requeried = true;
       emit (out, CURRENCY_REQUERY, self->behind_since);
     }
+  if (self->stalled_until != MSEC_NEVER && now - self->stalled_until < CURRENCY_UNSURE_MS)
+    emit (out, CURRENCY_REQUERY, self->stalled_until);
   bool reject = state->complete_at != MSEC_NEVER
                 && (is_outdated (self, state, now) || is_unsure (self, state, now));
   if (reject != self->rejecting)
@@ -76,7 +78,6 @@
       break;
     case CURRENCY_STALLED:
       self->stalled_until = now;
-      emit (out, CURRENCY_REQUERY, now);
       break;
     case CURRENCY_REVIEW:
       review (self, msg, now, out);
--- a/packages/currency/tests/test_currency.c
+++ b/packages/currency/tests/test_currency.c
@@ -204,14 +204,16 @@
   (void)state;
   setup (&host);
   handle (&host, (currency_msg_t){ .kind = CURRENCY_STALLED }, resumed);
-  assert_true (did (&host, CURRENCY_REQUERY));
   review (&host, resumed);
+  assert_true (did (&host, CURRENCY_REQUERY));
   assert_true (did (&host, CURRENCY_REJECT));
   host.complete_at = resumed - 1; /* a reply from before */
   review (&host, resumed + 50);
+  assert_true (did (&host, CURRENCY_REQUERY));
   host.complete_at = resumed + 60;
   review (&host, resumed + 100);
-  assert_true (did (&host, CURRENCY_SERVE) || !host.currency.rejecting);
+  assert_false (did (&host, CURRENCY_REQUERY));
+  assert_false (host.currency.rejecting);
   teardown (&host);
 }
 
