Soak: signals to a router wait until its main function handles them

Replaces the excuse for a SIGTERM within 500 ms of a start by the condition itself, read from the process's signal masks, so that the check is as strict as it was before and has no time bound.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,7 +26,6 @@
 QUIET_MS = 3000  # time limits hold again this long after the last fault
 REQUEST_TRANSIT_MS = 250  # for a request's way from its caller to a target
 HOLD_OVERLAP_MAX_MS = 500  # two targets may hold a key while a grant is in transit
-STARTING_MS = 500  # from exec to the main function of a sanitizer's build, beside load
 RECOVERY_S = 15  # before the share of successful requests is checked
 KEYS = [0, 7, 9000, 20000, 33000, 50000, 65535]
 ROUTES = [
@@ -49,6 +48,16 @@
     return time.monotonic() * 1000
 
 
+def handles(pid, number):
+    """Whether the process has a handler for the signal; False if it is gone."""
+    try:
+        with open("/proc/%d/status" % pid, encoding="ascii") as file:
+            caught = next(line for line in file if line.startswith("SigCgt:"))
+    except (OSError, StopIteration):
+        return False
+    return int(caught.split()[1], 16) >> (number - 1) & 1 == 1
+
+
 class FaultLog:
     """Records when faults were in effect, and on which host if on one alone; a host's time limits
     are checked only outside of those that affect it."""
@@ -231,13 +240,19 @@
 
     # Operations. They return the same.
 
+    def signal_router(self, i, number):
+        """Sends a signal once the process handles SIGTERM; until its main function runs, a process
+        has the default actions."""
+        process = self.routers[i].process
+        while process.poll() is None and not handles(process.pid, signal.SIGTERM):
+            time.sleep(0.005)
+        self.routers[i].signal(number)
+
     def finish_stop(self, i):
         ended = self.terminated_at[i] or 0
         try:
             code = self.routers[i].process.wait(7)
-            # Until its main function runs, a process has the default actions.
-            starting = -signal.SIGTERM if ended < self.started_at[i] + STARTING_MS else 0
-            if code not in (0, starting, -signal.SIGKILL):  # another fault may have killed it
+            if code not in (0, -signal.SIGKILL):  # another fault may have killed it
                 self.report("END", "h%d ended with %s after SIGTERM" % (i, code))
         except subprocess.TimeoutExpired:
             if self.fault_log.is_quiet(i, ended, now_ms(), OPERATIONS):
@@ -248,11 +263,11 @@
     def stop_router(self):
         i = self.rng.randrange(len(self.routers))
         self.terminated_at[i] = now_ms()
-        self.routers[i].signal(signal.SIGTERM)
+        self.signal_router(i, signal.SIGTERM)
         return lambda: self.finish_stop(i), None
 
     def reload(self):
-        self.rng.choice(self.routers).signal(signal.SIGHUP)
+        self.signal_router(self.rng.randrange(len(self.routers)), signal.SIGHUP)
         return lambda: None, None
 
     def add_route(self):
@@ -286,13 +301,13 @@
         """Reloads, and a stop that is repeated and overlaps a reload."""
         i = self.rng.randrange(len(self.routers))
         for _ in range(self.rng.randint(2, 5)):
-            self.routers[i].signal(signal.SIGHUP)
+            self.signal_router(i, signal.SIGHUP)
             time.sleep(self.rng.uniform(0, 0.1))
         if self.rng.random() < 0.5:
             return lambda: None, None
         self.terminated_at[i] = now_ms()
         for number in [signal.SIGTERM, signal.SIGHUP, signal.SIGTERM]:
-            self.routers[i].signal(number)
+            self.signal_router(i, number)
             time.sleep(self.rng.uniform(0, 0.3))
         return lambda: self.finish_stop(i), i
 
