--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -114,9 +114,9 @@
       end (self, request, REASON_DEADLINE, now, out);
       return;
     }
-  if (self->outdated)
+  if (self->outdated || self->stopping)
     {
-      end (self, request, REASON_OUTDATED, now, out);
+      end (self, request, self->stopping ? REASON_STOPPING : REASON_OUTDATED, now, out);
       return;
     }
   if (losses_is_blocked (self, request, now))
@@ -470,6 +470,10 @@
       self->outdated = msg->outdated;
       process_queues (self, now, out);
       break;
+    case DISPATCH_STOP:
+      self->stopping = true;
+      process_queues (self, now, out);
+      break;
     case DISPATCH_DRAIN:
       self->draining = true;
       break;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -37,6 +37,7 @@
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
   DISPATCH_SHARES,      /* the granter's list of limited targets */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
+  DISPATCH_STOP,  /* the process ends soon: what waits, and what arrives, is rejected */
   DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried */
 } dispatch_msg_kind_t;
 
@@ -122,6 +123,7 @@
   REASON_NO_OWNER,     /* the key has no owner at present, or the owner is unreachable */
   REASON_OVERLOAD,     /* no target has capacity in time */
   REASON_RATE_LIMIT,   /* targets limited the requests from all hosts */
+  REASON_STOPPING,     /* the process ends before an attempt could */
   REASON_RETRY_BUDGET, /* a retry is needed and the retry budget is spent */
   REASON_ANSWER_LOST,  /* the response was lost, invalid, overdue or a server error */
   REASON_CRASHES_TARGETS, /* the request is known to crash targets */
@@ -247,6 +249,7 @@
   suspect_t suspects;
   rng_t rng;
   bool draining; /* the process is shutting down */
+  bool stopping; /* and ends soon: requests that wait are rejected */
   bool outdated; /* requests are rejected, as currency decided */
 } dispatch_t;
 
--- a/packages/dispatch/services.c
+++ b/packages/dispatch/services.c
@@ -94,6 +94,7 @@
     [REASON_NO_OWNER] = "no-owner",
     [REASON_OVERLOAD] = "overload",
     [REASON_RATE_LIMIT] = "rate-limit",
+    [REASON_STOPPING] = "stopping",
     [REASON_RETRY_BUDGET] = "not-taken",
     [REASON_ANSWER_LOST] = "answer-lost",
     [REASON_DEADLINE] = "time-over",
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -460,6 +460,28 @@
   end (&fixture);
 }
 
+static void
+test_requests_that_wait_when_the_process_ends_are_rejected (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t running, waiting, late;
+  const dispatch_msg_t stop = { .kind = DISPATCH_STOP };
+
+  (void)state;
+  begin (&fixture);
+  arrive (&fixture, &running, TEXT ("/keyed/"));
+  assign_keys (&fixture, TEXT ("k9"), 2); /* not listed yet */
+  arrive (&fixture, &waiting, TEXT ("/keyed/"));
+  assert_null (find_out (&fixture, DISPATCH_END));
+  handle_msg (&fixture, &stop);
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+  arrive (&fixture, &late, TEXT ("/order/"));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+  answer (&fixture, &running, ANSWER_RUN, 200);
+  assert_non_null (find_out (&fixture, DISPATCH_DELIVER));
+  end (&fixture);
+}
+
 /* The granter's list has only TARGET, which takes nothing for now; empty: no target. */
 static void
 limit_target (fixture_t *self, text_t target)
@@ -536,6 +558,7 @@
     cmocka_unit_test (test_lost_responses_do_not_block_requests),
     cmocka_unit_test (test_losses_reported_by_other_hosts_block_request),
     cmocka_unit_test (test_host_with_an_outdated_copy_rejects_requests_as_not_run),
+    cmocka_unit_test (test_requests_that_wait_when_the_process_ends_are_rejected),
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
   };
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -327,8 +327,8 @@
 }
 
 /* Once the platform has had time to notice that this host is not ready, stops listening
- * and closes connections without a request.  Closes the remaining ones shortly before the
- * process would be killed. */
+ * and closes connections without a request.  Shortly before the process would be killed,
+ * rejects the requests that still wait, and then closes the remaining connections. */
 static void
 drain_step (proxy_t *self, msec_t now)
 {
@@ -336,6 +336,12 @@
   bool idle_expired = now >= self->idle_close_at;
   caller_t *caller = TAILQ_FIRST (&self->callers);
 
+  if (now >= self->drain_until - PROXY_LAST_ANSWERS_MS && !self->dispatch.stopping)
+    {
+      const dispatch_msg_t stop = { .kind = DISPATCH_STOP };
+      proxy_dispatch (self, &stop);
+      caller = TAILQ_FIRST (&self->callers); /* a response may have closed the first */
+    }
   if (idle_expired && self->listener != NULL)
     {
       evconnlistener_free (self->listener);
