--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -41,7 +41,7 @@
                     (long long)self->late_ms,
                     (long long)self->round_trip_ms);
   if (self->late_ms >= CURRENCY_STALL_MS)
-    discovery_note_stall (self);
+    outdated_note_stall (self);
 }
 
 static void
@@ -60,7 +60,7 @@
   if (self->role.state != ROLE_HELD)
     return;
   grants_handle (self, &msg);
-  peers_step_rates (self, now);
+  rates_step (self, now);
   role_step (self, now);
 }
 
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -20,9 +20,6 @@
  * publishes changes, and reviews whether requests can be served by what is known. */
 void discovery_step (coordinator_t *self);
 
-/* The process did not run for CURRENCY_STALL_MS or more until now. */
-void discovery_note_stall (coordinator_t *self);
-
 /* The granter's update: a feed that has all that the granter's has is as fresh as that;
  * one that lacks something is reviewed by currency. */
 void discovery_handle_update (coordinator_t *self, const link_update_t *update);
@@ -85,18 +82,52 @@
  * before owners_update, since changes are taken against the table known so far. */
 void peers_broadcast_table (coordinator_t *self, const key_table_t *table);
 
-/* On the granter, relays changes of TABLE from its feed to all hosts. */
-void peers_relay_rows (coordinator_t *self,
-                       store_table_t table,
-                       uint64_t before,
-                       const store_reply_t *reply);
-
-/* On the granter, sends the shares of targets whose rate is limited to all hosts. */
-void peers_step_rates (coordinator_t *self, msec_t now);
-
 /* Whether this host is the granter, or received an update from it recently. */
 bool peers_granter_is_live (const coordinator_t *self);
 
+/* Sends BODY to one host and frees it. */
+void peers_send (coordinator_t *self, const name_t *address, GByteArray *body);
+
+/* Sends BODY to all hosts that report to this one, by way of some of them. */
+void peers_broadcast (coordinator_t *self, const GByteArray *body);
+
+/* Whether sending BYTES to all hosts would occupy the network link of this host, or of
+ * one that forwards them, for too long. */
+bool peers_is_heavy (const coordinator_t *self, size_t bytes);
+
+/* rows.c: rows of the configuration and the targets on their way between hosts.
+ *
+ * On the granter, relays changes of TABLE from its feed to all hosts. */
+void rows_relay (coordinator_t *self,
+                 store_table_t table,
+                 uint64_t before,
+                 const store_reply_t *reply);
+
+/* On the granter, sends the host of REPORT what it lacks. */
+void rows_send_missing (coordinator_t *self, const link_report_t *report, msec_t now);
+
+/* Applies rows from the granter. */
+void rows_handle (coordinator_t *self, const link_rows_t *from);
+
+/* rates.c: limits on the rate of requests to targets.
+ *
+ * On the granter, sends the shares of targets whose rate is limited to all hosts. */
+void rates_step (coordinator_t *self, msec_t now);
+
+/* Passes the granter's list on to the proxy.  Takes ownership of SHARES. */
+void rates_apply (coordinator_t *self, GArray *shares);
+
+/* outdated.c: performs what currency decides on the configuration and the targets.
+ *
+ * Reviews both, and tells the proxy when requests are to be rejected. */
+void outdated_review (coordinator_t *self);
+
+/* VERSION of the feed's table exists. */
+void outdated_note_newer (feed_t *feed, currency_t *currency, uint64_t version);
+
+/* The process did not run for CURRENCY_STALL_MS or more until now. */
+void outdated_note_stall (coordinator_t *self);
+
 /* metrics_page.c: the HTTP page of metrics. */
 status_t metrics_page_init (coordinator_t *self, fault_t *fault);
 void metrics_page_finish (coordinator_t *self);
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -377,7 +377,7 @@
 static void
 relay_configuration (void *owner, uint64_t before, const store_reply_t *reply)
 {
-  peers_relay_rows (owner, STORE_CONFIGURATION, before, reply);
+  rows_relay (owner, STORE_CONFIGURATION, before, reply);
 }
 
 static void
@@ -386,7 +386,7 @@
   coordinator_t *self = owner;
 
   relay_add (&self->relayed_targets, before, reply, msclock_now (&self->clock));
-  peers_relay_rows (self, STORE_TARGETS, before, reply);
+  rows_relay (self, STORE_TARGETS, before, reply);
 }
 
 static const feed_ops_t configuration_ops = { .row = on_configuration_row,
@@ -426,91 +426,6 @@
   return known ? update->report_sent_at - table->age_ms : MSEC_NEVER;
 }
 
-/* Tells the proxy whether requests are to be rejected, when that changes. */
-static void
-update_outdated (coordinator_t *self)
-{
-  bool outdated
-      = self->configuration_currency.rejecting || self->targets_currency.rejecting;
-
-  if (outdated == self->outdated)
-    return;
-  self->outdated = outdated;
-  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
-  msg->kind = PROXY_CURRENCY;
-  msg->outdated = outdated;
-  discovery_post (self, msg);
-}
-
-static void
-log_currency (const feed_t *feed, const currency_t *currency, const char *event)
-{
-  msec_t now = msclock_now (feed->clock);
-
-  eventlog_write (EVENT_STATE,
-                  "currency",
-                  event,
-                  "feed=%s version=%llu newest=%llu age_ms=%lld behind_ms=%lld",
-                  feed->name,
-                  (unsigned long long)MAX (feed->newest_change, feed->version),
-                  (unsigned long long)currency->newest,
-                  (long long)feed_age (feed),
-                  currency->behind_since == MSEC_NEVER
-                      ? -1LL
-                      : (long long)(now - currency->behind_since));
-}
-
-static void
-perform_currency (feed_t *feed, const currency_t *currency, const currency_out_t *out)
-{
-  switch (out->kind)
-    {
-    case CURRENCY_QUERY:
-      feed_resume (feed);
-      break;
-    case CURRENCY_REQUERY:
-      feed_requery (feed, out->since);
-      break;
-    case CURRENCY_REJECT:
-      log_currency (feed, currency, "rejecting");
-      break;
-    case CURRENCY_SERVE:
-      log_currency (feed, currency, "serving");
-      break;
-    }
-}
-
-static void
-handle_currency (feed_t *feed, currency_t *currency, const currency_msg_t *msg)
-{
-  GArray *out = g_array_new (FALSE, FALSE, sizeof (currency_out_t));
-
-  currency_handle (currency, msg, msclock_now (feed->clock), out);
-  feed->behind_since = currency->behind_since;
-  for (guint i = 0; i < out->len; i++)
-    perform_currency (feed, currency, &g_array_index (out, currency_out_t, i));
-  g_array_unref (out);
-}
-
-static void
-review_table (coordinator_t *self, feed_t *feed, currency_t *currency)
-{
-  const currency_msg_t review = { .kind = CURRENCY_REVIEW,
-                                  .version = MAX (feed->newest_change, feed->version),
-                                  .complete_at = feed->confirmed_at,
-                                  .heard_at = self->outage.answered_at };
-
-  handle_currency (feed, currency, &review);
-}
-
-static void
-review_currency (coordinator_t *self)
-{
-  review_table (self, &self->configuration, &self->configuration_currency);
-  review_table (self, &self->targets, &self->targets_currency);
-  update_outdated (self);
-}
-
 void
 discovery_step (coordinator_t *self)
 {
@@ -518,41 +433,11 @@
   feed_step (&self->targets);
   feed_step (&self->owners);
   publish_changes (self);
-  review_currency (self);
+  outdated_review (self);
   if (self->proxy != NULL)
     outbox_flush (&self->outbox, &self->proxy->inbox);
 }
 
-void
-discovery_note_stall (coordinator_t *self)
-{
-  const currency_msg_t stalled = { .kind = CURRENCY_STALLED };
-
-  handle_currency (&self->configuration, &self->configuration_currency, &stalled);
-  handle_currency (&self->targets, &self->targets_currency, &stalled);
-  review_currency (self);
-}
-
-/* VERSION of the feed's table exists. */
-static void
-note_newer (feed_t *feed, currency_t *currency, uint64_t version)
-{
-  const currency_msg_t newer = { .kind = CURRENCY_NEWER, .version = version };
-
-  if (version <= MAX (currency->newest, MAX (feed->newest_change, feed->version)))
-    return;
-  eventlog_write (EVENT_STATE,
-                  "store",
-                  "behind",
-                  "feed=%s version=%llu newest=%llu age_ms=%lld call_ms=%lld",
-                  feed->name,
-                  (unsigned long long)feed->version,
-                  (unsigned long long)version,
-                  (long long)feed_age (feed),
-                  (long long)feed_call_duration (feed));
-  handle_currency (feed, currency, &newer);
-}
-
 /* The granter has all changes of the feed's table up to version NEWEST, which it knew to
  * be the newest one at CONFIRMED_AT. */
 static void
@@ -564,7 +449,7 @@
     outage_note_answer (feed->outage, confirmed_at);
   if (complete && confirmed_at != MSEC_NEVER)
     feed_confirm (feed, confirmed_at);
-  note_newer (feed, currency, newest);
+  outdated_note_newer (feed, currency, newest);
 }
 
 void
@@ -578,7 +463,7 @@
                  &self->targets_currency,
                  update->targets.newest_change,
                  confirmation_time (update, &update->targets));
-  review_currency (self);
+  outdated_review (self);
 }
 
 void
@@ -596,7 +481,7 @@
                     (unsigned long long)after,
                     (unsigned long long)self->configuration.newest_change);
   if (table == STORE_CONFIGURATION && rows->len == 0)
-    note_newer (&self->configuration, &self->configuration_currency, after);
+    outdated_note_newer (&self->configuration, &self->configuration_currency, after);
   /* Until this host has read the table itself, it has no version that the rows could
    * follow.  They apply all the same, since each holds a complete configuration. */
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
@@ -605,7 +490,7 @@
     feed_apply_delta (&self->configuration, rows->len > 0 ? 0 : before, after, rows);
   else if (table == STORE_TARGETS)
     feed_apply_delta (&self->targets, before, after, rows);
-  review_currency (self);
+  outdated_review (self);
 }
 
 void
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -1,7 +1,6 @@
 #include "coordinator_parts.h"
 
 #include "../core/eventlog.h"
-#include "../link/link_pack.h"
 #include "../link/spread.h"
 
 /* A host that sends its reports to this one. */
@@ -43,17 +42,15 @@
   g_byte_array_unref (message);
 }
 
-/* Sends BODY to one host, not to be forwarded, and frees it. */
-static void
-send_and_free (coordinator_t *self, const name_t *address, GByteArray *body)
+void
+peers_send (coordinator_t *self, const name_t *address, GByteArray *body)
 {
   send_body (self, address, body, NULL, 0);
   g_byte_array_unref (body);
 }
 
-/* Sends BODY to all hosts that report to this one. */
-static void
-broadcast_body (coordinator_t *self, const GByteArray *body)
+void
+peers_broadcast (coordinator_t *self, const GByteArray *body)
 {
   GArray *hosts = g_array_new (FALSE, FALSE, sizeof (spread_host_t));
   GArray *groups = g_array_new (FALSE, FALSE, sizeof (spread_group_t));
@@ -88,10 +85,8 @@
   g_array_unref (hosts);
 }
 
-/* Whether sending BYTES to all hosts would occupy the network link of this host, or of
- * one that forwards them, for too long. */
-static bool
-is_heavy (const coordinator_t *self, size_t bytes)
+bool
+peers_is_heavy (const coordinator_t *self, size_t bytes)
 {
   guint groups = spread_group_count (g_hash_table_size (self->reporters));
 
@@ -145,97 +140,6 @@
   update_host_count (self, g_hash_table_size (self->reporters) + 1);
 }
 
-/* Packs the newest configuration into PACKED, as a patch of the row of BASE_VERSION if
- * this host still has that. */
-static link_row_t
-pack_configuration (const coordinator_t *self, uint64_t base_version, GByteArray *packed)
-{
-  const configuration_row_t *row = &self->configuration_row;
-  const configuration_row_t *base = &self->previous_row;
-  bool patch = base_version > 0 && base_version == base->version;
-
-  link_pack ((text_t){ row->bytes->str, row->bytes->len },
-             patch ? (text_t){ base->bytes->str, base->bytes->len } : TEXT_NONE,
-             packed);
-  return (link_row_t){ .key = self->deployment->configuration_key,
-                       .value = { (const char *)packed->data, packed->len },
-                       .version = row->version,
-                       .packed = true,
-                       .base_version = patch ? base_version : 0 };
-}
-
-/* The host of REPORT lacks the newest configuration, and has not just been sent it. */
-static bool
-lacks_configuration (const coordinator_t *self, const link_report_t *report, msec_t now)
-{
-  const configuration_row_t *row = &self->configuration_row;
-
-  return report->configuration_row_version < row->version
-         && row->bytes->len <= LINK_ROW_MAX_BYTES
-         && (report->requests_configuration || now - row->since >= FEED_LAG_MS);
-}
-
-/* Sends the newest configuration to a host that lacks it, one host after another within
- * RELAY_LINK_PERCENT of this host's link. */
-static void
-send_configuration (coordinator_t *self, const link_report_t *report, msec_t now)
-{
-  if (now < self->next_configuration_send)
-    return;
-  GByteArray *packed = g_byte_array_new ();
-  link_row_t row = pack_configuration (self, report->configuration_row_version, packed);
-  link_rows_t part = { .table = STORE_CONFIGURATION,
-                       .from_version = report->configuration_row_version,
-                       .to_version = row.version,
-                       .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
-
-  g_array_append_val (part.rows, row);
-  if (packed->len < LINK_MESSAGE_MAX_BYTES - LINK_OVERHEAD_BYTES)
-    {
-      send_and_free (self, &report->address, link_encode_rows (&part));
-      self->next_configuration_send
-          = now
-            + (msec_t)(packed->len * 8 / (self->settings->link_mbps * 1000) * 100
-                       / RELAY_LINK_PERCENT);
-      eventlog_write (EVENT_STATE,
-                      "configuration",
-                      "sent_again",
-                      "to=%.*s row_version=%llu base=%llu bytes=%u",
-                      NAME_ARG (report->host),
-                      (unsigned long long)row.version,
-                      (unsigned long long)row.base_version,
-                      packed->len);
-    }
-  g_array_unref (part.rows);
-  g_byte_array_unref (packed);
-}
-
-/* Sends the changes of targets that the host of REPORT lacks. */
-static void
-send_missing_targets (coordinator_t *self, const link_report_t *report, msec_t now)
-{
-  GPtrArray *missing = g_ptr_array_new ();
-  link_rows_t part = { .table = STORE_TARGETS,
-                       .from_version = report->targets_version,
-                       .to_version = self->relayed_targets.to,
-                       .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
-
-  relay_missing (&self->relayed_targets, report->targets_version, now, missing);
-  for (guint i = 0; i < missing->len; i++)
-    {
-      const store_row_t *row = g_ptr_array_index (missing, i);
-      link_row_t copy = { .key = { row->key->str, row->key->len },
-                          .value = { row->value->str, row->value->len },
-                          .version = row->version,
-                          .removed = row->removed };
-      g_array_append_val (part.rows, copy);
-    }
-  if (part.rows->len > 0)
-    send_and_free (self, &report->address, link_encode_rows (&part));
-  g_array_unref (part.rows);
-  g_ptr_array_unref (missing);
-}
-
 static void
 handle_report (coordinator_t *self, const link_report_t *report)
 {
@@ -264,13 +168,11 @@
   bool wants_table = table != NULL && table->version > report->table_version
                      && (report->requests_table || report->table_version == 0
                          || now >= self->table_broadcast_at + TABLE_BROADCAST_MS);
-  send_and_free (self,
-                 &report->address,
-                 encode_update (self, report, wants_table ? table : NULL, 0));
-  if (self->role.state == ROLE_HELD && lacks_configuration (self, report, now))
-    send_configuration (self, report, now);
+  peers_send (self,
+              &report->address,
+              encode_update (self, report, wants_table ? table : NULL, 0));
   if (self->role.state == ROLE_HELD)
-    send_missing_targets (self, report, now);
+    rows_send_missing (self, report, now);
   g_free (host);
 }
 
@@ -294,7 +196,7 @@
   if (now >= self->table_requested_at + TABLE_REQUEST_MS)
     {
       self->table_requested_at = now;
-      send_and_free (self, &self->granter, link_encode_report (&report));
+      peers_send (self, &self->granter, link_encode_report (&report));
     }
   g_array_unref (none);
 }
@@ -354,141 +256,6 @@
     apply_table (self, update, now);
 }
 
-/* Unpacks ROW into VALUE.  Returns false if this host lacks the row's base. */
-static bool
-unpack_row (const coordinator_t *self, const link_row_t *row, GString *value)
-{
-  const configuration_row_t *base = &self->configuration_row;
-  fault_t fault;
-
-  if (row->base_version != 0 && row->base_version != base->version)
-    return false;
-  text_t from = row->base_version == 0 ? TEXT_NONE
-                                       : (text_t){ base->bytes->str, base->bytes->len };
-  if (link_unpack (row->value, from, value, &fault) == STATUS_OK)
-    return true;
-  eventlog_write (EVENT_FAILURE,
-                  "link",
-                  "row_rejected",
-                  "row_version=%llu why=\"%.*s\"",
-                  (unsigned long long)row->version,
-                  TEXT_ARG (fault_text (&fault)));
-  return false;
-}
-
-static void
-clear_row (void *item)
-{
-  store_row_t *row = item;
-
-  g_string_free (row->key, TRUE);
-  g_string_free (row->value, TRUE);
-}
-
-static void
-handle_rows (coordinator_t *self, const link_rows_t *from)
-{
-  GArray *rows = g_array_new (FALSE, FALSE, sizeof (store_row_t));
-  bool complete = true;
-
-  g_array_set_clear_func (rows, clear_row);
-  for (guint i = 0; i < from->rows->len && complete; i++)
-    {
-      const link_row_t *row = &g_array_index (from->rows, link_row_t, i);
-      if (row->packed && row->version <= self->configuration_row.version)
-        continue; /* its base may be gone */
-      store_row_t copy = { .key = g_string_new_len (row->key.at, (gssize)row->key.len),
-                           .value = g_string_new (NULL),
-                           .version = row->version,
-                           .removed = row->removed };
-      if (row->packed)
-        complete = unpack_row (self, row, copy.value);
-      else
-        g_string_append_len (copy.value, row->value.at, (gssize)row->value.len);
-      g_array_append_val (rows, copy);
-    }
-  if (!complete)
-    g_array_set_size (rows, 0); /* their version is announced all the same */
-  if (self->role.state != ROLE_HELD)
-    discovery_apply_rows (self,
-                          (store_table_t)from->table,
-                          complete ? from->from_version : from->to_version,
-                          from->to_version,
-                          rows);
-  g_array_unref (rows);
-}
-
-/* Whether ROW is the newest configuration and large enough to be packed. */
-static bool
-should_pack (const coordinator_t *self, store_table_t table, const store_row_t *row)
-{
-  return table == STORE_CONFIGURATION && !row->removed
-         && row->value->len >= LINK_PACK_MIN_BYTES
-         && row->value->len <= LINK_ROW_MAX_BYTES
-         && row->version == self->configuration_row.version;
-}
-
-/* Broadcasts rows from a feed.  If they are too large, only their version is announced,
- * and each host queries the store for them. */
-static void
-broadcast_rows (coordinator_t *self, const link_rows_t *part)
-{
-  GByteArray *body = link_encode_rows (part);
-
-  if (body->len > LINK_MESSAGE_MAX_BYTES - LINK_OVERHEAD_BYTES
-      || is_heavy (self, body->len))
-    {
-      GArray *none = g_array_new (FALSE, FALSE, sizeof (link_row_t));
-      uint64_t newest
-          = g_array_index (part->rows, link_row_t, part->rows->len - 1).version;
-      link_rows_t announced = { .table = part->table,
-                                .from_version = newest,
-                                .to_version = newest,
-                                .rows = none };
-      g_byte_array_unref (body);
-      body = link_encode_rows (&announced);
-      g_array_unref (none);
-    }
-  broadcast_body (self, body);
-  g_byte_array_unref (body);
-}
-
-void
-peers_relay_rows (coordinator_t *self,
-                  store_table_t table,
-                  uint64_t before,
-                  const store_reply_t *reply)
-{
-  link_rows_t part = { .table = table,
-                       .from_version = before,
-                       .rows = g_array_new (FALSE, FALSE, sizeof (link_row_t)) };
-  GByteArray *packed = g_byte_array_new ();
-  size_t size = 0;
-
-  for (guint i = 0; i < reply->rows->len && self->role.state == ROLE_HELD; i++)
-    {
-      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
-      link_row_t copy = { .key = { row->key->str, row->key->len },
-                          .value = { row->value->str, row->value->len },
-                          .version = row->version,
-                          .removed = row->removed };
-      if (should_pack (self, table, row))
-        copy = pack_configuration (self, self->previous_row.version, packed);
-      g_array_append_val (part.rows, copy);
-      size += copy.value.len;
-      bool last = i + 1 == reply->rows->len;
-      if (!last && size < LINK_MESSAGE_MAX_BYTES / 2)
-        continue;
-      part.to_version = last ? reply->version : row->version;
-      broadcast_rows (self, &part);
-      part.from_version = part.to_version;
-      g_array_set_size (part.rows, 0);
-      size = 0;
-    }
-  g_byte_array_unref (packed);
-  g_array_unref (part.rows);
-}
-
 void
 peers_report_suspect (coordinator_t *self, const suspect_out_t *suspect)
 {
@@ -499,7 +266,7 @@
   /* The granter broadcasts it, also to the host that reported it: the duplicate doesn't
    * count as another loss. */
   if (self->role.state == ROLE_HELD)
-    broadcast_body (self, body);
+    peers_broadcast (self, body);
   else if (self->granter.len > 0)
     send_body (self, &self->granter, body, NULL, 0);
   g_byte_array_unref (body);
@@ -518,58 +285,6 @@
   discovery_post (self, msg);
 }
 
-/* Takes ownership of SHARES. */
-static void
-apply_shares (coordinator_t *self, GArray *shares)
-{
-  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
-
-  msg->kind = PROXY_SHARES;
-  msg->shares = shares;
-  discovery_post (self, msg);
-}
-
-static void
-log_shares (const GArray *shares)
-{
-  double limit = 0, wanted = 0, admitted = 0;
-
-  for (guint i = 0; i < shares->len; i++)
-    {
-      const rate_share_t *share = &g_array_index (shares, rate_share_t, i);
-      limit += share->limit;
-      wanted += share->wanted;
-      admitted += share->wanted * share->share;
-    }
-  eventlog_write (EVENT_STATE,
-                  "rate",
-                  "shares",
-                  "targets=%u limit=%.1f wanted=%.1f admitted=%.1f",
-                  shares->len,
-                  limit,
-                  wanted,
-                  admitted);
-}
-
-void
-peers_step_rates (coordinator_t *self, msec_t now)
-{
-  link_shares_t shares = { g_array_new (FALSE, FALSE, sizeof (rate_share_t)) };
-  keys_msg_t limits = { .kind = KEYS_RATE_LIMITS, .shares = shares.shares };
-
-  if (!rate_fleet_plan (&self->rates, now, shares.shares))
-    {
-      g_array_unref (shares.shares);
-      return;
-    }
-  log_shares (shares.shares);
-  GByteArray *body = link_encode_shares (&shares);
-  broadcast_body (self, body);
-  g_byte_array_unref (body);
-  grants_handle (self, &limits);
-  apply_shares (self, shares.shares);
-}
-
 static void
 on_message (void *owner, text_t bytes)
 {
@@ -599,11 +314,11 @@
   else if (msg.kind == LINK_UPDATE)
     handle_update (self, &msg.update);
   else if (msg.kind == LINK_ROWS)
-    handle_rows (self, &msg.rows);
+    rows_handle (self, &msg.rows);
   else if (msg.kind == LINK_SUSPECT)
     handle_suspect (self, &msg.suspect);
   else if (self->role.state != ROLE_HELD)
-    apply_shares (self, g_steal_pointer (&msg.shares.shares));
+    rates_apply (self, g_steal_pointer (&msg.shares.shares));
   link_msg_finish (&msg);
 }
 
@@ -650,7 +365,7 @@
                            .requests_configuration = discovery_store_unreachable (self),
                            .loads = from->key_loads,
                            .rates = from->rates };
-  send_and_free (self, &self->granter, link_encode_report (&report));
+  peers_send (self, &self->granter, link_encode_report (&report));
 }
 
 void
@@ -665,7 +380,7 @@
     key_table_diff (known, table, &changes);
   body = known != NULL ? encode_update (self, NULL, &changes, known->version)
                        : encode_update (self, NULL, table, 0);
-  broadcast_body (self, body);
+  peers_broadcast (self, body);
   g_byte_array_unref (body);
   key_table_finish (&changes);
   self->table_broadcast_at = msclock_now (&self->clock);
--- a/packages/rate/tests/test_rate.c
+++ b/packages/rate/tests/test_rate.c
@@ -99,12 +99,9 @@
   rate_limit_state (&limit, true, 5, START);
   rate_limit_set_share (&limit, NULL, START + 1000);
   assert_true (admitted (&limit, 8, START + 1000, START + 1100, 1) < 100);
-  assert_int_equal (admitted (&limit,
-                              8,
-                              START + RATE_STATEMENT_MS,
-                              START + RATE_STATEMENT_MS + 100,
-                              1),
-                    100);
+  assert_int_equal (
+      admitted (&limit, 8, START + RATE_STATEMENT_MS, START + RATE_STATEMENT_MS + 100, 1),
+      100);
 }
 
 /* A whole fleet: hosts with unequal load that come and go, and a granter that changes. */
