--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -380,9 +380,8 @@
 #define TASK_LATE_MS 200
 
 /* Limits that targets state on the requests from all hosts. */
-#define RATE_WINDOW_MS                                                                   \
-  2000                      /* over which demand is counted: four reports of each host   \
-                             */
+/* Over which demand is counted: several reports of each host. */
+#define RATE_WINDOW_MS 2000
 #define RATE_PLAN_MS 200    /* between the granter's lists of shares */
 #define RATE_SHARE_MS 3000  /* a share is valid for: the granter may change meanwhile */
 #define RATE_REPORT_MS 1200 /* two reports of a host may be lost */
