Requests that targets have not answered when a process ends get 502

0.2 s before the last connections are closed, requests still at targets are cancelled and answered 502, like an attempt whose end is unknown: the order may have run, so it is not sent again and not called "not run". Connections still close 0.5 s before the grace period ends. Ruled out: rejecting such a request on arrival, since nothing tells that its target will be silent.

Unit dispatch requests_in_progress_are_answered_when_the_process_ends.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -225,9 +225,10 @@
 /* The same while targets limit their rate: the demand for them may multiply at once. */
 #define PROXY_LIMITED_REPORT_MS 200
 #define PROXY_GRACE_MARGIN_MS 500 /* from the last connection's end to SIGKILL */
-/* Before the last connection's end: requests that still wait are rejected, and their
- * responses are written. */
+/* Before the last connection's end: requests that still wait are rejected; then requests
+ * at targets are given up, which leaves time to write their responses. */
 #define PROXY_LAST_ANSWERS_MS 300
+#define PROXY_LAST_WRITES_MS 200 /* at least two of PROXY_DRAIN_TICK_MS */
 /* Two failed readiness probes, a second apart, and a margin. */
 #define PROXY_UNREADY_MS 2600
 #define PROXY_DRAIN_TICK_MS 100 /* well below PROXY_GRACE_MARGIN_MS */
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -453,6 +453,12 @@
     case DISPATCH_TIMER:
       handle_timer (self, msg->request, now, out);
       break;
+    case DISPATCH_ABANDON:
+      if (msg->request->state == REQUEST_SENT)
+        cancel (self, msg->request, out);
+      if (msg->request->state != REQUEST_ENDED)
+        end (self, msg->request, REASON_STOPPING, now, out);
+      break;
     case DISPATCH_BOUNDS:
       self->bounds = msg->bounds;
       for (guint i = 0; i < self->services->len; i++)
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -33,6 +33,7 @@
   DISPATCH_FAILED,      /* the attempt ended without a complete response */
   DISPATCH_CALLER_LEFT, /* the caller disconnected */
   DISPATCH_TIMER,       /* the request's timer expired */
+  DISPATCH_ABANDON,     /* the request ends now, whatever its target does */
   DISPATCH_BOUNDS,      /* new bounds take effect */
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
   DISPATCH_SHARES,      /* the granter's list of limited targets */
@@ -72,7 +73,7 @@
   directory_t *directory;      /* DISPATCH_DIRECTORY */
   const GArray *targets;       /* DISPATCH_TARGETS: target_entry_t */
   const key_table_t *keys;     /* DISPATCH_KEY_TABLE */
-  dispatch_request_t *request; /* DISPATCH_ARRIVED to DISPATCH_TIMER */
+  dispatch_request_t *request; /* DISPATCH_ARRIVED to DISPATCH_ABANDON */
   text_t host, path;           /* DISPATCH_ARRIVED */
   bool has_key;                /* DISPATCH_ARRIVED */
   uint32_t key;                /* DISPATCH_ARRIVED */
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -482,6 +482,37 @@
   end (&fixture);
 }
 
+static void
+test_requests_in_progress_are_answered_when_the_process_ends (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t running, waiting, answered;
+  dispatch_msg_t abandon = { .kind = DISPATCH_ABANDON };
+
+  (void)state;
+  begin (&fixture);
+  arrive (&fixture, &answered, TEXT ("/keyed/"));
+  answer (&fixture, &answered, ANSWER_RUN, 200);
+  abandon.request = &answered;
+  handle_msg (&fixture, &abandon);
+  assert_null (find_out (&fixture, DISPATCH_END));
+
+  arrive (&fixture, &running, TEXT ("/keyed/"));
+  abandon.request = &running;
+  handle_msg (&fixture, &abandon);
+  assert_non_null (find_out (&fixture, DISPATCH_CANCEL));
+  assert_null (find_out (&fixture, DISPATCH_SEND));
+  assert_ended (&fixture, OUTCOME_UNKNOWN, REASON_STOPPING);
+
+  assign_keys (&fixture, TEXT ("k9"), 2); /* not listed yet */
+  arrive (&fixture, &waiting, TEXT ("/keyed/"));
+  abandon.request = &waiting;
+  handle_msg (&fixture, &abandon);
+  assert_null (find_out (&fixture, DISPATCH_CANCEL));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+  end (&fixture);
+}
+
 /* The granter's list has only TARGET, which takes nothing for now; empty: no target. */
 static void
 limit_target (fixture_t *self, text_t target)
@@ -559,6 +590,7 @@
     cmocka_unit_test (test_losses_reported_by_other_hosts_block_request),
     cmocka_unit_test (test_host_with_an_outdated_copy_rejects_requests_as_not_run),
     cmocka_unit_test (test_requests_that_wait_when_the_process_ends_are_rejected),
+    cmocka_unit_test (test_requests_in_progress_are_answered_when_the_process_ends),
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
   };
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -326,27 +326,62 @@
   proxy_msg_free (msg);
 }
 
+/* A request that is at a target, or waits for one; NULL: there is none. */
+static exchange_t *
+find_running (const proxy_t *self)
+{
+  const caller_t *caller;
+  exchange_t *exchange;
+
+  TAILQ_FOREACH (caller, &self->callers, link)
+    TAILQ_FOREACH (exchange, &caller->pipeline, link)
+      if (exchange->dispatched && exchange->request.state != REQUEST_ENDED)
+        return exchange;
+  return NULL;
+}
+
+/* Answers all requests that are in progress.  An answer may end its caller's connection.
+ */
+static void
+abandon_requests (proxy_t *self)
+{
+  exchange_t *exchange;
+
+  while ((exchange = find_running (self)) != NULL)
+    {
+      const dispatch_msg_t abandon
+          = { .kind = DISPATCH_ABANDON, .request = &exchange->request };
+      proxy_dispatch (self, &abandon);
+    }
+}
+
 /* Once the platform has had time to notice that this host is not ready, stops listening
  * and closes connections without a request.  Shortly before the process would be killed,
- * rejects the requests that still wait, and then closes the remaining connections. */
+ * rejects the requests that still wait, then answers those that targets have not, and
+ * closes the remaining connections. */
 static void
 drain_step (proxy_t *self, msec_t now)
 {
   bool expired = now >= self->drain_until;
   bool idle_expired = now >= self->idle_close_at;
-  caller_t *caller = TAILQ_FIRST (&self->callers);
+  caller_t *caller;
 
   if (now >= self->drain_until - PROXY_LAST_ANSWERS_MS && !self->dispatch.stopping)
     {
       const dispatch_msg_t stop = { .kind = DISPATCH_STOP };
       proxy_dispatch (self, &stop);
-      caller = TAILQ_FIRST (&self->callers); /* a response may have closed the first */
+    }
+  if (now >= self->drain_until - PROXY_LAST_WRITES_MS && !self->abandoned)
+    {
+      abandon_requests (self);
+      self->abandoned = true;
     }
   if (idle_expired && self->listener != NULL)
     {
       evconnlistener_free (self->listener);
       self->listener = NULL;
     }
+  caller = TAILQ_FIRST (&self->callers);
   while (caller != NULL)
     {
       caller_t *next = TAILQ_NEXT (caller, link);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -118,6 +118,7 @@
   msec_t last_tick, tick_period;
   msec_t idle_close_at;   /* draining: connections without a request are closed then */
   msec_t drain_until;     /* draining: all other connections are closed then */
+  bool abandoned;         /* draining: no request is in progress any more */
   bool key_table_missing; /* a keyed service has no key table yet */
   proxy_counts_t counts;
 } proxy_t;
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -432,6 +432,10 @@
         sock.sendall(self._ok_response(request_id))
         return True
 
+    def _handle_silent(self, sock, request_id, body, headers):
+        self.executed.append(request_id)
+        return True
+
     def _handle_repeats_refusal(self, sock, request_id, body, headers):
         """Rejects a request once.  Writes that again where the response to its repetition is due,
         if it arrives on the same connection, and runs it."""
