--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "../keys/key_rows.h"
+#include "../currency/currency.h"
 #include "../keys/keys.h"
 #include "../proxy/proxy.h"
 #include "deployment.h"
-#include "../currency/currency.h"
 #include "feed.h"
 #include "outbox.h"
 #include "relay.h"
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -42,8 +42,7 @@
 /* Whether the configuration, the targets and the owners have been read. */
 bool discovery_is_complete (const coordinator_t *self);
 
-/* Sends MSG to the proxy, at once or when its mailbox has room, and takes ownership of
- * it.
+/* Sends MSG to the proxy, at once or when its mailbox has room.  Takes ownership of MSG.
  */
 void discovery_post (coordinator_t *self, proxy_msg_t *msg);
 
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -217,9 +217,9 @@
   bool saturated; /* the last of these requests to leave the queue was not sent in time */
   dispatch_loss_t losses[DISPATCH_LOSS_HISTORY]; /* ring buffer of the most recent ones */
   uint32_t next_loss;
-  msec_t leaving_at; /* when this host first saw it leaving; MSEC_NEVER: not leaving */
-  rate_limit_t rate;
+  msec_t leaving_at;    /* when this host first saw it leaving; MSEC_NEVER: not leaving */
   msec_t leaving_since; /* the earliest time at which it can have begun to leave */
+  rate_limit_t rate;
 } dispatch_target_t;
 
 typedef struct
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -326,8 +326,7 @@
     }
 }
 
-/* Whether the rate limit of target I admits the request.  It is asked once per attempt.
- */
+/* Whether the rate limit of target I admits the request; asked once per attempt. */
 static bool
 is_admitted (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
 {
@@ -389,8 +388,7 @@
   return expected;
 }
 
-/* The target with the lowest cost of those whose rate limits have not rejected REQUEST.
- */
+/* The target with the lowest cost whose rate limit has not rejected REQUEST. */
 static int
 select_cheapest (dispatch_t *self,
                  const dispatch_request_t *request,
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -40,8 +40,7 @@
 /* Whether any target limits its rate. */
 bool targets_are_limited (const dispatch_t *self);
 
-/* Appends what is to be reported of targets with rate limits (rate_report_t) to REPORTS.
- */
+/* Appends what is to be reported of rate limits (rate_report_t) to REPORTS. */
 void targets_report_rates (dispatch_t *self, msec_t now, GArray *reports);
 
 /*
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -340,8 +340,7 @@
   return NULL;
 }
 
-/* Answers all requests that are in progress.  An answer may end its caller's connection.
- */
+/* Answers all requests in progress.  An answer may end its caller's connection. */
 static void
 abandon_requests (proxy_t *self)
 {
