Log what the granter knows of unanswered grants, and when and why a range is free

Cause: the records of the incident don't show until when the granter took an unanswered grant for possible, nor when and by which evidence it reassigned the keys. Change: keys reports both to the log (grant_in_flight with the remaining time; freed with the reason and the time for which the longest grant could still have lasted). No change of logic.

--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -131,6 +131,37 @@
                                     g_get_monotonic_time () / 1000);
 }
 
+static void
+log_range (const keys_out_t *out)
+{
+  bool freed = out->kind == KEYS_FREED;
+
+  eventlog_write (EVENT_STATE,
+                  "keys",
+                  freed ? "freed" : "grant_in_flight",
+                  "service=%.*s target=%.*s first=%u last=%u fence=%llu why=%s "
+                  "remaining_ms=%lld",
+                  NAME_ARG (out->service),
+                  NAME_ARG (out->target),
+                  out->first,
+                  out->last,
+                  (unsigned long long)out->fence,
+                  freed ? out->reason : "unanswered",
+                  (long long)out->remaining);
+}
+
+static void
+log_table (const keys_out_t *out)
+{
+  eventlog_write (EVENT_STATE,
+                  "keys",
+                  "assigned",
+                  "service=%.*s runs=%u next_fence=%llu",
+                  NAME_ARG (out->service),
+                  out->table.ranges->len,
+                  (unsigned long long)out->next_fence);
+}
+
 void
 grants_handle (coordinator_t *self, const keys_msg_t *msg)
 {
@@ -142,18 +173,20 @@
   for (guint i = 0; i < self->key_actions->len; i++)
     {
       keys_out_t out = g_array_index (self->key_actions, keys_out_t, i);
-      if (out.kind != KEYS_COMMIT)
-        send_command (self, &out);
-      else
+      switch (out.kind)
         {
-          eventlog_write (EVENT_STATE,
-                          "keys",
-                          "assigned",
-                          "service=%.*s runs=%u next_fence=%llu",
-                          NAME_ARG (out.service),
-                          out.table.ranges->len,
-                          (unsigned long long)out.next_fence);
+        case KEYS_GRANT:
+        case KEYS_RELEASE:
+          send_command (self, &out);
+          break;
+        case KEYS_COMMIT:
+          log_table (&out);
           role_queue_table (self, &out.table);
+          break;
+        case KEYS_UNANSWERED:
+        case KEYS_FREED:
+          log_range (&out);
+          break;
         }
     }
   g_array_set_size (self->key_actions, 0);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -41,6 +41,27 @@
   return target != NULL && target->started_at == range->owner_started_at ? target : NULL;
 }
 
+/* Reports a range to the log. */
+static void
+append_note (keys_out_kind_t kind,
+             const key_service_t *service,
+             const key_range_state_t *range,
+             const char *reason,
+             msec_t remaining,
+             GArray *out)
+{
+  keys_out_t note = { .kind = kind,
+                      .service = service->name,
+                      .target = range->owner,
+                      .first = range->first,
+                      .last = range->last,
+                      .fence = range->fence,
+                      .reason = reason,
+                      .remaining = remaining };
+
+  g_array_append_val (out, note);
+}
+
 static void
 append_call (keys_out_kind_t kind,
              const key_service_t *service,
@@ -131,6 +152,14 @@
     return;
   if (restarted || now >= reassignable_at)
     {
+      append_note (KEYS_FREED,
+                   service,
+                   range,
+                   restarted         ? "restarted"
+                   : range->released ? "released"
+                                     : "expired",
+                   MAX (range->held_until, range->inherited_until) - now,
+                   out);
       range->phase = RANGE_UNASSIGNED;
       if (!range->released)
         range->handover.len = 0;
@@ -253,7 +282,7 @@
 }
 
 static void
-finish_call (keys_t *self, const keys_msg_t *msg, msec_t now)
+finish_call (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out)
 {
   key_service_t *service = find_service (self, &msg->service);
 
@@ -290,6 +319,12 @@
             {
               range->unconfirmed_until = now + worst_case_hold (range->last_hold);
               range->held_until = MAX (range->held_until, range->unconfirmed_until);
+              append_note (KEYS_UNANSWERED,
+                           service,
+                           range,
+                           NULL,
+                           range->unconfirmed_until - now,
+                           out);
             }
         }
       return;
@@ -367,7 +402,7 @@
     case KEYS_RELEASED:
     case KEYS_OWNER_GONE:
     case KEYS_CALL_FAILED:
-      finish_call (self, msg, now);
+      finish_call (self, msg, now, out);
       break;
     case KEYS_LOADS:
       if (service != NULL)
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -66,6 +66,9 @@
   KEYS_GRANT,
   KEYS_RELEASE,
   KEYS_COMMIT, /* TABLE is the new table of the service; the receiver frees it */
+  /* For the log alone: */
+  KEYS_UNANSWERED, /* a grant got no answer and may take effect for REMAINING ms */
+  KEYS_FREED,      /* the owner no longer holds the range, by REASON */
 } keys_out_kind_t;
 
 typedef struct
@@ -80,6 +83,8 @@
   name_t handover;     /* GRANT */
   key_table_t table;   /* COMMIT */
   uint64_t next_fence; /* COMMIT */
+  const char *reason;  /* FREED */
+  msec_t remaining;    /* UNANSWERED, FREED: until all grants of the range have expired */
 } keys_out_t;
 
 typedef enum
