A later grant does not shorten the wait for an earlier one without an answer

Callers saw nothing directly; two targets held the same keys and both worked on them (OWNER), up to 3.4 s. Cause: when a grant got no answer, the granter replaced the time until which the range's grants may take effect by that of the latest call. A renewal of 4 s, or a fencing grant of 0.2 s, so shortened the wait for one of 10 s, which a granter sends when its lease is about to end. After the release the keys went to another target before the longer grant, applied late, had expired. Change: key_holds keeps the bounds of a range; each grant extends them, and none shortens them. They are cleared when the range has been assigned anew, which happens only after they have passed.

--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -75,7 +75,7 @@
   service->needs_new_fences = false;
   service->commit_pending = true;
   for (guint i = 0; i < service->ranges->len; i++)
-    if (range_at (service, i)->inherited_until != 0)
+    if (range_at (service, i)->holds.inherited_until != 0)
       range_at (service, i)->pending_fence = self->next_fence++;
   append_commit (self, service, out);
 }
@@ -98,10 +98,8 @@
       if (range->phase != RANGE_COMMITTING)
         continue;
       range->phase = RANGE_OWNED;
-      range->inherited_until = 0;
       range->next_call_at = 0;
-      range->held_until = 0;
-      range->unconfirmed_until = 0;
+      range->holds = (key_holds_t){ 0 };
       range->last_hold = 0;
     }
 }
--- /dev/null
+++ b/packages/keys/key_holds.c
@@ -0,0 +1,41 @@
+#include "key_holds.h"
+
+#include <glib.h>
+
+msec_t
+key_holds_worst_case (msec_t hold)
+{
+  return hold * (100 + KEYS_SLOW_CLOCK_PERCENT) / 100 + KEYS_MARGIN_MS;
+}
+
+void
+key_holds_inherit (key_holds_t *self, msec_t until)
+{
+  self->inherited_until = MAX (self->inherited_until, until);
+  self->any_until = MAX (self->any_until, until);
+}
+
+void
+key_holds_sent (key_holds_t *self, msec_t hold, msec_t now)
+{
+  self->any_until = MAX (self->any_until, now + key_holds_worst_case (hold));
+}
+
+void
+key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now)
+{
+  self->late_until = MAX (self->late_until, now + key_holds_worst_case (hold));
+  self->any_until = MAX (self->any_until, self->late_until);
+}
+
+void
+key_holds_fenced_off (key_holds_t *self)
+{
+  self->inherited_until = 0;
+}
+
+msec_t
+key_holds_end (const key_holds_t *self, bool released)
+{
+  return released ? MAX (self->late_until, self->inherited_until) : self->any_until;
+}
--- /dev/null
+++ b/packages/keys/key_holds.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "../core/limits.h"
+#include "../core/msclock.h"
+
+#include <stdbool.h>
+
+/*
+ * KEY_HOLDS: until when the owner of a range of keys may hold it.
+ *
+ * A grant lasts from its arrival.  A target may apply it late, also after it released the
+ * keys, if it did not answer it.  Every grant extends the bounds below and none shortens
+ * them: another grant of the range, whatever its duration, proves nothing about one that
+ * is still in flight.  The bounds end when they have passed, or with the target's
+ * process.  Times are in milliseconds on the granter's clock.
+ */
+
+typedef struct
+{
+  msec_t any_until;       /* all grants of the range have expired by then */
+  msec_t late_until;      /* all that may take effect after a release have expired */
+  msec_t inherited_until; /* all of predecessors have; 0: none, or the owner rejects
+                             them */
+} key_holds_t;
+
+/* The longest time from the arrival of a grant of HOLD to its expiry: on a slow clock,
+ * and with the transmission. */
+msec_t key_holds_worst_case (msec_t hold);
+
+/* Grants of predecessors may last until UNTIL. */
+void key_holds_inherit (key_holds_t *self, msec_t until);
+
+/* A grant of HOLD is sent. */
+void key_holds_sent (key_holds_t *self, msec_t hold, msec_t now);
+
+/* Its call ended without an answer: it has arrived by now or never will, and it may take
+ * effect until it expires. */
+void key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now);
+
+/* The owner accepted a grant under a fence above all those of predecessors. */
+void key_holds_fenced_off (key_holds_t *self);
+
+/* From when on the owner can't hold the range.  RELEASED: it has released it since its
+ * last grant was sent. */
+msec_t key_holds_end (const key_holds_t *self, bool released);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -24,14 +24,6 @@
   return NULL;
 }
 
-/* The longest time from sending a grant of HOLD to its expiry: on a slow clock, and with
- * the transmission. */
-static msec_t
-worst_case_hold (msec_t hold)
-{
-  return hold * (100 + KEYS_SLOW_CLOCK_PERCENT) / 100 + KEYS_MARGIN_MS;
-}
-
 /* The owner's entry; NULL if it isn't listed or has restarted since it got the range. */
 static const target_entry_t *
 find_owner (const keys_t *self, const key_range_state_t *range)
@@ -108,7 +100,7 @@
   else if (due && !range->call_pending && may_grant (self, now))
     {
       range->next_call_at = now + KEYS_RENEW_MS;
-      range->held_until = MAX (range->held_until, now + worst_case_hold (hold));
+      key_holds_sent (&range->holds, hold, now);
       append_call (KEYS_GRANT, service, range, hold, out);
     }
 }
@@ -122,7 +114,7 @@
              GArray *out)
 {
   range->next_call_at = now + KEYS_RETRY_MS;
-  range->held_until = MAX (range->held_until, now + worst_case_hold (KEYS_FENCE_HOLD_MS));
+  key_holds_sent (&range->holds, KEYS_FENCE_HOLD_MS, now);
   append_call (KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
 }
 
@@ -131,8 +123,8 @@
 static bool
 may_fence_owner (const key_range_state_t *range, const target_entry_t *listed, msec_t now)
 {
-  return range->inherited_until != 0 && listed != NULL
-         && now + worst_case_hold (KEYS_FENCE_HOLD_MS) < range->held_until;
+  return range->holds.inherited_until != 0 && listed != NULL
+         && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.any_until;
 }
 
 static void
@@ -144,9 +136,7 @@
 {
   const target_entry_t *listed = key_plan_find_target (self, &range->owner);
   bool restarted = listed != NULL && listed->started_at > range->owner_started_at;
-  msec_t reassignable_at = range->released
-                               ? MAX (range->unconfirmed_until, range->inherited_until)
-                               : range->held_until;
+  msec_t reassignable_at = key_holds_end (&range->holds, range->released);
 
   if (range->call_pending)
     return;
@@ -158,7 +148,7 @@
                    restarted         ? "restarted"
                    : range->released ? "released"
                                      : "expired",
-                   MAX (range->held_until, range->inherited_until) - now,
+                   range->holds.any_until - now,
                    out);
       range->phase = RANGE_UNASSIGNED;
       if (!range->released)
@@ -263,18 +253,16 @@
   for (guint i = 0; msg->table != NULL && i < msg->table->ranges->len; i++)
     {
       const key_range_t *stored = &g_array_index (msg->table->ranges, key_range_t, i);
-      key_range_state_t range
-          = { .phase = RANGE_OWNED,
-              .first = stored->first,
-              .last = stored->last,
-              .fence = stored->fence,
-              .owner = stored->target,
-              .address = stored->address,
-              .owner_started_at = stored->target_started_at,
-              .granted = true,
-              .held_until = now + msg->predecessor_hold,
-              .inherited_until
-              = msg->predecessor_hold > 0 ? now + msg->predecessor_hold : 0 };
+      key_range_state_t range = { .phase = RANGE_OWNED,
+                                  .first = stored->first,
+                                  .last = stored->last,
+                                  .fence = stored->fence,
+                                  .owner = stored->target,
+                                  .address = stored->address,
+                                  .owner_started_at = stored->target_started_at,
+                                  .granted = true };
+      if (msg->predecessor_hold > 0)
+        key_holds_inherit (&range.holds, now + msg->predecessor_hold);
       g_array_append_val (service->ranges, range);
       /* No fence is issued twice, even if the role's row is missing. */
       self->next_fence = MAX (self->next_fence, stored->fence + 1);
@@ -298,7 +286,7 @@
           range->granted = true;
           range->handover.len = 0;
           if (!service->needs_new_fences && range->pending_fence == 0)
-            range->inherited_until = 0;
+            key_holds_fenced_off (&range->holds);
         }
       else if (msg->kind == KEYS_RELEASED && range->phase == RANGE_REVOKING)
         {
@@ -310,20 +298,19 @@
           /* Only a commit under a higher fence helps; or the owner is gone and holds
            * nothing. */
           key_plan_revoke (range, NULL);
-          range->held_until = now;
+          range->holds.any_until = now;
         }
       else if (msg->kind == KEYS_CALL_FAILED && !msg->release)
         {
           range->next_call_at = MIN (range->next_call_at, now + KEYS_RETRY_MS);
           if (msg->sent)
             {
-              range->unconfirmed_until = now + worst_case_hold (range->last_hold);
-              range->held_until = MAX (range->held_until, range->unconfirmed_until);
+              key_holds_unanswered (&range->holds, range->last_hold, now);
               append_note (KEYS_UNANSWERED,
                            service,
                            range,
                            NULL,
-                           range->unconfirmed_until - now,
+                           range->holds.late_until - now,
                            out);
             }
         }
@@ -467,5 +454,5 @@
 {
   /* The predecessor's last call may have been in flight for the longest time of a call.
    */
-  return MAX (worst_case_hold (self->hold_max) + COMMAND_CALL_MS - since, 0);
+  return MAX (key_holds_worst_case (self->hold_max) + COMMAND_CALL_MS - since, 0);
 }
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -3,6 +3,7 @@
 #include "../core/limits.h"
 #include "../directory/directory.h"
 #include "../dispatch/dispatch.h"
+#include "key_holds.h"
 
 /*
  * KEYS: assigns the keys of a service to its targets, each key to exactly one owner.
@@ -108,17 +109,14 @@
   /* The state before the pending commit, restored if the commit is rejected. */
   name_t previous_owner;
   uint64_t previous_fence, previous_started_at;
-  name_t handover;          /* from the last owner, passed on with the first grant */
-  bool granted;             /* the owner accepted its first grant */
-  bool call_pending;        /* a grant or release is under way */
-  msec_t next_call_at;      /* no call before this */
-  msec_t held_until;        /* every grant of the range has expired by then */
-  msec_t unconfirmed_until; /* until then a grant without an answer may take effect */
-  msec_t inherited_until;   /* the same for the predecessor's grants; 0 once the owner has
-                               accepted a new fence */
-  uint64_t pending_fence;   /* for the same owner, in the pending commit; 0: none */
-  msec_t last_hold;         /* hold of the latest call; 0 for a release */
-  bool released;            /* the owner released it */
+  name_t handover;        /* from the last owner, passed on with the first grant */
+  bool granted;           /* the owner accepted its first grant */
+  bool call_pending;      /* a grant or release is under way */
+  msec_t next_call_at;    /* no call before this */
+  key_holds_t holds;      /* of the owner */
+  uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
+  msec_t last_hold;       /* hold of the latest call; 0 for a release */
+  bool released;          /* the owner released it */
   uint32_t release_attempts;
 } key_range_state_t;
 
--- /dev/null
+++ b/packages/keys/tests/test_key_holds.c
@@ -0,0 +1,107 @@
+#include "keys_fixture.h"
+
+/* Until when an owner may hold its keys, whatever became of the calls to it. */
+
+/* The call of KIND to t0 among the last message's actions; its target is empty if there
+ * is none. */
+static keys_out_t
+call_to_first (const fixture_t *self, keys_out_kind_t kind)
+{
+  for (guint i = 0; i < self->out->len; i++)
+    {
+      keys_out_t call = g_array_index (self->out, keys_out_t, i);
+      if (call.kind == kind
+          && name_equal (&call.target, &target ((fixture_t *)self, 0)->id))
+        return call;
+    }
+  return (keys_out_t){ 0 };
+}
+
+/* Advances until t0 is to be granted its keys again, and returns that call. */
+static keys_out_t
+next_grant (fixture_t *self)
+{
+  keys_out_t call;
+  msec_t until = self->now + 2 * KEYS_RENEW_MS;
+
+  while ((call = call_to_first (self, KEYS_GRANT)).target.len == 0)
+    {
+      assert_true (self->now < until);
+      accept_grants (self);
+      self->now += 50;
+      renew_role (self);
+    }
+  return call;
+}
+
+/* The same for the longest hold: the role is about to end. */
+static keys_out_t
+longest_grant (fixture_t *self)
+{
+  tick (self, self->now + ROLE_MS - KEYS_FINAL_RENEWAL_MS + 1);
+  keys_out_t call = call_to_first (self, KEYS_GRANT);
+  assert_int_equal (call.hold, HOLD_MAX_MS);
+  return call;
+}
+
+static void
+release_first_target (fixture_t *self)
+{
+  target (self, 0)->leaving = true;
+  list_targets (self);
+  if (count_actions (self, KEYS_RELEASE) == 0)
+    assert_true (run_until_action (self, KEYS_RELEASE, self->now + 4 * KEYS_RETRY_MS));
+  keys_out_t release = *find (self, KEYS_RELEASE);
+  reply (self, &release, KEYS_RELEASED, true);
+}
+
+/* Nothing is committed before UNTIL, and the move is soon after. */
+static void
+assert_moved_after (fixture_t *self, msec_t until)
+{
+  while (self->now < until)
+    {
+      assert_int_equal (count_actions (self, KEYS_COMMIT), 0);
+      accept_grants (self);
+      self->now += 50;
+      renew_role (self);
+    }
+  if (count_actions (self, KEYS_COMMIT) == 0)
+    assert_true (run_until_action (self, KEYS_COMMIT, until + 500));
+}
+
+static msec_t
+slowest_clock (msec_t hold)
+{
+  return hold * 102 / 100;
+}
+
+static void
+test_a_shorter_grant_does_not_shorten_the_wait_for_an_unanswered_longer_one (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t longest = longest_grant (&fixture);
+  reply (&fixture, &longest, KEYS_CALL_FAILED, true);
+  msec_t failed = fixture.now;
+  keys_out_t shorter = next_grant (&fixture);
+  assert_int_equal (shorter.hold, KEYS_HOLD_MS);
+  reply (&fixture, &shorter, KEYS_CALL_FAILED, true);
+  release_first_target (&fixture);
+  assert_moved_after (&fixture, failed + slowest_clock (HOLD_MAX_MS));
+  end (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (
+        test_a_shorter_grant_does_not_shorten_the_wait_for_an_unanswered_longer_one),
+  };
+
+  return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
+}
