A grant that took long to arrive is counted from its answer

Cause: an answered grant was counted from when it was sent, with 0.1 s for the transmission. A call may take 1.2 s; a grant that arrived after a second holds its keys a second longer than the granter waited before it gave them to another target (OWNER). Evidence: by the code; the test plays it. Change: the answer extends the bound as if the grant had arrived with it.

--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -21,6 +21,12 @@
   self->any_until = MAX (self->any_until, now + key_holds_worst_case (hold));
 }
 
+void
+key_holds_answered (key_holds_t *self, msec_t hold, msec_t now)
+{
+  key_holds_sent (self, hold, now);
+}
+
 void
 key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now)
 {
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -33,6 +33,9 @@
 /* A grant of HOLD is sent. */
 void key_holds_sent (key_holds_t *self, msec_t hold, msec_t now);
 
+/* It was answered, so it has arrived by now. */
+void key_holds_answered (key_holds_t *self, msec_t hold, msec_t now);
+
 /* Its call ended without an answer: it has arrived by now or never will, and it may take
  * effect until it expires. */
 void key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -283,6 +283,7 @@
       range->call_pending = false;
       if (msg->kind == KEYS_GRANTED)
         {
+          key_holds_answered (&range->holds, range->last_hold, now);
           range->granted = true;
           range->handover.len = 0;
           if (!service->needs_new_fences && range->pending_fence == 0)
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -70,6 +70,31 @@
     assert_true (run_until_action (self, KEYS_COMMIT, until + 500));
 }
 
+/* Delists t0 and fails all calls to it, until its keys move or UNTIL has passed. */
+static bool
+moves_before (fixture_t *self, msec_t until)
+{
+  keys_out_t release;
+
+  g_array_remove_index (self->targets, 0);
+  list_targets (self);
+  while (self->now < until)
+    {
+      if (count_actions (self, KEYS_COMMIT) > 0)
+        return true;
+      if (find (self, KEYS_RELEASE) != NULL)
+        {
+          release = *find (self, KEYS_RELEASE);
+          reply (self, &release, KEYS_CALL_FAILED, false);
+          continue;
+        }
+      accept_grants (self);
+      self->now += 50;
+      renew_role (self);
+    }
+  return false;
+}
+
 static msec_t
 slowest_clock (msec_t hold)
 {
@@ -95,12 +120,34 @@
   end (&fixture);
 }
 
+static void
+test_an_answered_grant_lasts_from_its_answer (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  for (int i = 0; i < 11; i++)
+    {
+      fixture.now += 100;
+      renew_role (&fixture);
+    }
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  msec_t answered = fixture.now;
+  assert_false (moves_before (&fixture, answered + slowest_clock (KEYS_HOLD_MS)));
+  assert_true (run_until_action (&fixture, KEYS_COMMIT, fixture.now + 500));
+  end (&fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (
         test_a_shorter_grant_does_not_shorten_the_wait_for_an_unanswered_longer_one),
+    cmocka_unit_test (test_an_answered_grant_lasts_from_its_answer),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
