A restarted owner releases its keys before they are assigned anew

Cause: when an owner was listed with a later start, its keys were free at once: a new process holds nothing. But grants go to an address, and the list lags behind: a renewal sent after the restart and before the new entry arrived is accepted by the new process, which knows no fence, and an unanswered one may take effect there later. Behind a cut of the target from the store the list lags by seconds. Evidence: by the code; the tests play it. Change: at the same address the new process has to release the keys, and unanswered grants have to expire, as for any other owner. At another address it can't have got the grants, and the process that had them has ended: the keys are free at once. Test: unit key-holds, two cases failed before. unit keys a_restarted_target_gets_its_keys_under_a_new_fence expected the commit without a release; it now expects no commit before the release and the commit after it.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -127,6 +127,16 @@
          && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.any_until;
 }
 
+/* Whether the process that had the grants has ended: its target is listed with a later
+ * start at another address.  At the same address the new process may have been granted
+ * the keys before it was listed. */
+static bool
+owner_ended (const key_range_state_t *range, const target_entry_t *listed)
+{
+  return listed != NULL && listed->started_at > range->owner_started_at
+         && !name_equal (&listed->address, &range->address);
+}
+
 static void
 revoke_range (keys_t *self,
               const key_service_t *service,
@@ -135,17 +145,17 @@
               GArray *out)
 {
   const target_entry_t *listed = key_plan_find_target (self, &range->owner);
-  bool restarted = listed != NULL && listed->started_at > range->owner_started_at;
+  bool ended = owner_ended (range, listed);
   msec_t reassignable_at = key_holds_end (&range->holds, range->released);
 
   if (range->call_pending)
     return;
-  if (restarted || now >= reassignable_at)
+  if (ended || now >= reassignable_at)
     {
       append_note (KEYS_FREED,
                    service,
                    range,
-                   restarted         ? "restarted"
+                   ended             ? "restarted"
                    : range->released ? "released"
                                      : "expired",
                    range->holds.any_until - now,
@@ -165,8 +175,6 @@
     {
       range->next_call_at = now + KEYS_RETRY_MS * (1 + MIN (range->release_attempts, 4));
       range->release_attempts++;
-      if (listed != NULL)
-        range->address = listed->address;
       append_call (KEYS_RELEASE, service, range, 0, out);
     }
 }
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -141,6 +141,67 @@
   end (&fixture);
 }
 
+static void
+test_the_next_life_of_an_owner_releases_what_it_was_granted_before_it_was_listed (
+    void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  target (&fixture, 0)->started_at++;
+  list_targets (&fixture);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, fixture.now);
+  end (&fixture);
+}
+
+static void
+test_an_unanswered_grant_may_take_effect_in_the_next_life_of_its_owner (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, true);
+  msec_t failed = fixture.now;
+  target (&fixture, 0)->started_at++;
+  list_targets (&fixture);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+  end (&fixture);
+}
+
+static void
+test_an_owner_that_restarted_at_another_address_holds_nothing (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, true);
+  target (&fixture, 0)->started_at++;
+  name_set (&target (&fixture, 0)->address, TEXT ("10.0.0.9:1"));
+  list_targets (&fixture);
+  if (count_actions (&fixture, KEYS_COMMIT) == 0)
+    tick (&fixture, fixture.now);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -148,6 +209,11 @@
     cmocka_unit_test (
         test_a_shorter_grant_does_not_shorten_the_wait_for_an_unanswered_longer_one),
     cmocka_unit_test (test_an_answered_grant_lasts_from_its_answer),
+    cmocka_unit_test (
+        test_the_next_life_of_an_owner_releases_what_it_was_granted_before_it_was_listed),
+    cmocka_unit_test (
+        test_an_unanswered_grant_may_take_effect_in_the_next_life_of_its_owner),
+    cmocka_unit_test (test_an_owner_that_restarted_at_another_address_holds_nothing),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -278,6 +278,9 @@
   assign_all_keys (&fixture);
   target (&fixture, 0)->started_at = 2;
   list_targets (&fixture);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
   if (count_actions (&fixture, KEYS_COMMIT) == 0)
     tick (&fixture, fixture.now);
   assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
