A higher fence at the owner does not free its keys

Cause: a grant that was refused because of a higher fence (409) made the range free at once, though its earlier grants, and unanswered ones, may last. The refusal says that the target has seen a higher fence on one of the keys, not that it holds none of them. An owner whose address another target has was handled by the same lines, which lowered the bound instead of saying why it no longer counts. Evidence: by the code; the test plays it. Change: after a refusal the keys are released like any others, without another grant under a fence that is too low. An owner that is gone is recorded as such; the bounds are never set back. Test: unit key-holds a_higher_fence_does_not_end_the_hold_of_its_owner failed before; an_owner_whose_address_another_target_has_holds_nothing passed before and stays.

--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -288,6 +288,8 @@
   if (next != NULL)
     range->next_owner = *next;
   range->released = false;
+  range->superseded = false;
+  range->owner_gone = false;
   range->release_attempts = 0;
   range->next_call_at = 0;
 }
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -123,18 +123,19 @@
 static bool
 may_fence_owner (const key_range_state_t *range, const target_entry_t *listed, msec_t now)
 {
-  return range->holds.inherited_until != 0 && listed != NULL
+  return range->holds.inherited_until != 0 && listed != NULL && !range->superseded
          && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.any_until;
 }
 
-/* Whether the process that had the grants has ended: its target is listed with a later
- * start at another address.  At the same address the new process may have been granted
- * the keys before it was listed. */
+/* Whether the process that had the grants has ended: another target has its address, or
+ * it is listed with a later start at another address.  At the same address the new
+ * process may have been granted the keys before it was listed. */
 static bool
 owner_ended (const key_range_state_t *range, const target_entry_t *listed)
 {
-  return listed != NULL && listed->started_at > range->owner_started_at
-         && !name_equal (&listed->address, &range->address);
+  return range->owner_gone
+         || (listed != NULL && listed->started_at > range->owner_started_at
+             && !name_equal (&listed->address, &range->address));
 }
 
 static void
@@ -155,7 +156,7 @@
       append_note (KEYS_FREED,
                    service,
                    range,
-                   ended             ? "restarted"
+                   ended             ? "ended"
                    : range->released ? "released"
                                      : "expired",
                    range->holds.any_until - now,
@@ -302,12 +303,18 @@
           range->released = true;
           range->handover = msg->handover;
         }
-      else if (msg->kind == KEYS_SUPERSEDED || msg->kind == KEYS_OWNER_GONE)
+      else if (msg->kind == KEYS_SUPERSEDED)
         {
-          /* Only a commit under a higher fence helps; or the owner is gone and holds
-           * nothing. */
+          /* The owner may still hold those of the keys for which it has seen no higher
+           * fence. */
           key_plan_revoke (range, NULL);
-          range->holds.any_until = now;
+          range->superseded = true;
+          range->next_call_at = now + KEYS_RETRY_MS;
+        }
+      else if (msg->kind == KEYS_OWNER_GONE)
+        {
+          key_plan_revoke (range, NULL);
+          range->owner_gone = true;
         }
       else if (msg->kind == KEYS_CALL_FAILED && !msg->release)
         {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -117,6 +117,8 @@
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
   bool released;          /* the owner released it */
+  bool superseded;        /* the owner has seen a higher fence */
+  bool owner_gone;        /* the owner's address belongs to another target */
   uint32_t release_attempts;
 } key_range_state_t;
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -202,6 +202,44 @@
   end (&fixture);
 }
 
+static void
+test_a_higher_fence_does_not_end_the_hold_of_its_owner (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_SUPERSEDED, true);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  tick (&fixture, fixture.now + 2 * KEYS_RETRY_MS);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, fixture.now);
+  end (&fixture);
+}
+
+static void
+test_an_owner_whose_address_another_target_has_holds_nothing (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, true);
+  grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_OWNER_GONE, true);
+  if (count_actions (&fixture, KEYS_COMMIT) == 0)
+    tick (&fixture, fixture.now);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -214,6 +252,8 @@
     cmocka_unit_test (
         test_an_unanswered_grant_may_take_effect_in_the_next_life_of_its_owner),
     cmocka_unit_test (test_an_owner_that_restarted_at_another_address_holds_nothing),
+    cmocka_unit_test (test_a_higher_fence_does_not_end_the_hold_of_its_owner),
+    cmocka_unit_test (test_an_owner_whose_address_another_target_has_holds_nothing),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
