--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -185,7 +185,8 @@
 {
   if (!service->table_loaded)
     return;
-  if (service->ranges->len == 0 && now >= service->last_join_at + KEYS_INITIAL_WAIT_MS)
+  if (service->ranges->len == 0
+      && now >= MAX (service->last_join_at, service->held_until) + KEYS_INITIAL_WAIT_MS)
     key_plan_initial (self, service);
   if (!self->resigning && self->store_reachable)
     key_plan_rebalance (self, service, now);
@@ -255,8 +256,7 @@
   service->table_loaded = true;
   service->commit_pending = false;
   if (msg->unreadable)
-    service->last_join_at
-        = now + msg->predecessor_hold; /* all grants have expired by then */
+    service->held_until = MAX (service->held_until, now + msg->predecessor_hold);
   service->needs_new_fences = msg->table != NULL && msg->predecessor_hold > 0;
   g_array_set_size (service->ranges, 0);
   for (guint i = 0; msg->table != NULL && i < msg->table->ranges->len; i++)
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -129,6 +129,7 @@
   bool commit_pending;
   bool needs_new_fences; /* for the ranges taken over from a predecessor */
   msec_t last_join_at;   /* when the last target joined */
+  msec_t held_until;     /* all grants by an unreadable table have expired by then */
   msec_t next_plan_at;
   GArray *ranges;                        /* key_range_state_t, ascending, without gaps */
   double loads[KEY_BUCKETS];             /* decayed request counts, as of the last plan */
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -240,6 +240,26 @@
   end (&fixture);
 }
 
+static void
+test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table (
+    void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  renew_role (&fixture);
+  handle_msg (&fixture,
+              (keys_msg_t){ .kind = KEYS_TABLE,
+                            .unreadable = true,
+                            .predecessor_hold = HOLD_MAX_MS });
+  fixture.now += KEYS_RENEW_MS;
+  add_target (&fixture, 2);
+  list_targets (&fixture);
+  assert_moved_after (&fixture, START_MS + HOLD_MAX_MS + KEYS_INITIAL_WAIT_MS);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -254,6 +274,8 @@
     cmocka_unit_test (test_an_owner_that_restarted_at_another_address_holds_nothing),
     cmocka_unit_test (test_a_higher_fence_does_not_end_the_hold_of_its_owner),
     cmocka_unit_test (test_an_owner_whose_address_another_target_has_holds_nothing),
+    cmocka_unit_test (
+        test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
