A rejected commit leaves the owner that the store records

Cause: when the store rejected the commit of keys that had been released and their old owner could not take them back, the range kept the owner and fence of the rejected commit. If the next commit was rejected too, that target was granted the keys under a fence that no table has. A successor, which goes by the table, doesn't know of it and gives the keys to another target while it holds them (OWNER). Evidence: by the code; the test plays it. Change: a rejection restores owner, fence and start in all cases. Test: unit key-holds, failed before; mutant rejected-owners-stay.

--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -115,20 +115,19 @@
       range->pending_fence = 0;
       if (range->phase != RANGE_COMMITTING)
         continue;
-      const target_entry_t *previous
-          = key_plan_find_target (self, &range->previous_owner);
-      if (!range->released || !key_plan_is_eligible (previous, service)
-          || previous->started_at != range->previous_started_at)
+      range->owner = range->previous_owner;
+      range->fence = range->previous_fence;
+      range->owner_started_at = range->previous_started_at;
+      const target_entry_t *owner = key_plan_find_target (self, &range->owner);
+      if (!range->released || !key_plan_is_eligible (owner, service)
+          || owner->started_at != range->owner_started_at)
         {
           range->phase = RANGE_UNASSIGNED;
           range->next_owner.len = 0;
           continue;
         }
       range->phase = RANGE_OWNED;
-      range->owner = range->previous_owner;
-      range->address = previous->address;
-      range->fence = range->previous_fence;
-      range->owner_started_at = range->previous_started_at;
+      range->address = owner->address;
       range->next_call_at = 0;
     }
 }
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -260,6 +260,35 @@
   end (&fixture);
 }
 
+/* T1 gets T0's keys by a commit that the store rejects; then T2 does, also rejected. */
+static void
+test_a_rejected_commit_leaves_the_owner_that_the_store_records (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  uint64_t fence = next_grant (&fixture).fence;
+  accept_grants (&fixture);
+  release_first_target (&fixture);
+  if (count_actions (&fixture, KEYS_COMMIT) == 0)
+    tick (&fixture, fixture.now);
+  for (int i = 0; i < 2; i++)
+    {
+      assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
+      handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMIT_REJECTED });
+      assert_int_equal (count_actions (&fixture, KEYS_GRANT), 0);
+      if (count_actions (&fixture, KEYS_COMMIT) == 0)
+        tick (&fixture, fixture.now + KEYS_RETRY_MS);
+    }
+  const key_service_t *service = g_ptr_array_index (fixture.keys.services, 0);
+  const key_range_state_t *range = &g_array_index (service->ranges, key_range_state_t, 0);
+  assert_int_equal (range->previous_fence, fence);
+  assert_true (name_equal (&range->previous_owner, &target (&fixture, 0)->id));
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -276,6 +305,7 @@
     cmocka_unit_test (test_an_owner_whose_address_another_target_has_holds_nothing),
     cmocka_unit_test (
         test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table),
+    cmocka_unit_test (test_a_rejected_commit_leaves_the_owner_that_the_store_records),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
