Answers end the call that they belong to, and no other one

Cause: an answer was matched with a range by first key and fence. (1) After a host lost the role and got it again, the answer to a call from before ended a newer one of the same range: the keys could be released and reassigned while a grant was under way. Evidence: by the code; the tests play it. Change: calls are numbered. A grant under the old fence counts as one that arrives with the latest end of its call. Test: unit key-holds, two cases failed before; mutants calls-under-old-fences-are-forgotten and any-answer-ends-a-call.

--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -71,8 +71,7 @@
   coordinator_t *self = command->coordinator;
   bool release = command->action.kind == KEYS_RELEASE;
   keys_msg_t msg = { .service = command->action.service,
-                     .first = command->action.first,
-                     .fence = command->action.fence,
+                     .call = command->action.call,
                      .release = release,
                      .sent = sent };
 
--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -81,7 +81,7 @@
 }
 
 void
-key_commits_succeeded (key_service_t *service)
+key_commits_succeeded (key_service_t *service, msec_t now)
 {
   service->commit_pending = false;
   for (guint i = 0; i < service->ranges->len; i++)
@@ -89,10 +89,13 @@
       key_range_state_t *range = range_at (service, i);
       if (range->pending_fence != 0)
         {
-          /* Answers to calls under the old fence no longer count. */
+          /* The answer to a grant under the old fence no longer counts: it may arrive
+           * until its call ends. */
+          if (range->call != 0 && range->last_hold > 0)
+            key_holds_unanswered (&range->holds, range->last_hold, now + COMMAND_CALL_MS);
+          range->call = 0;
           range->fence = range->pending_fence;
           range->pending_fence = 0;
-          range->call_pending = false;
           range->next_call_at = 0;
         }
       if (range->phase != RANGE_COMMITTING)
--- a/packages/keys/key_commits.h
+++ b/packages/keys/key_commits.h
@@ -14,7 +14,7 @@
 void key_commits_renew_fences (keys_t *self, key_service_t *service, GArray *out);
 
 /* Applies the pending commit after it took effect. */
-void key_commits_succeeded (key_service_t *service);
+void key_commits_succeeded (key_service_t *service, msec_t now);
 
 /*
  * Undoes the pending commit, of which the store applied nothing.  A released range
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -277,7 +277,7 @@
 static bool
 is_movable (const key_range_state_t *range)
 {
-  return range->phase == RANGE_OWNED && !range->call_pending && range->granted;
+  return range->phase == RANGE_OWNED && range->call == 0 && range->granted;
 }
 
 void
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -55,7 +55,8 @@
 }
 
 static void
-append_call (keys_out_kind_t kind,
+append_call (keys_t *self,
+             keys_out_kind_t kind,
              const key_service_t *service,
              key_range_state_t *range,
              msec_t hold,
@@ -68,10 +69,11 @@
                       .first = range->first,
                       .last = range->last,
                       .fence = range->fence,
+                      .call = ++self->last_call,
                       .hold = hold,
                       .handover = range->handover };
 
-  range->call_pending = true;
+  range->call = call.call;
   range->last_hold = hold;
   g_array_append_val (out, call);
 }
@@ -97,25 +99,26 @@
 
   if (target == NULL || target->leaving)
     key_plan_revoke (range, NULL);
-  else if (due && !range->call_pending && may_grant (self, now))
+  else if (due && range->call == 0 && may_grant (self, now))
     {
       range->next_call_at = now + KEYS_RENEW_MS;
       key_holds_sent (&range->holds, hold, now);
-      append_call (KEYS_GRANT, service, range, hold, out);
+      append_call (self, KEYS_GRANT, service, range, hold, out);
     }
 }
 
 /* Sends the owner a short grant under the new fence, so that it rejects grants which a
  * predecessor may have sent it. */
 static void
-fence_owner (const key_service_t *service,
+fence_owner (keys_t *self,
+             const key_service_t *service,
              key_range_state_t *range,
              msec_t now,
              GArray *out)
 {
   range->next_call_at = now + KEYS_RETRY_MS;
   key_holds_sent (&range->holds, KEYS_FENCE_HOLD_MS, now);
-  append_call (KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
+  append_call (self, KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
 }
 
 /* Whether the owner can be fenced: it is listed, may still apply a predecessor's grants,
@@ -149,7 +152,7 @@
   bool ended = owner_ended (range, listed);
   msec_t reassignable_at = key_holds_end (&range->holds, range->released);
 
-  if (range->call_pending)
+  if (range->call != 0)
     return;
   if (ended || now >= reassignable_at)
     {
@@ -170,13 +173,13 @@
   else if (may_fence_owner (range, listed, now))
     {
       if (!service->needs_new_fences && range->pending_fence == 0)
-        fence_owner (service, range, now, out);
+        fence_owner (self, service, range, now, out);
     }
   else
     {
       range->next_call_at = now + KEYS_RETRY_MS * (1 + MIN (range->release_attempts, 4));
       range->release_attempts++;
-      append_call (KEYS_RELEASE, service, range, 0, out);
+      append_call (self, KEYS_RELEASE, service, range, 0, out);
     }
 }
 
@@ -286,10 +289,9 @@
   for (guint i = 0; service != NULL && i < service->ranges->len; i++)
     {
       key_range_state_t *range = range_at (service, i);
-      if (range->first != msg->first || range->fence != msg->fence
-          || !range->call_pending)
+      if (msg->call == 0 || range->call != msg->call)
         continue;
-      range->call_pending = false;
+      range->call = 0;
       if (msg->kind == KEYS_GRANTED)
         {
           key_holds_answered (&range->holds, range->last_hold, now);
@@ -394,7 +396,7 @@
       break;
     case KEYS_COMMITTED:
       if (service != NULL)
-        key_commits_succeeded (service);
+        key_commits_succeeded (service, now);
       break;
     case KEYS_COMMIT_REJECTED:
       if (service != NULL)
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -52,8 +52,7 @@
   msec_t predecessor_hold;  /* TABLE: no grant of a predecessor lasts longer than this */
   bool unreadable;          /* TABLE: a table is stored, but can't be decoded */
   name_t service;           /* TABLE, COMMITTED to CALL_FAILED, LOADS, SERVICE_TIMES */
-  uint32_t first;           /* GRANTED to CALL_FAILED: first key of the range */
-  uint64_t fence;           /* GRANTED to CALL_FAILED */
+  uint64_t call;            /* GRANTED to CALL_FAILED: which one ended */
   bool release;             /* CALL_FAILED: the call was a release */
   bool sent;                /* CALL_FAILED: a byte of the call may have been sent */
   name_t handover;          /* RELEASED */
@@ -80,6 +79,7 @@
   name_t address;
   uint32_t first, last;
   uint64_t fence;
+  uint64_t call;       /* GRANT, RELEASE: identifies the call; never 0 */
   msec_t hold;         /* GRANT: its duration */
   name_t handover;     /* GRANT */
   key_table_t table;   /* COMMIT */
@@ -111,7 +111,7 @@
   uint64_t previous_fence, previous_started_at;
   name_t handover;        /* from the last owner, passed on with the first grant */
   bool granted;           /* the owner accepted its first grant */
-  bool call_pending;      /* a grant or release is under way */
+  uint64_t call;          /* the grant or release under way; 0: none */
   msec_t next_call_at;    /* no call before this */
   key_holds_t holds;      /* of the owner */
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
@@ -146,6 +146,7 @@
   msec_t hold_max; /* longest duration of a grant */
   bool resigning;
   uint64_t next_fence;
+  uint64_t last_call;  /* the calls so far are numbered from 1 */
   GPtrArray *services; /* key_service_t */
   GArray *targets;     /* target_entry_t */
   GArray *rate_limits; /* rate_share_t: the targets whose rate is limited */
--- a/packages/keys/tests/keys_fixture.c
+++ b/packages/keys/tests/keys_fixture.c
@@ -114,8 +114,7 @@
 reply (fixture_t *self, const keys_out_t *call, keys_msg_kind_t kind, bool sent)
 {
   keys_msg_t msg = { .kind = kind,
-                     .first = call->first,
-                     .fence = call->fence,
+                     .call = call->call,
                      .release = call->kind == KEYS_RELEASE,
                      .sent = sent };
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -289,6 +289,62 @@
   end (&fixture);
 }
 
+/* Stored ranges of T0 and T1 whose owners may hold PREDECESSOR_HOLD ms more. */
+static void
+take_over (fixture_t *self, key_table_t *table, msec_t predecessor_hold)
+{
+  renew_role (self);
+  handle_msg (self,
+              (keys_msg_t){ .kind = KEYS_TABLE,
+                            .table = table,
+                            .predecessor_hold = predecessor_hold });
+}
+
+static void
+test_an_answer_to_a_call_from_before_the_role_was_lost_ends_no_newer_call (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  take_over (&fixture, &table, 0);
+  keys_out_t older = call_to_first (&fixture, KEYS_GRANT);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_ROLE, .role_until = 0 });
+  take_over (&fixture, &table, 0);
+  assert_int_equal (call_to_first (&fixture, KEYS_GRANT).fence, older.fence);
+  reply (&fixture, &older, KEYS_CALL_FAILED, true);
+  target (&fixture, 0)->leaving = true;
+  list_targets (&fixture);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 0);
+  key_table_finish (&table);
+  end (&fixture);
+}
+
+static void
+test_an_unanswered_grant_under_the_old_fence_counts_after_new_fences (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  take_over (&fixture, &table, KEYS_RENEW_MS);
+  key_table_finish (&table);
+  keys_out_t older = call_to_first (&fixture, KEYS_GRANT);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  keys_out_t newer = call_to_first (&fixture, KEYS_GRANT);
+  assert_true (newer.fence > older.fence);
+  reply (&fixture, &newer, KEYS_GRANTED, true);
+  msec_t failed = START_MS + COMMAND_CALL_MS;
+  tick (&fixture, failed);
+  accept_grants (&fixture);
+  reply (&fixture, &older, KEYS_CALL_FAILED, true);
+  release_first_target (&fixture);
+  assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -306,6 +362,10 @@
     cmocka_unit_test (
         test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table),
     cmocka_unit_test (test_a_rejected_commit_leaves_the_owner_that_the_store_records),
+    cmocka_unit_test (
+        test_an_answer_to_a_call_from_before_the_role_was_lost_ends_no_newer_call),
+    cmocka_unit_test (
+        test_an_unanswered_grant_under_the_old_fence_counts_after_new_fences),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
