Calls to targets end within the time that a successor counts on

Cause: a new granter waits for its predecessor's last grants as if a call took 1.2 s at most. The 1.2 s were the longest time without progress: with 0.2 s for connecting, and up to four times 1.2 s while bytes arrive, a call could be answered, and its grant arrive, later. Evidence: by the code; the test has a response without end. Change: calls to targets have a limit on their whole time.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -315,7 +315,8 @@
 #define OUTBOX_LOG_EVERY 100            /* of the messages that wait */
 #define COORDINATOR_TICK_MS 100         /* a tenth of the shortest time that it checks */
 #define COORDINATOR_MAILBOX_MESSAGES 64 /* proxy reports: two per second and service */
-/* A release is answered when the running requests have ended. */
+/* A release is answered when the running requests have ended.  A call has ended by then,
+ * connecting included: a successor counts on it. */
 #define COMMAND_CALL_MS 1200
 
 /* Links between hosts. */
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -248,7 +248,8 @@
 httpc_set_timeout (httpc_conn_t *conn, msec_t timeout)
 {
   const struct timeval tv = { timeout / 1000, timeout % 1000 * 1000 };
-  const msec_t longest = timeout * HTTPC_PROGRESS_FACTOR;
+  const msec_t limit = conn->pool->call_limit;
+  const msec_t longest = limit > 0 ? limit : timeout * HTTPC_PROGRESS_FACTOR;
   const struct timeval end = { longest / 1000, longest % 1000 * 1000 };
 
   conn->timeout = timeout;
@@ -329,6 +330,12 @@
   self->connect_timeout = timeout;
 }
 
+void
+httpc_pool_set_call_limit (httpc_pool_t *self, msec_t limit)
+{
+  self->call_limit = limit;
+}
+
 void
 httpc_pool_finish (httpc_pool_t *self)
 {
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -54,9 +54,10 @@
   uint16_t port;
   msec_t timeout; /* maximum time without progress */
   msec_t connect_timeout;
-  GQueue idle;      /* httpc_conn_t, the most recently used first */
-  GQueue closed;    /* httpc_conn_t to free outside of their callbacks */
-  GHashTable *open; /* set of httpc_conn_t, idle ones included */
+  msec_t call_limit; /* maximum time of a call; 0: HTTPC_PROGRESS_FACTOR timeouts */
+  GQueue idle;       /* httpc_conn_t, the most recently used first */
+  GQueue closed;     /* httpc_conn_t to free outside of their callbacks */
+  GHashTable *open;  /* set of httpc_conn_t, idle ones included */
   struct event *free_event;
 } httpc_pool_t;
 
@@ -71,6 +72,10 @@
 /* Replaces CONNECT_MS for connections that are opened from now on. */
 void httpc_pool_set_connect_timeout (httpc_pool_t *self, msec_t timeout);
 
+/* Calls that are started from now on end within LIMIT, connecting included and whatever
+ * their progress. */
+void httpc_pool_set_call_limit (httpc_pool_t *self, msec_t limit);
+
 /* Closes all connections; calls in progress end without a callback. */
 void httpc_pool_finish (httpc_pool_t *self);
 
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -36,6 +36,7 @@
   bool streams;
   size_t body;
   msec_t timeout; /* of the call; 0: the pool's */
+  msec_t limit;   /* on the whole call; 0: the usual one */
 } client_t;
 
 static void *
@@ -180,6 +181,8 @@
   pthread_create (&thread, NULL, serve, server);
   self->base = event_base_new ();
   httpc_pool_init (&self->pool, self->base, TEXT ("127.0.0.1"), server->port, 300);
+  if (self->limit > 0)
+    httpc_pool_set_call_limit (&self->pool, self->limit);
   call_once (self);
   if (server->responds_twice)
     call_once (self);
@@ -321,6 +324,20 @@
   assert_in_range (g_get_monotonic_time () / 1000 - started, 50, 250);
 }
 
+static void
+test_a_call_ends_at_its_limit_whatever_arrives (void **state)
+{
+  server_t server
+      = { .response = "HTTP/1.1 200 OK\r\nX: ", .repeated = "x", .pause_ms = 20 };
+  client_t client = { .limit = 400 };
+  msec_t started = g_get_monotonic_time () / 1000;
+
+  (void)state;
+  call_server (&client, &server);
+  assert_int_equal (client.failure, HTTPC_TIMED_OUT);
+  assert_in_range (g_get_monotonic_time () / 1000 - started, 400, 1100);
+}
+
 static void
 test_refused_connection_sends_nothing (void **state)
 {
@@ -442,6 +459,7 @@
     cmocka_unit_test (test_connection_lost_before_the_head),
     cmocka_unit_test (test_unresponsive_server_times_out),
     cmocka_unit_test (test_a_call_has_its_own_timeout),
+    cmocka_unit_test (test_a_call_ends_at_its_limit_whatever_arrives),
     cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
     cmocka_unit_test (test_refused_connection_sends_nothing),
