A write of the role counts as rejected only if no attempt of it can still be performed

Cause: a write of the role, with or without a table of owners, is tried again if it gets no answer; the store may perform the first attempt seconds later. (1) If the store turned the second attempt away, the granter took the table for rejected and gave the keys back to their old owner, and the first attempt was performed later: a successor went by the table and granted the keys to the new owner, while the old one held them (OWNER). (2) Attempts reused the sequence by which a row that is read back shows whose write it is, so that the lease was counted from the newest attempt when the oldest was performed: 1.2 s too long. Change: each attempt has a sequence of its own; late replies of earlier attempts are told apart; a rejection needs that no attempt is unanswered, else the row is read back; the lease of a row that was read back is what the row says.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -42,15 +42,29 @@
   ROLE_HELD,
 } role_state_t;
 
-/* A write of the role row, optionally together with a table of key owners. */
+typedef struct coordinator coordinator_t;
+
+/* A call that writes the role row.  Without an answer it may be performed later, if the
+ * row hasn't changed by then. */
+typedef struct
+{
+  coordinator_t *coordinator;
+  bool in_flight;
+  uint64_t sequence; /* of the row that it writes */
+} role_attempt_t;
+
+/* A write of the role row, optionally together with a table of key owners; repeated until
+ * its outcome is known. */
 typedef struct
 {
   bool in_progress;
   bool reading_back; /* its outcome is unknown: the row is being read */
   bool has_table;
   key_table_t table;
-  role_row_t row;
-  msec_t started;
+  role_row_t row;          /* of the newest attempt */
+  uint64_t first_sequence; /* of the first attempt; 0: none yet */
+  bool unanswered;         /* an attempt got no answer: it may still be performed */
+  msec_t started;          /* the newest attempt */
 } role_write_t;
 
 typedef struct
@@ -71,10 +85,12 @@
   bool needs_tables;               /* reading the owners from the store failed */
   msec_t next_tables_read;         /* when that read is retried */
   role_write_t write;
-  GQueue pending_tables; /* key_table_t waiting to be committed */
+  role_attempt_t attempts[ROLE_ATTEMPTS_MAX];
+  uint64_t last_sequence; /* of all attempts of this process */
+  GQueue pending_tables;  /* key_table_t waiting to be committed */
 } role_t;
 
-typedef struct
+struct coordinator
 {
   const router_settings_t *settings;
   const deployment_ops_t *deployment;
@@ -128,7 +144,7 @@
   msec_t table_requested_at;     /* when a missed table was last requested */
   GHashTable *reporters;         /* host name to reporter_t */
   uint32_t host_count;           /* that share the retry budget; 0: unknown */
-} coordinator_t;
+};
 
 /* Creates the event loop and opens the listeners.  SETTINGS_FILE is polled for changes.
  * Call coordinator_attach before coordinator_run.  STATUS_IO if an address can't be bound
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -116,26 +116,43 @@
   notify_role (self, 0);
 }
 
-/* Writes the role row, and in the same commit the pending write's table if it has one. */
+static role_attempt_t *
+unused_attempt (role_t *role)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (role->attempts); i++)
+    if (!role->attempts[i].in_flight)
+      return &role->attempts[i];
+  return NULL;
+}
+
+/* Writes the role row, and in the same commit the pending write's table if it has one.
+ * Sequences are never reused, so that a row shows which attempt wrote it. */
 static void
 write_role (coordinator_t *self, msec_t now)
 {
   role_t *role = &self->role;
   role_write_t *write = &role->write;
+  role_attempt_t *attempt = unused_attempt (role);
   store_put_t puts[2];
   size_t n_puts = 1;
   GString *table = NULL;
 
   write->in_progress = true;
+  if (attempt == NULL)
+    return; /* role_step reads the row, and tries again */
   write->started = now;
+  role->last_sequence = MAX (role->row.sequence, role->last_sequence) + 1;
+  *attempt = (role_attempt_t){ self, true, role->last_sequence };
   write->row = (role_row_t){
     .host = self->settings->host,
     .address = self->settings->peers,
     .incarnation = self->incarnation,
-    .sequence = role->row.sequence + 1,
+    .sequence = role->last_sequence,
     .next_fence = MAX (self->keys.next_fence, role->row.next_fence),
     .until = self->stopping ? 0 : store_clock_now (role, now) + ROLE_LEASE_MS,
   };
+  if (write->first_sequence == 0)
+    write->first_sequence = write->row.sequence;
   GString *row = key_rows_encode_role (&write->row);
   puts[0] = (store_put_t){ STORE_ROLE, ROLE_KEY, { row->str, row->len } };
   if (write->has_table)
@@ -151,7 +168,7 @@
                             .puts = puts,
                             .n_puts = n_puts };
   role->call_started = now;
-  self->store->ops->commit (self->store, &commit, on_written, self);
+  self->store->ops->commit (self->store, &commit, on_written, attempt);
   g_string_free (row, TRUE);
   if (table != NULL)
     g_string_free (table, TRUE);
@@ -256,20 +273,22 @@
   role->next_write = now + ROLE_RENEW_MS;
 }
 
-/* The write in progress was committed; the row now has VERSION. */
+/* The write in progress was committed as ROW, which now has VERSION.  LEASE_END: of the
+ * attempt that did it. */
 static void
-complete_write (coordinator_t *self, uint64_t version, msec_t now)
+complete_write (
+    coordinator_t *self, role_row_t row, uint64_t version, msec_t lease_end, msec_t now)
 {
   role_t *role = &self->role;
   role_write_t done = role->write;
 
   role->write = (role_write_t){ 0 };
   role->version = version;
-  role->row = done.row;
-  role->next_write = done.started + ROLE_RENEW_MS;
-  if (done.row.until != 0)
+  role->row = row;
+  role->next_write = lease_end + ROLE_MARGIN_MS - ROLE_LEASE_MS + ROLE_RENEW_MS;
+  if (row.until != 0)
     {
-      role->lease_end = done.started + ROLE_LEASE_MS - ROLE_MARGIN_MS;
+      role->lease_end = lease_end;
       if (role->state == ROLE_ACQUIRING)
         role_acquired (self, now);
       notify_role (self, role->lease_end);
@@ -309,6 +328,13 @@
     }
 }
 
+/* The end of the lease by the row as it was just read, whichever attempt wrote it. */
+static msec_t
+stored_lease_end (const role_t *role, msec_t now)
+{
+  return now + role->row.until - store_clock_now (role, now) - ROLE_MARGIN_MS;
+}
+
 /* After a write with unknown outcome: the row shows whether it was committed. */
 static void
 on_read_back (void *owner, const store_reply_t *reply)
@@ -323,13 +349,18 @@
   role->write.reading_back = false;
   if (reply->outcome != STORE_DONE)
     return; /* role_step retries */
+  uint64_t version = role->version;
   parse_role_row (role, reply);
   if (!is_ours (self, &role->row))
     lose_role (self, "another_holder", now);
-  else if (role->row.sequence == role->write.row.sequence)
-    complete_write (self, role->version, now);
+  else if (role->row.sequence >= role->write.first_sequence)
+    complete_write (self, role->row, role->version, stored_lease_end (role, now), now);
   else
-    write_role (self, now); /* an earlier attempt can't apply to the new version */
+    {
+      /* Earlier attempts can't be performed on another version of the row. */
+      role->write.unanswered &= role->version == version;
+      write_role (self, now);
+    }
 }
 
 static void
@@ -343,15 +374,38 @@
   self->store->ops->read (self->store, STORE_ROLE, TEXT_NONE, on_read_back, self);
 }
 
+/* The store turned the newest attempt away and no other can be performed later. */
+static void
+reject_write (coordinator_t *self, msec_t now)
+{
+  role_t *role = &self->role;
+  keys_msg_t msg = { .kind = KEYS_COMMIT_REJECTED };
+  bool had_table = role->write.has_table;
+
+  if (had_table)
+    {
+      msg.service = role->write.table.service;
+      key_table_finish (&role->write.table);
+    }
+  role->write = (role_write_t){ 0 };
+  role->next_write = now + STORE_RETRY_MS;
+  notify_role (self, role->lease_end);
+  if (had_table)
+    grants_handle (self, &msg);
+}
+
 static void
 on_written (void *owner, const store_reply_t *reply)
 {
-  coordinator_t *self = owner;
+  role_attempt_t *attempt = owner;
+  coordinator_t *self = attempt->coordinator;
   role_t *role = &self->role;
   msec_t now = msclock_now (&self->clock);
 
   note_reply (self, reply);
-  if (!role->write.in_progress)
+  attempt->in_flight = false;
+  /* The row shows what became of earlier attempts. */
+  if (!role->write.in_progress || attempt->sequence != role->write.row.sequence)
     return;
   if (self->stopping && role->write.row.until != 0)
     {
@@ -365,26 +419,27 @@
         }
     }
   else if (reply->outcome == STORE_DONE)
-    complete_write (self, reply->version, now);
+    complete_write (self,
+                    role->write.row,
+                    reply->version,
+                    role->write.started + ROLE_LEASE_MS - ROLE_MARGIN_MS,
+                    now);
   else if (role->state == ROLE_ACQUIRING && reply->outcome != STORE_UNKNOWN)
     lose_role (self, store_outcome_name (reply->outcome), now);
+  else if (reply->outcome == STORE_REFUSED && !role->write.unanswered)
+    reject_write (self, now);
   else if (reply->outcome == STORE_REFUSED)
     {
-      bool had_table = role->write.has_table;
-      keys_msg_t msg = { .kind = KEYS_COMMIT_REJECTED };
-      if (had_table)
-        {
-          msg.service = role->write.table.service;
-          key_table_finish (&role->write.table);
-        }
-      role->write = (role_write_t){ 0 };
-      role->next_write = now + STORE_RETRY_MS;
+      /* An earlier attempt may still be performed: only the row can tell. */
+      role->write.started = now - STORE_CALL_MS;
+      role->next_check = now + STORE_RETRY_MS;
       notify_role (self, role->lease_end);
-      if (had_table)
-        grants_handle (self, &msg);
     }
   else
-    read_back (self, now);
+    {
+      role->write.unanswered |= reply->outcome == STORE_UNKNOWN;
+      read_back (self, now);
+    }
 }
 
 /* Checks who holds the role, and tries to acquire it if nobody does. */
@@ -467,6 +522,7 @@
       if (write->reading_back || now < role->next_check
           || now < write->started + STORE_CALL_MS)
         return;
+      write->unanswered = true;
       read_back (self, now);
       return;
     }
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -298,7 +298,8 @@
 #define ROLE_HANDICAP_MS 300
 #define ROLE_HANDICAP_MBPS 10
 #define ROLE_START_HANDICAPS 5
-#define ROLE_MARGIN_MS 100 /* from the check to the grant's last byte */
+#define ROLE_ATTEMPTS_MAX 8 /* writes of the role without an answer yet */
+#define ROLE_MARGIN_MS 100  /* from the check to the grant's last byte */
 
 /* The store's client. */
 #define STORE_CALL_MS 1200 /* the slowest answers of a working store take 0.4 s */
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -201,6 +201,25 @@
   host->restart_at = sim->now + RESTART_MS;
 }
 
+static void
+send_targets_to_all (void)
+{
+  for (guint i = 0; i < HOSTS; i++)
+    if (sim->hosts[i].up)
+      {
+        sim->active_host = i;
+        send_targets (&sim->hosts[i]);
+      }
+}
+
+/* The entry of a target that restarted unseen arrives. */
+static void
+list_restarted_target (void)
+{
+  sim->targets[0].incarnation = sim->targets[0].life;
+  send_targets_to_all ();
+}
+
 static void
 apply_scenario_change (void)
 {
@@ -213,6 +232,10 @@
       break;
     case SCENARIO_RESTART:
       first->incarnation++;
+      /* fall through */
+    case SCENARIO_RESTART_UNSEEN:
+      first->life++;
+      first->slow_until = 0;
       g_array_set_size (first->holds, 0);
       memset (first->max_fences, 0, sizeof first->max_fences);
       break;
@@ -236,12 +259,7 @@
     case SCENARIO_COUNT:
       break;
     }
-  for (guint i = 0; i < HOSTS; i++)
-    if (sim->hosts[i].up)
-      {
-        sim->active_host = i;
-        send_targets (&sim->hosts[i]);
-      }
+  send_targets_to_all ();
 }
 
 /* Event handlers. */
@@ -264,7 +282,7 @@
             break;
           }
         sim_event_t *response
-            = sim_schedule (EVENT_STORE_RESPONSE, event->host, DELAY_MS);
+            = sim_schedule (EVENT_STORE_RESPONSE, event->host, event->response_delay);
         response->incarnation = event->incarnation;
         response->done = event->done;
         response->owner = event->owner;
@@ -350,6 +368,7 @@
   for (guint i = 0; i < TARGETS; i++)
     self->targets[i] = (target_t){ .listed = i < 2,
                                    .incarnation = 1,
+                                   .life = 1,
                                    .holds = g_array_new (FALSE, TRUE, sizeof (hold_t)) };
   for (guint i = 0; i < HOSTS; i++)
     {
@@ -365,6 +384,9 @@
           changed = true;
           apply_scenario_change ();
         }
+      if (changed && self->now >= SCENARIO_CHANGE_MS + LISTING_DELAY_MS
+          && self->targets[0].incarnation != self->targets[0].life)
+        list_restarted_target ();
       for (guint i = 0; i < HOSTS; i++)
         {
           host_t *host = &self->hosts[i];
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -26,8 +26,13 @@
 #define RESTART_MS 400
 #define HOST_FAULT_INTERVAL_MS 250 /* between choice points for host faults */
 #define STORE_DELAY_MS 2000
+#define STORE_SLOW_MS 1500   /* longer than STORE_CALL_MS */
+#define STORE_SERIES_MS 1500 /* within the granter's lease */
 #define STALE_READ_AGE_MS 3000
 #define COMMAND_DELAY_MS 4000
+#define COMMAND_SERIES_MS 3500       /* covers a longest and several usual grants */
+#define COMMAND_SERIES_DELAY_MS 7500 /* within the longest hold */
+#define LISTING_DELAY_MS 1200        /* from a restart to the target's new entry */
 #define HOLD_MAX_MS 10000
 #define KEY_STRIDE 4096 /* between the keys whose fences are checked */
 #define KEY_SAMPLES (KEY_LAST / KEY_STRIDE + 1)
@@ -37,10 +42,11 @@
 typedef enum
 {
   SCENARIO_NO_CHANGE,
-  SCENARIO_LEAVE,   /* the first target leaves */
-  SCENARIO_RESTART, /* the first target restarts under the same id */
-  SCENARIO_JOIN,    /* a third target joins */
-  SCENARIO_RESIGN,  /* the granter shuts down and resigns its role */
+  SCENARIO_LEAVE,          /* the first target leaves */
+  SCENARIO_RESTART,        /* the first target restarts under the same id */
+  SCENARIO_RESTART_UNSEEN, /* the same, and its entry changes later */
+  SCENARIO_JOIN,           /* a third target joins */
+  SCENARIO_RESIGN,         /* the granter shuts down and resigns its role */
   SCENARIO_COUNT,
 } scenario_t;
 
@@ -58,11 +64,15 @@
   STORE_RESPONSE_LOST,
   STORE_DELAYED, /* executed late; the host sees a timeout */
   STORE_CALL_REFUSED,
-  STORE_STALE, /* a read returns old rows; a commit is executed as usual */
+  STORE_STALE,          /* a read returns old rows; a commit is executed as usual */
+  STORE_SLOW,           /* answered later than the host waits for it */
+  STORE_SILENT_SERIES,  /* this and the host's next calls are lost */
+  STORE_REFUSED_SERIES, /* this and the host's next calls are refused */
   STORE_OPTIONS,
   COMMAND_LOST = 1,
   COMMAND_RESPONSE_LOST,
-  COMMAND_DELAYED, /* executed late; the host sees a failure */
+  COMMAND_DELAYED,        /* executed late; the host sees a failure */
+  COMMAND_DELAYED_SERIES, /* this and the next calls to the target */
   COMMAND_OPTIONS,
   HOST_FROZEN = 1,
   HOST_KILLED,
@@ -87,7 +97,9 @@
 typedef struct
 {
   bool listed;
-  uint64_t incarnation;
+  uint64_t incarnation; /* as listed */
+  uint64_t life;        /* processes so far */
+  msec_t slow_until;    /* its calls are answered by none and executed late */
   bool leaving;
   GArray *holds; /* hold_t */
   uint64_t
@@ -128,12 +140,14 @@
   bool commit;
   uint64_t expected;
   bool stale;
+  msec_t response_delay;
   GString *role, *keys; /* of a commit: the new rows; KEYS may be NULL */
   store_reply_t reply;
   /* Command events. */
   command_done_t command_done;
   key_command_t command;
   command_outcome_t outcome;
+  uint64_t life;          /* of the target that the call arrives at; 0: not yet known */
   bool hold_from_arrival; /* the hold runs from ARRIVED_AT instead of the execution */
   msec_t arrived_at;
   void *owner;
@@ -147,6 +161,8 @@
   bool up;
   uint64_t incarnation;
   msec_t frozen_until, restart_at;
+  int store_series; /* what becomes of its calls to the store; 0: as usual */
+  msec_t store_series_until;
 } host_t;
 
 typedef struct
--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -80,6 +80,19 @@
   return &g_array_index (sim->snapshots, snapshot_t, i);
 }
 
+/* Nobody but the caller may believe to hold the role when its row changes. */
+static void
+check_leases (const sim_event_t *call)
+{
+  for (guint i = 0; i < HOSTS; i++)
+    {
+      const role_t *role = &sim->hosts[i].coordinator.role;
+      if (i != call->host && sim->hosts[i].up && role->state == ROLE_HELD
+          && sim->now < role->lease_end)
+        sim_record_violation ("role taken while another host holds it", TARGETS, 0);
+    }
+}
+
 static void
 do_commit (const sim_event_t *call, store_reply_t *reply)
 {
@@ -88,6 +101,7 @@
       reply->outcome = STORE_CONFLICT;
       return;
     }
+  check_leases (call);
   sim->version++;
   put (&sim->role, call->role);
   put (&sim->keys, call->keys);
@@ -115,11 +129,21 @@
 static sim_event_t *
 new_call (store_t *store, store_done_t done, void *owner, bool *has_response)
 {
-  const host_t *host = (const host_t *)(void *)store;
+  host_t *host = (host_t *)(void *)store;
   int option = sim_choose (POINT_STORE);
+
+  if (option == STORE_SILENT_SERIES || option == STORE_REFUSED_SERIES)
+    {
+      host->store_series
+          = option == STORE_SILENT_SERIES ? STORE_LOST : STORE_CALL_REFUSED;
+      host->store_series_until = sim->now + STORE_SERIES_MS;
+    }
+  if (sim->now < host->store_series_until)
+    option = host->store_series;
   sim_event_t *call = sim_schedule (EVENT_STORE_CALL, host->index, DELAY_MS);
 
-  *has_response = option == 0 || option == STORE_STALE;
+  *has_response = option == 0 || option == STORE_STALE || option == STORE_SLOW;
+  call->response_delay = option == STORE_SLOW ? STORE_SLOW_MS : DELAY_MS;
   call->stale = option == STORE_STALE;
   call->done = done;
   call->owner = owner;
--- a/tests/grants/sim_targets.c
+++ b/tests/grants/sim_targets.c
@@ -107,6 +107,8 @@
 
   if (sim->verbose)
     print_command (event);
+  if (event->life != 0 && event->life != target->life)
+    return COMMAND_FAILED; /* the process that was to execute it has ended */
 
   if (event->command.release)
     {
@@ -129,6 +131,7 @@
   int option = sim_choose (POINT_COMMAND);
   sim_event_t *call = sim_schedule (EVENT_COMMAND, sim->active_host, DELAY_MS);
   sim_event_t *failure;
+  target_t *target = &sim->targets[target_index (&command->target)];
 
   (void)pool;
   (void)now;
@@ -136,15 +139,19 @@
   call->arrived_at = call->at;
   call->command_done = done;
   call->owner = owner;
-  if (option == 0)
+  if (option == COMMAND_DELAYED_SERIES)
+    target->slow_until = sim->now + COMMAND_SERIES_MS;
+  bool in_series = sim->now < target->slow_until && !command->release;
+  if (option == 0 && !in_series)
     return;
   call->command_done = NULL;
   if (option == COMMAND_LOST)
     call->at = MSEC_NEVER;
-  if (option == COMMAND_DELAYED)
+  if (option == COMMAND_DELAYED || in_series)
     {
-      call->at += COMMAND_DELAY_MS;
+      call->at += in_series ? COMMAND_SERIES_DELAY_MS : COMMAND_DELAY_MS;
       call->hold_from_arrival = true;
+      call->life = target->life;
     }
   failure = sim_schedule (EVENT_COMMAND_RESPONSE, sim->active_host, COMMAND_CALL_MS);
   failure->command_done = done;
