A late reply of the store does not set its clock back

Cause: the store's clock was paired with the start of the latest call for the role row, whichever call the reply belonged to. A reply that came after 1.2 s, when a read had been started in the meantime, made the granter take the store's clock for up to 1.2 s earlier than it was: the end that it wrote into the row came before the end that it believed in, and another host took the role while it went on granting. Change: a write's reply is paired with that write's start, a read's with that of the oldest read in flight. Test: grants -k 2 with replies that come late.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -51,6 +51,7 @@
   coordinator_t *coordinator;
   bool in_flight;
   uint64_t sequence; /* of the row that it writes */
+  msec_t started;
 } role_attempt_t;
 
 /* A write of the role row, optionally together with a table of key owners; repeated until
@@ -78,12 +79,13 @@
   bool checking;
   msec_t store_clock;              /* the store's clock in its last reply */
   msec_t store_clock_requested_at; /* when the call for that reply was started */
-  msec_t call_started;             /* of the latest call for the role row */
-  msec_t predecessor_grants_end;   /* latest end of a predecessor's grants; this host's
-                                      clock */
-  uint64_t acquired_version;       /* of the row when this host acquired the role */
-  bool needs_tables;               /* reading the owners from the store failed */
-  msec_t next_tables_read;         /* when that read is retried */
+  msec_t reads_started;            /* the oldest read of the row without a reply */
+  uint32_t reads_in_flight;
+  msec_t predecessor_grants_end; /* latest end of a predecessor's grants; this host's
+                                    clock */
+  uint64_t acquired_version;     /* of the row when this host acquired the role */
+  bool needs_tables;             /* reading the owners from the store failed */
+  msec_t next_tables_read;       /* when that read is retried */
   role_write_t write;
   role_attempt_t attempts[ROLE_ATTEMPTS_MAX];
   uint64_t last_sequence; /* of all attempts of this process */
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -14,9 +14,10 @@
   return role->store_clock + (now - role->store_clock_requested_at);
 }
 
-/* Records the store's clock, and whether the store is reachable. */
+/* Records the store's clock, and whether the store is reachable.  STARTED: when the call
+ * was, or earlier. */
 static void
-note_reply (coordinator_t *self, const store_reply_t *reply)
+note_reply (coordinator_t *self, const store_reply_t *reply, msec_t started)
 {
   role_t *role = &self->role;
 
@@ -31,7 +32,7 @@
                         reply->reason,
                         (unsigned long long)role->version);
       self->store_unreachable = true;
-      outage_note_failure (&self->outage, role->call_started, msclock_now (&self->clock));
+      outage_note_failure (&self->outage, started, msclock_now (&self->clock));
       return;
     }
   outage_note_answer (&self->outage, msclock_now (&self->clock));
@@ -49,7 +50,22 @@
   if (reply->outcome != STORE_DONE)
     return;
   role->store_clock = reply->clock;
-  role->store_clock_requested_at = role->call_started;
+  role->store_clock_requested_at = started;
+}
+
+static void
+read_role (coordinator_t *self, store_done_t done, msec_t now)
+{
+  if (self->role.reads_in_flight++ == 0)
+    self->role.reads_started = now;
+  self->store->ops->read (self->store, STORE_ROLE, TEXT_NONE, done, self);
+}
+
+static void
+note_read (coordinator_t *self, const store_reply_t *reply)
+{
+  self->role.reads_in_flight--;
+  note_reply (self, reply, self->role.reads_started);
 }
 
 static bool
@@ -142,7 +158,7 @@
     return; /* role_step reads the row, and tries again */
   write->started = now;
   role->last_sequence = MAX (role->row.sequence, role->last_sequence) + 1;
-  *attempt = (role_attempt_t){ self, true, role->last_sequence };
+  *attempt = (role_attempt_t){ self, true, role->last_sequence, now };
   write->row = (role_row_t){
     .host = self->settings->host,
     .address = self->settings->peers,
@@ -167,7 +183,6 @@
                             .expected_version = role->version,
                             .puts = puts,
                             .n_puts = n_puts };
-  role->call_started = now;
   self->store->ops->commit (self->store, &commit, on_written, attempt);
   g_string_free (row, TRUE);
   if (table != NULL)
@@ -343,7 +358,7 @@
   role_t *role = &self->role;
   msec_t now = msclock_now (&self->clock);
 
-  note_reply (self, reply);
+  note_read (self, reply);
   if (!role->write.in_progress)
     return;
   role->write.reading_back = false;
@@ -370,8 +385,7 @@
 
   role->write.reading_back = true;
   role->next_check = now + STORE_RETRY_MS;
-  role->call_started = now;
-  self->store->ops->read (self->store, STORE_ROLE, TEXT_NONE, on_read_back, self);
+  read_role (self, on_read_back, now);
 }
 
 /* The store turned the newest attempt away and no other can be performed later. */
@@ -402,7 +416,7 @@
   role_t *role = &self->role;
   msec_t now = msclock_now (&self->clock);
 
-  note_reply (self, reply);
+  note_reply (self, reply, attempt->started);
   attempt->in_flight = false;
   /* The row shows what became of earlier attempts. */
   if (!role->write.in_progress || attempt->sequence != role->write.row.sequence)
@@ -451,7 +465,7 @@
   msec_t now = msclock_now (&self->clock);
 
   role->checking = false;
-  note_reply (self, reply);
+  note_read (self, reply);
   if (role->state != ROLE_NOT_HELD || self->stopping)
     return;
   if (reply->outcome != STORE_DONE)
@@ -496,8 +510,7 @@
   role->checking = true;
   role->next_check
       = now + ROLE_CHECK_MS / 2 + (msec_t)rng_below (&self->rng, ROLE_CHECK_MS);
-  role->call_started = now;
-  self->store->ops->read (self->store, STORE_ROLE, TEXT_NONE, on_holder_read, self);
+  read_role (self, on_holder_read, now);
 }
 
 void
