Explorer of grants: a target that leaves after several late grants, outages of the store by kind

Cause: the explorer had late grants, but of one delay and mostly of one hold: a granter sends the longest hold only when its lease is about to end, which takes an outage of the store of its own, and a target left before two further grants could be sent. Change: an outage in which calls are lost is as short as a lost renewal, one in which they are refused outlasts a write; a scenario in which the target leaves 3.7 s after faults begin.

--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -228,6 +228,7 @@
   switch (sim->scenario)
     {
     case SCENARIO_LEAVE:
+    case SCENARIO_LEAVE_LATER:
       first->leaving = true;
       break;
     case SCENARIO_RESTART:
@@ -359,6 +360,8 @@
 void
 sim_run (sim_t *self, const router_settings_t *settings)
 {
+  const msec_t change_at
+      = self->scenario == SCENARIO_LEAVE_LATER ? SCENARIO_LATER_MS : SCENARIO_CHANGE_MS;
   bool changed = false;
 
   sim = self;
@@ -379,12 +382,12 @@
     {
       self->now += DELAY_MS;
       handle_due ();
-      if (!changed && self->now >= SCENARIO_CHANGE_MS)
+      if (!changed && self->now >= change_at)
         {
           changed = true;
           apply_scenario_change ();
         }
-      if (changed && self->now >= SCENARIO_CHANGE_MS + LISTING_DELAY_MS
+      if (changed && self->now >= change_at + LISTING_DELAY_MS
           && self->targets[0].incarnation != self->targets[0].life)
         list_restarted_target ();
       for (guint i = 0; i < HOSTS; i++)
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -18,6 +18,7 @@
 #define WINDOW_FROM_MS 2000 /* the targets have accepted their first grants by then */
 #define WINDOW_TO_MS 7000
 #define SCENARIO_CHANGE_MS 3500 /* when the scenario's change takes place */
+#define SCENARIO_LATER_MS 5700
 
 /* 17 s after the window: longer than the longest hold, so that the keys of a lost target
  * can be granted again. */
@@ -27,7 +28,8 @@
 #define HOST_FAULT_INTERVAL_MS 250 /* between choice points for host faults */
 #define STORE_DELAY_MS 2000
 #define STORE_SLOW_MS 1500   /* longer than STORE_CALL_MS */
-#define STORE_SERIES_MS 1500 /* within the granter's lease */
+#define STORE_SILENT_MS 1000 /* a renewal is lost, and the role isn't */
+#define STORE_REFUSED_MS 1500
 #define STALE_READ_AGE_MS 3000
 #define COMMAND_DELAY_MS 4000
 #define COMMAND_SERIES_MS 3500       /* covers a longest and several usual grants */
@@ -42,8 +44,10 @@
 typedef enum
 {
   SCENARIO_NO_CHANGE,
-  SCENARIO_LEAVE,          /* the first target leaves */
-  SCENARIO_RESTART,        /* the first target restarts under the same id */
+  SCENARIO_LEAVE,       /* the first target leaves */
+  SCENARIO_LEAVE_LATER, /* the same, when several grants have been sent since the window
+                           began */
+  SCENARIO_RESTART,     /* the first target restarts under the same id */
   SCENARIO_RESTART_UNSEEN, /* the same, and its entry changes later */
   SCENARIO_JOIN,           /* a third target joins */
   SCENARIO_RESIGN,         /* the granter shuts down and resigns its role */
--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -136,7 +136,9 @@
     {
       host->store_series
           = option == STORE_SILENT_SERIES ? STORE_LOST : STORE_CALL_REFUSED;
-      host->store_series_until = sim->now + STORE_SERIES_MS;
+      host->store_series_until
+          = sim->now
+            + (option == STORE_SILENT_SERIES ? STORE_SILENT_MS : STORE_REFUSED_MS);
     }
   if (sim->now < host->store_series_until)
     option = host->store_series;
