A table that is read again does not replace what a granter knows of its own grants

Cause: each read of the tables, also one that was repeated while the role is held, replaced the ranges of a service, and with them the bounds of unanswered grants, by the stored table and the time that is left of a predecessor's. A reply of a read from an earlier tenure of the role did the same. Evidence: by the code; the test plays it. Change: the first table since the role was acquired counts.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -254,7 +254,8 @@
 {
   key_service_t *service = find_service (self, &msg->service);
 
-  if (service == NULL)
+  /* What is known of own grants goes before a table that is read again. */
+  if (service == NULL || service->table_loaded)
     return;
   service->table_loaded = true;
   service->commit_pending = false;
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -345,6 +345,26 @@
   end (&fixture);
 }
 
+static void
+test_a_table_that_is_read_again_does_not_end_the_wait_for_own_grants (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  take_over (&fixture, &table, 0);
+  keys_out_t grant = call_to_first (&fixture, KEYS_GRANT);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, true);
+  msec_t failed = fixture.now;
+  take_over (&fixture, &table, 0);
+  key_table_finish (&table);
+  accept_grants (&fixture);
+  release_first_target (&fixture);
+  assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -366,6 +386,8 @@
         test_an_answer_to_a_call_from_before_the_role_was_lost_ends_no_newer_call),
     cmocka_unit_test (
         test_an_unanswered_grant_under_the_old_fence_counts_after_new_fences),
+    cmocka_unit_test (
+        test_a_table_that_is_read_again_does_not_end_the_wait_for_own_grants),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
