--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -365,6 +365,27 @@
   end (&fixture);
 }
 
+static void
+test_a_part_of_a_range_waits_for_the_grants_of_the_whole (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 1);
+  assign_all_keys (&fixture);
+  keys_out_t whole = next_grant (&fixture);
+  reply (&fixture, &whole, KEYS_CALL_FAILED, true);
+  msec_t failed = fixture.now;
+  add_target (&fixture, 9);
+  list_targets (&fixture);
+  assert_true (run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_PLAN_MS));
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  assert_true (release.first > whole.first || release.last < whole.last);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -386,6 +407,7 @@
         test_an_answer_to_a_call_from_before_the_role_was_lost_ends_no_newer_call),
     cmocka_unit_test (
         test_an_unanswered_grant_under_the_old_fence_counts_after_new_fences),
+    cmocka_unit_test (test_a_part_of_a_range_waits_for_the_grants_of_the_whole),
     cmocka_unit_test (
         test_a_table_that_is_read_again_does_not_end_the_wait_for_own_grants),
   };
