Soak: owners that leave grants unanswered and apply them late

Cause: the soak's targets answered each grant at once, and its check took the hold of the latest grant for that of all.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -41,7 +41,8 @@
 LIMIT_TOLD_MS = 500  # a host counts this long after it passed on the first limit
 # The time limits of some checks hold during these.
 OPERATIONS = ("stop_router", "reload", "add_route", "drain_target", "add_routes_in_series",
-              "add_many_routes", "signals_in_series", "limit_target", "slow_store_link")
+              "add_many_routes", "signals_in_series", "limit_target", "slow_store_link",
+              "delay_grants")
 
 
 def now_ms():
@@ -322,6 +323,20 @@
                 process.send_signal(signal.SIGUSR2)
         return finish, None
 
+    def delay_grants(self):
+        """Owners leave some grants without an answer and apply them seconds later."""
+        processes = [t.process for t in self.targets
+                     if t.service == "keyed" and handles(t.process.pid, signal.SIGRTMIN)]
+        for process in processes:
+            process.send_signal(signal.SIGRTMIN)
+        time.sleep(self.rng.uniform(4, 10))
+
+        def finish():
+            for process in processes:
+                if process.poll() is None:
+                    process.send_signal(signal.SIGRTMIN)
+        return finish, None
+
     def slow_store_link(self):
         """One host's link to the store is slow; changes reach it all the same."""
         i = self.pick_router()
@@ -502,7 +517,8 @@
                 if holder not in (None, name) and until - ms > HOLD_OVERLAP_MAX_MS and died is None:
                     self.report("OWNER", "key %d granted to %s %d ms before %s's hold ends" % (
                         key, name, until - ms, holder))
-                holder, until = name, ms + line["grant"][3]
+                end = ms + line["grant"][3]
+                holder, until = name, max(end, until) if name == holder else end
 
     def check_drains(self, lines):
         hosts = {result[0]: result[3] for result in self.results}
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -5,7 +5,8 @@
 and started request; a request's line has the time (ms of the monotonic clock, which all
 processes share), the request's id, its key and the fence under which the target holds the
 key. On SIGUSR1 the target announces that it is draining; on SIGUSR2 its responses state a limit
-of LIMIT requests per second, or no longer do so.
+of LIMIT requests per second, or no longer do so; on SIGRTMIN it begins or ceases to leave some
+grants without an answer and to apply them late.
 """
 
 import json
@@ -22,6 +23,8 @@
 
 ANNOUNCE_INTERVAL_S = 0.5
 LIMIT = 10
+LATE_SHARE = 0.4
+LATE_S = (2, 9)  # the longest grant lasts 10 s
 
 
 class RemoteStore:
@@ -40,6 +43,7 @@
         self.log = open(log, "a", encoding="utf-8")  # pylint: disable=consider-using-with
         self.lock = threading.Lock()
         self.accepted_grants = set()
+        self.delays_grants = False
         super().__init__(store, name, service, port)
 
     def announce(self, state):
@@ -54,19 +58,33 @@
 
     def _apply_grant_call(self, path, body):
         call = json.loads(body)
-        with self.lock:
-            stale = any(
-                first <= call["to"] and call["from"] <= last and fence > call["fence"]
-                for first, last, fence in self.accepted_grants
-            )
-            if path.endswith("grant"):
-                if stale:
-                    return b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
-                self.accepted_grants.add((call["from"], call["to"], call["fence"]))
-                self._write(grant=[call["from"], call["to"], call["fence"], call["hold_ms"]])
-            else:
+        if not path.endswith("grant"):
+            with self.lock:
                 self._write(release=[call["from"], call["to"]])
-            return super()._apply_grant_call(path, body)
+                return super()._apply_grant_call(path, body)
+        arrived = time.monotonic()
+        if self.delays_grants and random.random() < LATE_SHARE:
+            threading.Timer(random.uniform(*LATE_S), self._grant, (call, arrived)).start()
+            return b""
+        accepted = self._grant(call, arrived)
+        return b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % (
+            b"200 OK" if accepted else b"409 Conflict")
+
+    def _grant(self, call, arrived):
+        """The hold counts from the arrival."""
+        granted = (call["from"], call["to"], call["fence"])
+        until = arrived + call["hold_ms"] / 1000
+        with self.lock:
+            if any(first <= call["to"] and call["from"] <= last and fence > call["fence"]
+                   for first, last, fence in self.accepted_grants):
+                return False
+            left_ms = (until - time.monotonic()) * 1000
+            if left_ms > 0:
+                self.accepted_grants.add(granted)
+                self.grants = [g for g in self.grants if g[:3] != granted or g[3] > until]
+                self.grants.append((*granted, until))
+                self._write(grant=[*granted, left_ms])
+            return True
 
     def toggle_limit(self):
         self.limit = LIMIT if self.limit is None else None
@@ -103,6 +121,8 @@
     target = SoakTarget(RemoteStore(store_port), name, service, address, int(own_port), log)
     state = ["ready"]
     signal.signal(signal.SIGUSR1, lambda *args: state.__setitem__(0, "draining"))
+    signal.signal(signal.SIGRTMIN, lambda *args: setattr(
+        target, "delays_grants", not target.delays_grants))
     toggles = [0]
     signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
     print("ready", flush=True)
