An aborted call is reset on a reopened connection too

Cause: a pooled connection that its server closed while idle (an idle timeout, a restarted target) is opened anew by evhttp for the next call, with another socket. The options of the first socket were not set on it: an aborted grant on it was not reset, so the kernel went on sending it after the call had ended, and the time until which it may take effect was counted from that end (OWNER). Evidence: the test's server, which closes after the first call, saw an ordinary close instead of a reset after the aborted second one. Change: the options are set for each call.

--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -297,6 +297,7 @@
   self->ops = ops;
   self->owner = owner;
   self->bytes_sent = 0;
+  self->options_set = false; /* evhttp may open a new socket for this call */
   self->head_received = false;
   self->streaming = false;
   self->timed_out = false;
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -269,6 +269,47 @@
   assert_int_equal (responding.close_error, 0);
 }
 
+/* Answers one call and closes its connection, then serves another one as usual. */
+static void *
+serve_after_closing (void *arg)
+{
+  server_t *self = arg;
+  char bytes[4096];
+  int first = accept (self->listener, NULL, NULL);
+
+  if (recv (first, bytes, sizeof bytes, 0) > 0)
+    send (first, self->response, strlen (self->response), MSG_NOSIGNAL);
+  close (first);
+  self->response = NULL;
+  return serve (self);
+}
+
+static void
+test_an_aborted_call_resets_a_connection_that_was_opened_anew (void **state)
+{
+  server_t server = { .response = SIZED "hello", .stays_open = true };
+  client_t client = { 0 };
+  const struct timeval pause = { .tv_usec = 50 * 1000 };
+  pthread_t thread;
+
+  (void)state;
+  listen_on_loopback (&server);
+  pthread_create (&thread, NULL, serve_after_closing, &server);
+  client.base = event_base_new ();
+  httpc_pool_init (&client.pool, client.base, TEXT ("127.0.0.1"), server.port, 300);
+  call_once (&client);
+  assert_true (client.done);
+  event_base_loopexit (client.base, &pause); /* the client sees the close */
+  event_base_dispatch (client.base);
+  call_once (&client);
+  assert_int_equal (client.failure, HTTPC_TIMED_OUT);
+  httpc_pool_finish (&client.pool);
+  event_base_free (client.base);
+  pthread_join (thread, NULL);
+  close (server.listener);
+  assert_int_not_equal (server.close_error, 0);
+}
+
 static void
 test_unresponsive_server_times_out (void **state)
 {
@@ -462,6 +503,7 @@
     cmocka_unit_test (test_a_call_ends_at_its_limit_whatever_arrives),
     cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
+    cmocka_unit_test (test_an_aborted_call_resets_a_connection_that_was_opened_anew),
     cmocka_unit_test (test_refused_connection_sends_nothing),
     cmocka_unit_test (test_slow_connection_is_waited_for),
     cmocka_unit_test (test_response_is_arriving_once_its_head_is_complete),
