A late read of the role's row does not speak of a newer write

Cause: a read of the row that was started for one write and answered after that write's own reply counted for the next write. It started another attempt of it beside the one in flight, and, if the row was from before the last commit, took the older version for a newer one, after which no earlier attempt counted as unanswered. Change: a reply counts only while its write waits for one, and not if the store was older than the last known version of the row. Test: unit role, two cases, both failed before; mutants late-reads-speak-of-newer-writes and goes-by-rows-from-before-its-last-commit.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -359,10 +359,10 @@
   msec_t now = msclock_now (&self->clock);
 
   note_read (self, reply);
-  if (!role->write.in_progress)
-    return;
+  if (!role->write.in_progress || !role->write.reading_back)
+    return; /* read for an earlier write */
   role->write.reading_back = false;
-  if (reply->outcome != STORE_DONE)
+  if (reply->outcome != STORE_DONE || reply->version < role->version)
     return; /* role_step retries */
   uint64_t version = role->version;
   parse_role_row (role, reply);
--- /dev/null
+++ b/packages/coordinator/tests/test_role.c
@@ -0,0 +1,327 @@
+#include "../coordinator_parts.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+
+#define START_MS 20000
+#define STORE_CLOCK_AHEAD_MS 5000 /* of the store's clock, on the host's */
+
+/* A call to the store that the test has not answered yet. */
+typedef struct
+{
+  store_table_t table; /* of a read */
+  bool commit, with_owners;
+  uint64_t expected;
+  role_row_t row; /* of a commit */
+  store_done_t done;
+  void *owner;
+} call_t;
+
+typedef struct
+{
+  store_t store; /* must be first */
+  GArray *calls; /* call_t, the oldest first */
+  router_settings_t settings;
+  coordinator_t coordinator;
+  name_t service;
+} fixture_t;
+
+static void
+read_table (
+    store_t *store, store_table_t table, text_t after, store_done_t done, void *owner)
+{
+  fixture_t *self = (fixture_t *)store;
+  call_t call = { .table = table, .done = done, .owner = owner };
+
+  (void)after;
+  g_array_append_val (self->calls, call);
+}
+
+static void
+commit (store_t *store, const store_commit_t *commit, store_done_t done, void *owner)
+{
+  fixture_t *self = (fixture_t *)store;
+  call_t call = { .commit = true,
+                  .with_owners = commit->n_puts > 1,
+                  .expected = commit->expected_version,
+                  .done = done,
+                  .owner = owner };
+  fault_t fault;
+
+  assert_int_equal (key_rows_decode_role (&call.row, commit->puts[0].value, &fault),
+                    STATUS_OK);
+  g_array_append_val (self->calls, call);
+}
+
+static const store_ops_t store_ops = { .read = read_table, .commit = commit };
+
+static void
+send_command (httpc_pool_t *target,
+              const key_command_t *command,
+              command_done_t done,
+              void *owner,
+              msec_t now)
+{
+  (void)target;
+  (void)now;
+  done (owner, COMMAND_ACCEPTED, true, command->release ? TEXT ("warm") : TEXT_NONE);
+}
+
+static const deployment_ops_t deployment = { .send_command = send_command };
+
+static const feed_ops_t no_feed = { 0 };
+
+static void
+init_feed (feed_t *feed, coordinator_t *host)
+{
+  feed_init (feed,
+             host->store,
+             host->base,
+             &host->clock,
+             &host->outage,
+             STORE_TARGETS,
+             "idle",
+             &no_feed,
+             host);
+  feed->watching = true;
+}
+
+/* A host that knows the service "s" and its target "t". */
+static void
+begin (fixture_t *self)
+{
+  coordinator_t *host = &self->coordinator;
+  target_entry_t target = { .slots = 3, .started_at = 1 };
+  GArray *targets = g_array_new (FALSE, FALSE, sizeof (target_entry_t));
+
+  *self = (fixture_t){ .store = { .ops = &store_ops },
+                       .calls = g_array_new (FALSE, FALSE, sizeof (call_t)),
+                       .settings = { .link_mbps = 1000 } };
+  name_set (&self->settings.host, TEXT ("h"));
+  name_set (&self->settings.peers, TEXT ("127.0.0.1:2"));
+  name_set (&self->service, TEXT ("s"));
+  name_set (&target.id, TEXT ("t"));
+  name_set (&target.address, TEXT ("127.0.0.1:9"));
+  target.service = self->service;
+  g_array_append_val (targets, target);
+  *host
+      = (coordinator_t){ .settings = &self->settings,
+                         .deployment = &deployment,
+                         .base = event_base_new (),
+                         .store = &self->store,
+                         .incarnation = 7,
+                         .has_directory = true,
+                         .host_count = 1,
+                         .key_actions = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
+  msclock_init_settable (&host->clock, START_MS);
+  rng_init (&host->rng, 1);
+  keys_init (&host->keys, 10000);
+  rate_fleet_init (&host->rates);
+  discovery_init (host);
+  g_queue_init (&host->role.pending_tables);
+  host->reporters = g_hash_table_new (g_str_hash, g_str_equal);
+  init_feed (&host->configuration, host);
+  init_feed (&host->targets, host);
+  init_feed (&host->owners, host);
+  g_array_append_val (host->keyed_services, self->service);
+  keys_msg_t services = { .kind = KEYS_SERVICES, .services = host->keyed_services };
+  grants_handle (host, &services);
+  keys_msg_t listed = { .kind = KEYS_TARGETS, .targets = targets };
+  grants_handle (host, &listed);
+  g_array_unref (targets);
+}
+
+static void
+end (fixture_t *self)
+{
+  coordinator_t *host = &self->coordinator;
+  key_table_t *table;
+
+  if (host->role.write.has_table)
+    key_table_finish (&host->role.write.table);
+  while ((table = g_queue_pop_head (&host->role.pending_tables)) != NULL)
+    {
+      key_table_finish (table);
+      g_free (table);
+    }
+  grants_finish (host);
+  owners_finish (host);
+  discovery_finish (host);
+  keys_finish (&host->keys);
+  rate_fleet_finish (&host->rates);
+  g_array_unref (host->key_actions);
+  g_hash_table_unref (host->reporters);
+  event_base_free (host->base);
+  g_array_unref (self->calls);
+}
+
+static msec_t
+now (const fixture_t *self)
+{
+  return msclock_now (&self->coordinator.clock);
+}
+
+static void
+pass_time (fixture_t *self, msec_t ms)
+{
+  msclock_set (&self->coordinator.clock, now (self) + ms);
+  role_step (&self->coordinator, now (self));
+}
+
+/* A table in which "t" owns all keys under FENCE. */
+static key_table_t
+owned_table (const fixture_t *self, uint64_t fence)
+{
+  key_table_t table;
+  key_range_t range = { .last = KEY_LAST, .fence = fence, .target_started_at = 1 };
+
+  key_table_init (&table, name_text (&self->service));
+  name_set (&range.target, TEXT ("t"));
+  name_set (&range.address, TEXT ("127.0.0.1:9"));
+  g_array_append_val (table.ranges, range);
+  return table;
+}
+
+/* Takes the oldest call that is a commit or, else, a read of TABLE. */
+static call_t
+take_call (fixture_t *self, bool commit, store_table_t table)
+{
+  for (guint i = 0; i < self->calls->len; i++)
+    {
+      call_t call = g_array_index (self->calls, call_t, i);
+      if (call.commit != commit || (!commit && call.table != table))
+        continue;
+      g_array_remove_index (self->calls, i);
+      return call;
+    }
+  fail_msg ("no such call to the store");
+  return (call_t){ 0 };
+}
+
+static guint
+count_commits (const fixture_t *self)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < self->calls->len; i++)
+    n += g_array_index (self->calls, call_t, i).commit;
+  return n;
+}
+
+/* Answers CALL at VERSION with a row of BYTES, which are freed; NULL: with none. */
+static void
+answer (fixture_t *self, const call_t *call, uint64_t version, GString *bytes)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
+  bool owners = !call->commit && call->table == STORE_KEYS;
+  store_row_t row = { g_string_new (owners ? "s" : "granter"), bytes, version, false };
+  store_reply_t reply = { .outcome = STORE_DONE,
+                          .rows = rows,
+                          .version = version,
+                          .clock = now (self) + STORE_CLOCK_AHEAD_MS,
+                          .reason = "test" };
+
+  if (bytes != NULL)
+    g_array_append_val (rows, row);
+  call->done (call->owner, &reply);
+  g_string_free (row.key, TRUE);
+  if (bytes != NULL)
+    g_string_free (bytes, TRUE);
+  g_array_unref (rows);
+}
+
+/* Acquires the role at VERSION, from the row of an earlier write, if any. */
+static void
+acquire (fixture_t *self, uint64_t version, const role_row_t *earlier)
+{
+  for (int i = 0; i < 100 && self->coordinator.role.state == ROLE_NOT_HELD; i++)
+    {
+      pass_time (self, 50);
+      if (self->coordinator.role.checking)
+        {
+          call_t read = take_call (self, false, STORE_ROLE);
+          answer (self,
+                  &read,
+                  version - 1,
+                  earlier != NULL ? key_rows_encode_role (earlier) : NULL);
+        }
+    }
+  call_t write = take_call (self, true, STORE_ROLE);
+  answer (self, &write, version, NULL);
+  assert_int_equal (self->coordinator.role.state, ROLE_HELD);
+}
+
+/* Runs a host until the read for a renewal of its role is unanswered, but the renewal was
+ * answered and owners are being committed.  Returns the read; VERSION is the row's from
+ * before the renewal. */
+static call_t
+start_commit_with_an_older_read (fixture_t *self, uint64_t *version)
+{
+  coordinator_t *host = &self->coordinator;
+
+  begin (self);
+  acquire (self, 2, NULL);
+  *version = 2;
+  while (now (self) < host->role.next_check)
+    {
+      pass_time (self, ROLE_RENEW_MS);
+      call_t renewal = take_call (self, true, STORE_ROLE);
+      answer (self, &renewal, ++*version, NULL);
+    }
+  pass_time (self, ROLE_RENEW_MS);
+  call_t renewal = take_call (self, true, STORE_ROLE);
+  pass_time (self, STORE_CALL_MS);
+  call_t read = take_call (self, false, STORE_ROLE);
+  answer (self, &renewal, *version + 1, NULL);
+  key_table_t table = owned_table (self, 5);
+  role_queue_table (host, &table);
+  assert_int_equal (count_commits (self), 1);
+  return read;
+}
+
+static void
+test_a_read_for_an_earlier_write_does_not_start_another_attempt (void **state)
+{
+  fixture_t fixture;
+  uint64_t version;
+
+  (void)state;
+  call_t read = start_commit_with_an_older_read (&fixture, &version);
+  role_row_t row = fixture.coordinator.role.row;
+  answer (&fixture, &read, version + 1, key_rows_encode_role (&row));
+  assert_int_equal (count_commits (&fixture), 1);
+  end (&fixture);
+}
+
+static void
+test_a_row_from_before_the_last_commit_is_not_gone_by (void **state)
+{
+  fixture_t fixture;
+  uint64_t version;
+
+  (void)state;
+  call_t read = start_commit_with_an_older_read (&fixture, &version);
+  role_row_t row = fixture.coordinator.role.row;
+  row.sequence--;
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  store_reply_t lost = { .outcome = STORE_UNKNOWN, .reason = "test" };
+  write.done (write.owner, &lost);
+  assert_true (fixture.coordinator.role.write.reading_back);
+  answer (&fixture, &read, version, key_rows_encode_role (&row));
+  assert_int_equal (count_commits (&fixture), 0);
+  assert_int_equal (fixture.coordinator.role.version, version + 1);
+  assert_true (fixture.coordinator.role.write.unanswered);
+  end (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_read_for_an_earlier_write_does_not_start_another_attempt),
+    cmocka_unit_test (test_a_row_from_before_the_last_commit_is_not_gone_by),
+  };
+
+  return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
+}
