Owners that were read before a commit do not replace it

Cause: a host that lost the role and got it again while its read of the owners was unanswered had two such reads in flight. Change: the owners are loaded once for each time that the role is acquired.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -248,7 +248,7 @@
 {
   coordinator_t *self = owner;
 
-  if (self->role.state != ROLE_HELD)
+  if (self->role.state != ROLE_HELD || !self->role.awaits_tables)
     return;
   /* A reply from before this host acquired the role may lack the predecessor's last
    * moves. */
@@ -265,6 +265,7 @@
       self->role.next_tables_read = msclock_now (&self->clock) + STORE_RETRY_MS;
       return;
     }
+  self->role.awaits_tables = self->role.needs_tables = false;
   for (guint i = 0; i < self->keyed_services->len; i++)
     notify_table (self, &g_array_index (self->keyed_services, name_t, i), reply);
 }
@@ -284,6 +285,7 @@
                   (unsigned long long)role->row.next_fence,
                   ROLE_LEASE_MS);
   keys_raise_fence (&self->keys, role->row.next_fence);
+  role->awaits_tables = true;
   read_tables (self);
   role->next_write = now + ROLE_RENEW_MS;
 }
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -231,6 +231,15 @@
   g_array_unref (rows);
 }
 
+static void
+answer_owners (fixture_t *self, const call_t *read, uint64_t version, uint64_t fence)
+{
+  key_table_t table = owned_table (self, fence);
+
+  answer (self, read, version, key_rows_encode_table (&table));
+  key_table_finish (&table);
+}
+
 /* Acquires the role at VERSION, from the row of an earlier write, if any. */
 static void
 acquire (fixture_t *self, uint64_t version, const role_row_t *earlier)
@@ -252,6 +261,40 @@
   assert_int_equal (self->coordinator.role.state, ROLE_HELD);
 }
 
+static uint64_t
+granted_fence (const fixture_t *self)
+{
+  const key_service_t *service = g_ptr_array_index (self->coordinator.keys.services, 0);
+
+  return g_array_index (service->ranges, key_range_state_t, 0).fence;
+}
+
+static void
+test_owners_that_were_read_before_a_commit_do_not_replace_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t older = take_call (&fixture, false, STORE_KEYS);
+  role_row_t row = fixture.coordinator.role.row;
+  while (fixture.coordinator.role.state == ROLE_HELD)
+    pass_time (&fixture, 50);
+  g_array_set_size (fixture.calls, 0);
+  acquire (&fixture, 3, &row);
+  call_t newer = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &newer, 3, 5);
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  assert_true (write.with_owners);
+  answer (&fixture, &write, 4, NULL);
+  uint64_t fence = granted_fence (&fixture);
+  assert_true (fence > 5);
+  answer_owners (&fixture, &older, 3, 5);
+  assert_int_equal (granted_fence (&fixture), fence);
+  end (&fixture);
+}
+
 /* Runs a host until the read for a renewal of its role is unanswered, but the renewal was
  * answered and owners are being committed.  Returns the read; VERSION is the row's from
  * before the renewal. */
@@ -319,6 +362,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_owners_that_were_read_before_a_commit_do_not_replace_it),
     cmocka_unit_test (test_a_read_for_an_earlier_write_does_not_start_another_attempt),
     cmocka_unit_test (test_a_row_from_before_the_last_commit_is_not_gone_by),
   };
