Owners that were decided before the role was lost are not committed

Cause: the actions of one decision are executed one by one. If the lease ended meanwhile, the first commit among them found that the role was lost, and a second one, of another service, stayed queued. It was committed when the host held the role again, over what other granters had committed since: the next granter would go by it and grant keys to a target that doesn't have them under fences of the past. Change: a table is dropped if the role isn't held.

--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -51,7 +51,8 @@
 void role_step (coordinator_t *self, msec_t now);
 void role_resign (coordinator_t *self, msec_t now);
 
-/* Queues a table of key owners for commit.  Takes ownership of TABLE's contents. */
+/* Queues a table of key owners for commit, or drops it if the role was lost.  Takes
+ * ownership of TABLE's contents. */
 void role_queue_table (coordinator_t *self, key_table_t *table);
 
 /* The role's holder reported that it keeps the role until UNTIL on this host's clock: the
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -576,8 +576,12 @@
 void
 role_queue_table (coordinator_t *self, key_table_t *table)
 {
+  if (self->role.state != ROLE_HELD)
+    {
+      key_table_finish (table);
+      return;
+    }
   key_table_t *queued = g_new (key_table_t, 1);
-
   *queued = *table;
   g_queue_push_tail (&self->role.pending_tables, queued);
   role_step (self, msclock_now (&self->clock));
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -358,6 +358,30 @@
   end (&fixture);
 }
 
+static void
+test_owners_that_were_decided_before_the_role_was_lost_are_not_committed (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  role_row_t row = fixture.coordinator.role.row;
+  msclock_set (&fixture.coordinator.clock, fixture.coordinator.role.lease_end);
+  for (int i = 0; i < 2; i++)
+    {
+      key_table_t table = owned_table (&fixture, 5);
+      role_queue_table (&fixture.coordinator, &table);
+    }
+  assert_int_equal (fixture.coordinator.role.state, ROLE_NOT_HELD);
+  g_array_set_size (fixture.calls, 0);
+  acquire (&fixture, 3, &row);
+  pass_time (&fixture, ROLE_RENEW_MS);
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  assert_false (write.with_owners);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -365,6 +389,8 @@
     cmocka_unit_test (test_owners_that_were_read_before_a_commit_do_not_replace_it),
     cmocka_unit_test (test_a_read_for_an_earlier_write_does_not_start_another_attempt),
     cmocka_unit_test (test_a_row_from_before_the_last_commit_is_not_gone_by),
+    cmocka_unit_test (
+        test_owners_that_were_decided_before_the_role_was_lost_are_not_committed),
   };
 
   return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
