Owners that are loaded after the role was lost don't count

Cause: the owners of all services are loaded one after another. If the lease ended during the first one, the others were loaded without the role. Change: owners count only while the role is held.

--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -25,6 +25,8 @@
   router_settings_t settings;
   coordinator_t coordinator;
   name_t service;
+  bool slow;       /* the lease ends while a command is sent */
+  unsigned grants; /* sent so far */
 } fixture_t;
 
 static void
@@ -54,6 +56,9 @@
   g_array_append_val (self->calls, call);
 }
 
+/* The command callbacks have no other way to find it. */
+static fixture_t *current;
+
 static const store_ops_t store_ops = { .read = read_table, .commit = commit };
 
 static void
@@ -65,6 +70,10 @@
 {
   (void)target;
   (void)now;
+  current->grants += !command->release;
+  if (current->slow)
+    msclock_set (&current->coordinator.clock, current->coordinator.role.lease_end);
+  current->slow = false;
   done (owner, COMMAND_ACCEPTED, true, command->release ? TEXT ("warm") : TEXT_NONE);
 }
 
@@ -98,6 +107,7 @@
   *self = (fixture_t){ .store = { .ops = &store_ops },
                        .calls = g_array_new (FALSE, FALSE, sizeof (call_t)),
                        .settings = { .link_mbps = 1000 } };
+  current = self;
   name_set (&self->settings.host, TEXT ("h"));
   name_set (&self->settings.peers, TEXT ("127.0.0.1:2"));
   name_set (&self->service, TEXT ("s"));
@@ -209,13 +219,15 @@
   return n;
 }
 
-/* Answers CALL at VERSION with a row of BYTES, which are freed; NULL: with none. */
+/* Answers CALL at VERSION with a row of BYTES, which are freed, or with one for each
+ * service if the call is for owners.  NULL: with none. */
 static void
 answer (fixture_t *self, const call_t *call, uint64_t version, GString *bytes)
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
   bool owners = !call->commit && call->table == STORE_KEYS;
   store_row_t row = { g_string_new (owners ? "s" : "granter"), bytes, version, false };
+  store_row_t other = { g_string_new ("r"), bytes, version, false };
   store_reply_t reply = { .outcome = STORE_DONE,
                           .rows = rows,
                           .version = version,
@@ -224,8 +236,11 @@
 
   if (bytes != NULL)
     g_array_append_val (rows, row);
+  if (bytes != NULL && owners)
+    g_array_append_val (rows, other);
   call->done (call->owner, &reply);
   g_string_free (row.key, TRUE);
+  g_string_free (other.key, TRUE);
   if (bytes != NULL)
     g_string_free (bytes, TRUE);
   g_array_unref (rows);
@@ -382,6 +397,34 @@
   end (&fixture);
 }
 
+static void
+test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to (void **state)
+{
+  fixture_t fixture;
+  role_row_t row = { .incarnation = 1, .next_fence = 6 };
+  keys_msg_t services = { .kind = KEYS_SERVICES };
+  name_t other;
+
+  (void)state;
+  begin (&fixture);
+  name_set (&other, TEXT ("r"));
+  g_array_append_val (fixture.coordinator.keyed_services, other);
+  services.services = fixture.coordinator.keyed_services;
+  grants_handle (&fixture.coordinator, &services);
+  row.host = row.address = other;
+  row.until = START_MS + STORE_CLOCK_AHEAD_MS - 1;
+  acquire (&fixture, 2, &row);
+  row = fixture.coordinator.role.row;
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  fixture.slow = true;
+  answer_owners (&fixture, &read, 2, 5);
+  assert_int_equal (fixture.coordinator.role.state, ROLE_NOT_HELD);
+  fixture.grants = 0;
+  acquire (&fixture, 3, &row);
+  assert_int_equal (fixture.grants, 0);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -391,6 +434,8 @@
     cmocka_unit_test (test_a_row_from_before_the_last_commit_is_not_gone_by),
     cmocka_unit_test (
         test_owners_that_were_decided_before_the_role_was_lost_are_not_committed),
+    cmocka_unit_test (
+        test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
   };
 
   return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -254,7 +254,7 @@
 {
   key_service_t *service = find_service (self, &msg->service);
 
-  if (service == NULL)
+  if (service == NULL || self->role_until == 0)
     return;
   service->table_loaded = true;
   service->commit_pending = false;
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -26,7 +26,7 @@
   KEYS_ROLE,            /* the role is held until ROLE_UNTIL; 0: not held */
   KEYS_SERVICES,        /* the services whose keys have owners */
   KEYS_TARGETS,         /* all listed targets */
-  KEYS_TABLE,           /* the stored table of one service, or none */
+  KEYS_TABLE,           /* the stored table of one service; needs the role */
   KEYS_COMMITTED,       /* the pending commit took effect */
   KEYS_COMMIT_REJECTED, /* the store rejected the pending commit and applied nothing */
   KEYS_GRANTED,         /* the target accepted the grant */
