A new fence holds off old grants only at the process that accepted it

Cause: once an owner had accepted a grant under a new fence, the grants of predecessors no longer counted for its keys. Its next process knows no fence: one of these grants, applied late, gave it the keys after it had released them and another target had them (OWNER). Change: the fence is shown right before each release while grants of predecessors may last. An owner that isn't listed gets no grant; it counts as fenced as long as no call to it failed. Test: unit key-holds, five cases: four failed before; an_unlisted_owner_that_answered_all_calls_knows_its_fence passed before and stays. unit keys a_new_fence_does_not_clear_an_unanswered_own_grant now lets the leaving owner accept the grant that precedes the release; all that it expects stays.

--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -37,11 +37,19 @@
 void
 key_holds_fenced_off (key_holds_t *self)
 {
-  self->inherited_until = 0;
+  self->fenced_off = true;
+}
+
+void
+key_holds_not_fenced_off (key_holds_t *self)
+{
+  self->fenced_off = false;
 }
 
 msec_t
 key_holds_end (const key_holds_t *self, bool released)
 {
-  return released ? MAX (self->late_until, self->inherited_until) : self->any_until;
+  msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until;
+
+  return released ? MAX (self->late_until, inherited_until) : self->any_until;
 }
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -19,8 +19,8 @@
 {
   msec_t any_until;       /* all grants of the range have expired by then */
   msec_t late_until;      /* all that may take effect after a release have expired */
-  msec_t inherited_until; /* all of predecessors have; 0: none, or the owner rejects
-                             them */
+  msec_t inherited_until; /* all of predecessors have; 0: none */
+  bool fenced_off;        /* the owner's process rejects those of predecessors */
 } key_holds_t;
 
 /* The longest time from the arrival of a grant of HOLD to its expiry: on a slow clock,
@@ -43,6 +43,9 @@
 /* The owner accepted a grant under a fence above all those of predecessors. */
 void key_holds_fenced_off (key_holds_t *self);
 
+/* The owner may have restarted since, and know no fence. */
+void key_holds_not_fenced_off (key_holds_t *self);
+
 /* From when on the owner can't hold the range.  RELEASED: it has released it since its
  * last grant was sent. */
 msec_t key_holds_end (const key_holds_t *self, bool released);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -121,12 +121,14 @@
   append_call (self, KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
 }
 
-/* Whether the owner can be fenced: it is listed, may still apply a predecessor's grants,
- * and the short grant doesn't delay the time from which the keys can be reassigned. */
+/* Whether the owner has to be fenced, and can be: it is listed, may still apply a
+ * predecessor's grants, as it may have restarted since it accepted the new fence, and the
+ * short grant doesn't delay the time from which the keys can be reassigned. */
 static bool
 may_fence_owner (const key_range_state_t *range, const target_entry_t *listed, msec_t now)
 {
-  return range->holds.inherited_until != 0 && listed != NULL && !range->superseded
+  return range->holds.inherited_until > now && !range->fence_confirmed && listed != NULL
+         && !range->superseded
          && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.any_until;
 }
 
@@ -292,13 +294,23 @@
       if (msg->call == 0 || range->call != msg->call)
         continue;
       range->call = 0;
+      if (msg->kind == KEYS_CALL_FAILED)
+        {
+          key_holds_not_fenced_off (&range->holds);
+          range->fence_confirmed = false;
+        }
       if (msg->kind == KEYS_GRANTED)
         {
           key_holds_answered (&range->holds, range->last_hold, now);
           range->granted = true;
           range->handover.len = 0;
           if (!service->needs_new_fences && range->pending_fence == 0)
-            key_holds_fenced_off (&range->holds);
+            {
+              key_holds_fenced_off (&range->holds);
+              range->fence_confirmed = range->phase == RANGE_REVOKING;
+            }
+          if (range->fence_confirmed)
+            range->next_call_at = now;
         }
       else if (msg->kind == KEYS_RELEASED && range->phase == RANGE_REVOKING)
         {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -116,6 +116,7 @@
   key_holds_t holds;      /* of the owner */
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
+  bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
   bool released;          /* the owner released it */
   bool superseded;        /* the owner has seen a higher fence */
   bool owner_gone;        /* the owner's address belongs to another target */
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -345,6 +345,123 @@
   end (&fixture);
 }
 
+/* The same, with new fences that the owners accepted; predecessors' grants last on. */
+static void
+take_over_and_fence (fixture_t *self)
+{
+  begin (self, 2);
+  key_table_t table = stored_table (self, 2);
+  take_over (self, &table, HOLD_MAX_MS);
+  key_table_finish (&table);
+  accept_grants (self);
+  handle_msg (self, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  accept_grants (self);
+}
+
+/* T0 is to be sent a short grant, and no release yet; returns it. */
+static keys_out_t
+fencing_grant (const fixture_t *self)
+{
+  keys_out_t grant = call_to_first (self, KEYS_GRANT);
+
+  assert_int_equal (count_actions (self, KEYS_RELEASE), 0);
+  assert_int_equal (grant.hold, KEYS_FENCE_HOLD_MS);
+  return grant;
+}
+
+static void
+test_the_next_life_of_an_owner_has_not_seen_the_fence_of_the_one_before (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  target (&fixture, 0)->started_at++;
+  list_targets (&fixture);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, fixture.now);
+  end (&fixture);
+}
+
+static void
+test_an_owner_may_have_restarted_since_it_accepted_a_new_fence (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  target (&fixture, 0)->leaving = true;
+  list_targets (&fixture);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  end (&fixture);
+}
+
+static void
+test_an_owner_may_have_restarted_if_a_release_got_no_answer (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  target (&fixture, 0)->leaving = true;
+  list_targets (&fixture);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_CALL_FAILED, true);
+  if (call_to_first (&fixture, KEYS_GRANT).target.len == 0)
+    tick (&fixture, fixture.now + 2 * KEYS_RETRY_MS);
+  fencing_grant (&fixture);
+  end (&fixture);
+}
+
+/* An owner that isn't listed gets no grant, so it accepted the fence before. */
+static void
+release_unlisted_owner (fixture_t *self)
+{
+  g_array_remove_index (self->targets, 0);
+  list_targets (self);
+  if (count_actions (self, KEYS_RELEASE) == 0)
+    assert_true (run_until_action (self, KEYS_RELEASE, self->now + 5 * KEYS_RETRY_MS));
+  keys_out_t release = *find (self, KEYS_RELEASE);
+  reply (self, &release, KEYS_RELEASED, true);
+}
+
+static void
+test_an_unlisted_owner_that_answered_all_calls_knows_its_fence (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  release_unlisted_owner (&fixture);
+  assert_moved_after (&fixture, fixture.now);
+  end (&fixture);
+}
+
+static void
+test_an_unlisted_owner_may_have_restarted_since_a_call_failed (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, false);
+  release_unlisted_owner (&fixture);
+  assert_moved_after (&fixture, START_MS + HOLD_MAX_MS);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -366,6 +483,12 @@
         test_an_answer_to_a_call_from_before_the_role_was_lost_ends_no_newer_call),
     cmocka_unit_test (
         test_an_unanswered_grant_under_the_old_fence_counts_after_new_fences),
+    cmocka_unit_test (
+        test_the_next_life_of_an_owner_has_not_seen_the_fence_of_the_one_before),
+    cmocka_unit_test (test_an_owner_may_have_restarted_since_it_accepted_a_new_fence),
+    cmocka_unit_test (test_an_owner_may_have_restarted_if_a_release_got_no_answer),
+    cmocka_unit_test (test_an_unlisted_owner_that_answered_all_calls_knows_its_fence),
+    cmocka_unit_test (test_an_unlisted_owner_may_have_restarted_since_a_call_failed),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -420,6 +420,7 @@
   accept_grants (&fixture);
   target (&fixture, 0)->leaving = true;
   list_targets (&fixture);
+  accept_grants (&fixture); /* under the new fence, from the owner that is to release */
   if (count_actions (&fixture, KEYS_RELEASE) == 0)
     assert_true (
         run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_RETRY_MS));
--- a/tests/grants/grants.c
+++ b/tests/grants/grants.c
@@ -16,7 +16,8 @@
  *     response or with one that comes late, or a read returns old rows;
  *   - all calls of a host to the store are refused or lost for some time;
  *   - a grant or release is lost, or is executed, perhaps late, without a response;
- *   - all grants to a target are executed seconds late for some time, without a response;
+ *   - all grants to a target are executed seconds late for some time, without a response,
+ *     also by its next process;
  *   - a host is frozen or killed.
  *
  * Every set of up to K deviations within the time window is run from the start.  The
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -230,6 +230,9 @@
     case SCENARIO_LEAVE:
       first->leaving = true;
       break;
+    case SCENARIO_REPLACE:
+      first->leaving = true;
+      /* fall through */
     case SCENARIO_RESTART:
       first->incarnation++;
       /* fall through */
@@ -360,6 +363,8 @@
 sim_run (sim_t *self, const router_settings_t *settings)
 {
   bool changed = false;
+  msec_t change_at
+      = self->scenario == SCENARIO_REPLACE ? SCENARIO_LATE_MS : SCENARIO_CHANGE_MS;
 
   sim = self;
   self->now = 1000;
@@ -379,12 +384,12 @@
     {
       self->now += DELAY_MS;
       handle_due ();
-      if (!changed && self->now >= SCENARIO_CHANGE_MS)
+      if (!changed && self->now >= change_at)
         {
           changed = true;
           apply_scenario_change ();
         }
-      if (changed && self->now >= SCENARIO_CHANGE_MS + LISTING_DELAY_MS
+      if (changed && self->now >= change_at + LISTING_DELAY_MS
           && self->targets[0].incarnation != self->targets[0].life)
         list_restarted_target ();
       for (guint i = 0; i < HOSTS; i++)
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -18,6 +18,7 @@
 #define WINDOW_FROM_MS 2000 /* the targets have accepted their first grants by then */
 #define WINDOW_TO_MS 7000
 #define SCENARIO_CHANGE_MS 3500 /* when the scenario's change takes place */
+#define SCENARIO_LATE_MS 8000   /* the same, after any take-over in the window */
 
 /* 17 s after the window: longer than the longest hold, so that the keys of a lost target
  * can be granted again. */
@@ -47,6 +48,7 @@
   SCENARIO_RESTART_UNSEEN, /* the same, and its entry changes later */
   SCENARIO_JOIN,           /* a third target joins */
   SCENARIO_RESIGN,         /* the granter shuts down and resigns its role */
+  SCENARIO_REPLACE,        /* the first target restarts and leaves at once, later */
   SCENARIO_COUNT,
 } scenario_t;
 
@@ -147,7 +149,6 @@
   command_done_t command_done;
   key_command_t command;
   command_outcome_t outcome;
-  uint64_t life;          /* of the target that the call arrives at; 0: not yet known */
   bool hold_from_arrival; /* the hold runs from ARRIVED_AT instead of the execution */
   msec_t arrived_at;
   void *owner;
--- a/tests/grants/sim_targets.c
+++ b/tests/grants/sim_targets.c
@@ -107,9 +107,6 @@
 
   if (sim->verbose)
     print_command (event);
-  if (event->life != 0 && event->life != target->life)
-    return COMMAND_FAILED; /* the process that was to execute it has ended */
-
   if (event->command.release)
     {
       accept_release (target, &event->command);
@@ -151,7 +148,6 @@
     {
       call->at += in_series ? COMMAND_SERIES_DELAY_MS : COMMAND_DELAY_MS;
       call->hold_from_arrival = true;
-      call->life = target->life;
     }
   failure = sim_schedule (EVENT_COMMAND_RESPONSE, sim->active_host, COMMAND_CALL_MS);
   failure->command_done = done;
