--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -248,7 +248,7 @@
 {
   coordinator_t *self = owner;
 
-  if (self->role.state != ROLE_HELD)
+  if (self->role.state != ROLE_HELD || !self->role.awaits_tables)
     return;
   /* A reply from before this host acquired the role may lack the predecessor's last
    * moves. */
@@ -265,6 +265,7 @@
       self->role.next_tables_read = msclock_now (&self->clock) + STORE_RETRY_MS;
       return;
     }
+  self->role.awaits_tables = self->role.needs_tables = false;
   for (guint i = 0; i < self->keyed_services->len; i++)
     notify_table (self, &g_array_index (self->keyed_services, name_t, i), reply);
 }
@@ -284,6 +285,7 @@
                   (unsigned long long)role->row.next_fence,
                   ROLE_LEASE_MS);
   keys_raise_fence (&self->keys, role->row.next_fence);
+  role->awaits_tables = true;
   read_tables (self);
   role->next_write = now + ROLE_RENEW_MS;
 }
@@ -359,10 +361,10 @@
   msec_t now = msclock_now (&self->clock);
 
   note_read (self, reply);
-  if (!role->write.in_progress)
-    return;
+  if (!role->write.in_progress || !role->write.reading_back)
+    return; /* read for an earlier write */
   role->write.reading_back = false;
-  if (reply->outcome != STORE_DONE)
+  if (reply->outcome != STORE_DONE || reply->version < role->version)
     return; /* role_step retries */
   uint64_t version = role->version;
   parse_role_row (role, reply);
@@ -574,8 +576,12 @@
 void
 role_queue_table (coordinator_t *self, key_table_t *table)
 {
+  if (self->role.state != ROLE_HELD)
+    {
+      key_table_finish (table);
+      return;
+    }
   key_table_t *queued = g_new (key_table_t, 1);
-
   *queued = *table;
   g_queue_push_tail (&self->role.pending_tables, queued);
   role_step (self, msclock_now (&self->clock));
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -23,12 +23,12 @@
 
 typedef enum
 {
-  KEYS_ROLE,            /* the role is held until ROLE_UNTIL; 0: not held */
-  KEYS_SERVICES,        /* the services whose keys have owners */
-  KEYS_TARGETS,         /* all listed targets */
-  KEYS_TABLE,           /* the stored table of one service, or none; the first one since
-                           the role was acquired counts */
-  KEYS_COMMITTED,       /* the pending commit took effect */
+  KEYS_ROLE,      /* the role is held until ROLE_UNTIL; 0: not held */
+  KEYS_SERVICES,  /* the services whose keys have owners */
+  KEYS_TARGETS,   /* all listed targets */
+  KEYS_TABLE,     /* the stored table of one service, or none; counts while the role is
+                     held, the first time since it was acquired */
+  KEYS_COMMITTED, /* the pending commit took effect */
   KEYS_COMMIT_REJECTED, /* the store rejected the pending commit and applied nothing */
   KEYS_GRANTED,         /* the target accepted the grant */
   KEYS_SUPERSEDED,      /* the target has seen a higher fence */
@@ -117,6 +117,7 @@
   key_holds_t holds;      /* of the owner */
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
+  bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
   bool released;          /* the owner released it */
   bool superseded;        /* the owner has seen a higher fence */
   bool owner_gone;        /* the owner's address belongs to another target */
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -231,6 +231,9 @@
     case SCENARIO_LEAVE_LATER:
       first->leaving = true;
       break;
+    case SCENARIO_REPLACE:
+      first->leaving = true;
+      /* fall through */
     case SCENARIO_RESTART:
       first->incarnation++;
       /* fall through */
@@ -360,8 +363,10 @@
 void
 sim_run (sim_t *self, const router_settings_t *settings)
 {
-  const msec_t change_at
-      = self->scenario == SCENARIO_LEAVE_LATER ? SCENARIO_LATER_MS : SCENARIO_CHANGE_MS;
+  static const msec_t late_changes[SCENARIO_COUNT]
+      = { [SCENARIO_LEAVE_LATER] = SCENARIO_LATER_MS,
+          [SCENARIO_REPLACE] = SCENARIO_AFTER_WINDOW_MS };
+  msec_t change_at = MAX (late_changes[self->scenario], SCENARIO_CHANGE_MS);
   bool changed = false;
 
   sim = self;
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -18,7 +18,9 @@
 #define WINDOW_FROM_MS 2000 /* the targets have accepted their first grants by then */
 #define WINDOW_TO_MS 7000
 #define SCENARIO_CHANGE_MS 3500 /* when the scenario's change takes place */
+/* The same, after several grants, and after any take-over in the window. */
 #define SCENARIO_LATER_MS 5700
+#define SCENARIO_AFTER_WINDOW_MS 8000
 
 /* 17 s after the window: longer than the longest hold, so that the keys of a lost target
  * can be granted again. */
@@ -51,6 +53,7 @@
   SCENARIO_RESTART_UNSEEN, /* the same, and its entry changes later */
   SCENARIO_JOIN,           /* a third target joins */
   SCENARIO_RESIGN,         /* the granter shuts down and resigns its role */
+  SCENARIO_REPLACE,        /* the first target restarts and leaves at once, later */
   SCENARIO_COUNT,
 } scenario_t;
 
@@ -151,7 +154,6 @@
   command_done_t command_done;
   key_command_t command;
   command_outcome_t outcome;
-  uint64_t life;          /* of the target that the call arrives at; 0: not yet known */
   bool hold_from_arrival; /* the hold runs from ARRIVED_AT instead of the execution */
   msec_t arrived_at;
   void *owner;
