The owners of a service that is configured after a take-over are read too

Cause: the granter read the owners once, when it acquired the role, of the services configured then. The keys of a service that was configured later, or had been out of the configuration at that moment, had no owner until the next take-over: callers got no answer but rejections. Change: the granter reads the owners again if a service lacks them; the tables of the other services are left alone.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -84,9 +84,9 @@
   msec_t predecessor_grants_end; /* latest end of a predecessor's grants; this host's
                                     clock */
   uint64_t acquired_version;     /* of the row when this host acquired the role */
-  bool awaits_tables; /* the owners were not read yet; later reads may lack commits */
-  bool needs_tables;  /* reading the owners from the store failed */
-  msec_t next_tables_read; /* when that read is retried */
+  bool awaits_tables;            /* the owners of some service are being read */
+  bool needs_tables;             /* reading the owners from the store failed */
+  msec_t next_tables_read;       /* when that read is retried */
   role_write_t write;
   role_attempt_t attempts[ROLE_ATTEMPTS_MAX];
   uint64_t last_sequence; /* of all attempts of this process */
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -248,7 +248,7 @@
 {
   coordinator_t *self = owner;
 
-  if (self->role.state != ROLE_HELD || !self->role.awaits_tables)
+  if (self->role.state != ROLE_HELD)
     return;
   /* A reply from before this host acquired the role may lack the predecessor's last
    * moves. */
@@ -265,9 +265,25 @@
       self->role.next_tables_read = msclock_now (&self->clock) + STORE_RETRY_MS;
       return;
     }
-  self->role.awaits_tables = self->role.needs_tables = false;
+  self->role.needs_tables = false;
   for (guint i = 0; i < self->keyed_services->len; i++)
-    notify_table (self, &g_array_index (self->keyed_services, name_t, i), reply);
+    {
+      const name_t *service = &g_array_index (self->keyed_services, name_t, i);
+      if (keys_lacks_table (&self->keys, service))
+        notify_table (self, service, reply);
+    }
+  self->role.awaits_tables = false;
+}
+
+/* Has the owners read of services that were configured after they were read. */
+static void
+check_services (coordinator_t *self)
+{
+  role_t *role = &self->role;
+
+  for (guint i = 0; i < self->keyed_services->len && !role->awaits_tables; i++)
+    if (keys_lacks_table (&self->keys, &g_array_index (self->keyed_services, name_t, i)))
+      role->awaits_tables = role->needs_tables = true;
 }
 
 static void
@@ -523,6 +539,8 @@
 
   if (role->state == ROLE_HELD && now >= role->lease_end)
     lose_role (self, "lease_expired", now);
+  if (role->state == ROLE_HELD)
+    check_services (self);
   if (role->state == ROLE_HELD && role->needs_tables && now >= role->next_tables_read)
     read_tables (self);
   if (role->state == ROLE_NOT_HELD)
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -397,21 +397,29 @@
   end (&fixture);
 }
 
+static void
+add_service (fixture_t *self)
+{
+  coordinator_t *host = &self->coordinator;
+  name_t other;
+
+  name_set (&other, TEXT ("r"));
+  g_array_append_val (host->keyed_services, other);
+  keys_msg_t services = { .kind = KEYS_SERVICES, .services = host->keyed_services };
+  grants_handle (host, &services);
+}
+
 static void
 test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to (void **state)
 {
   fixture_t fixture;
   role_row_t row = { .incarnation = 1, .next_fence = 6 };
-  keys_msg_t services = { .kind = KEYS_SERVICES };
-  name_t other;
 
   (void)state;
   begin (&fixture);
-  name_set (&other, TEXT ("r"));
-  g_array_append_val (fixture.coordinator.keyed_services, other);
-  services.services = fixture.coordinator.keyed_services;
-  grants_handle (&fixture.coordinator, &services);
-  row.host = row.address = other;
+  add_service (&fixture);
+  name_set (&row.host, TEXT ("g"));
+  name_set (&row.address, TEXT ("127.0.0.1:3"));
   row.until = START_MS + STORE_CLOCK_AHEAD_MS - 1;
   acquire (&fixture, 2, &row);
   row = fixture.coordinator.role.row;
@@ -425,6 +433,26 @@
   end (&fixture);
 }
 
+static void
+test_owners_of_a_service_that_is_configured_later_are_read_too (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, 2, 5);
+  fixture.grants = 0;
+  add_service (&fixture);
+  pass_time (&fixture, 50);
+  read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, 2, 6);
+  assert_int_equal (granted_fence (&fixture), 5);
+  assert_int_equal (fixture.grants, 1);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -436,6 +464,7 @@
         test_owners_that_were_decided_before_the_role_was_lost_are_not_committed),
     cmocka_unit_test (
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
+    cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
   };
 
   return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -473,6 +473,14 @@
   g_array_unref (self->rate_limits);
 }
 
+bool
+keys_lacks_table (const keys_t *self, const name_t *name)
+{
+  const key_service_t *service = find_service (self, name);
+
+  return self->role_until != 0 && service != NULL && !service->table_loaded;
+}
+
 void
 keys_raise_fence (keys_t *self, uint64_t next_fence)
 {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -161,6 +161,9 @@
 
 void keys_finish (keys_t *self);
 
+/* Whether the table of SERVICE is to be read: none was loaded since the role is held. */
+bool keys_lacks_table (const keys_t *self, const name_t *service);
+
 /* Raises the next fence to NEXT_FENCE, the counter stored with the role; never lowers it.
  */
 void keys_raise_fence (keys_t *self, uint64_t next_fence);
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -462,6 +462,23 @@
   end (&fixture);
 }
 
+static void
+test_owners_that_are_loaded_without_the_role_are_not_granted_to (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_TABLE, .table = &table });
+  renew_role (&fixture);
+  assert_int_equal (count_actions (&fixture, KEYS_GRANT), 0);
+  take_over (&fixture, &table, 0);
+  assert_int_equal (count_actions (&fixture, KEYS_GRANT), 2);
+  key_table_finish (&table);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -489,6 +506,7 @@
     cmocka_unit_test (test_an_owner_may_have_restarted_if_a_release_got_no_answer),
     cmocka_unit_test (test_an_unlisted_owner_that_answered_all_calls_knows_its_fence),
     cmocka_unit_test (test_an_unlisted_owner_may_have_restarted_since_a_call_failed),
+    cmocka_unit_test (test_owners_that_are_loaded_without_the_role_are_not_granted_to),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
