A shorter longest hold in the settings does not shorten earlier grants

Cause: a host that takes over counts on its own longest hold. If new settings lowered it, its predecessor may have granted the earlier, longer one: keys were free before that had passed. Evidence: by the code; the test plays it. A host that started with the new settings still doesn't know the earlier ones. Change: a granter counts on the longest hold that its settings have named.

--- a/packages/coordinator/reload.c
+++ b/packages/coordinator/reload.c
@@ -60,7 +60,7 @@
                   TEXT_ARG (fault_text (&fault)));
   if (status != STATUS_OK)
     return;
-  self->keys.hold_max = fresh.bounds.hold_max_ms;
+  keys_set_hold_max (&self->keys, fresh.bounds.hold_max_ms);
   discovery_set_drain (self, fresh.bounds.drain_ms);
   discovery_set_apply_time (self, fresh.bounds.apply_ms);
   msg = g_new0 (proxy_msg_t, 1);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -459,6 +459,7 @@
 keys_init (keys_t *self, msec_t hold_max)
 {
   *self = (keys_t){ .hold_max = hold_max,
+                    .longest_hold = hold_max,
                     .next_fence = 1,
                     .services = g_ptr_array_new_with_free_func (free_service),
                     .rate_limits = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
@@ -473,6 +474,13 @@
   g_array_unref (self->rate_limits);
 }
 
+void
+keys_set_hold_max (keys_t *self, msec_t hold_max)
+{
+  self->hold_max = hold_max;
+  self->longest_hold = MAX (self->longest_hold, hold_max);
+}
+
 bool
 keys_lacks_table (const keys_t *self, const name_t *name)
 {
@@ -492,5 +500,5 @@
 {
   /* The predecessor's last call may have been in flight for the longest time of a call.
    */
-  return MAX (key_holds_worst_case (self->hold_max) + COMMAND_CALL_MS - since, 0);
+  return MAX (key_holds_worst_case (self->longest_hold) + COMMAND_CALL_MS - since, 0);
 }
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -144,7 +144,8 @@
 {
   msec_t role_until; /* 0: not held */
   bool store_reachable;
-  msec_t hold_max; /* longest duration of a grant */
+  msec_t hold_max;     /* longest duration of a grant */
+  msec_t longest_hold; /* that any granter may have given, as far as is known */
   bool resigning;
   uint64_t next_fence;
   uint64_t last_call;  /* the calls so far are numbered from 1 */
@@ -156,6 +157,10 @@
 /* HOLD_MAX: longest duration of a grant. */
 void keys_init (keys_t *self, msec_t hold_max);
 
+/* Changes the longest duration of a grant; predecessors may have given the earlier one.
+ */
+void keys_set_hold_max (keys_t *self, msec_t hold_max);
+
 /* Handles MSG at time NOW and appends actions (keys_out_t) to OUT. */
 void keys_handle (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out);
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -479,6 +479,21 @@
   end (&fixture);
 }
 
+static void
+test_a_shorter_longest_hold_does_not_shorten_predecessors_grants (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  msec_t before = keys_predecessor_hold (&fixture.keys, 0);
+  keys_set_hold_max (&fixture.keys, HOLD_MAX_MS / 2);
+  assert_int_equal (keys_predecessor_hold (&fixture.keys, 0), before);
+  keys_set_hold_max (&fixture.keys, 2 * HOLD_MAX_MS);
+  assert_true (keys_predecessor_hold (&fixture.keys, 0) > before);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -507,6 +522,7 @@
     cmocka_unit_test (test_an_unlisted_owner_that_answered_all_calls_knows_its_fence),
     cmocka_unit_test (test_an_unlisted_owner_may_have_restarted_since_a_call_failed),
     cmocka_unit_test (test_owners_that_are_loaded_without_the_role_are_not_granted_to),
+    cmocka_unit_test (test_a_shorter_longest_hold_does_not_shorten_predecessors_grants),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -20,7 +20,7 @@
 static msec_t
 predecessor_hold (msec_t since)
 {
-  const keys_t any = { .hold_max = HOLD_MAX_MS };
+  const keys_t any = { .longest_hold = HOLD_MAX_MS };
 
   return keys_predecessor_hold (&any, since);
 }
