A missing row of the role does not end the grants of known owners

Cause: a host that found no row of the role took it that there had been no granter. If the table of owners exists all the same, its owners may hold their keys by a predecessor's grants. Change: the longest possible grants are assumed then, too. Without a table of owners nothing waits for them. Test: unit role, failed before; mutant no-role-row-no-grants.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -512,10 +512,9 @@
                   (long long)reply->clock,
                   (unsigned long long)role->version);
   /* A holder that resigned (UNTIL is 0) sent grants of the longest hold right before it
-   * wrote the row. */
+   * wrote the row.  Without a row nothing is known, but there may be owners. */
   msec_t since = role->row.until == 0 ? 0 : MAX (reply->clock - role->row.until, 0);
-  role->predecessor_grants_end
-      = role->version == 0 ? now : now + keys_predecessor_hold (&self->keys, since);
+  role->predecessor_grants_end = now + keys_predecessor_hold (&self->keys, since);
   role->state = ROLE_ACQUIRING;
   write_role (self, now);
 }
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -453,6 +453,21 @@
   end (&fixture);
 }
 
+static void
+test_a_missing_role_row_does_not_end_the_grants_of_known_owners (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, 2, 5);
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  assert_true (write.with_owners); /* new fences, against grants of a predecessor */
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -465,6 +480,7 @@
     cmocka_unit_test (
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
+    cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
   };
 
   return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
