A new fence frees released keys before unanswered grants expire

Cause: keys of an owner with an unanswered grant stayed without an owner after their release until that grant could not last any more: 4.2 s mostly, up to 10 s. Change: if the owner is listed and the store answers, a new fence is committed for it, and shown to it before the release, as after a take-over; what it was sent before is rejected then. It costs a write to the store for each take-back with unanswered grants. Ruled out: keys of owners that aren't listed still wait, since these get no grant. Six cases of unit keys and unit key-holds that test the wait now play it with a store that doesn't answer, so that no new fence can be committed.

--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -67,16 +67,27 @@
   append_commit (self, service, out);
 }
 
+static bool
+needs_new_fence (const key_service_t *service, const key_range_state_t *range)
+{
+  return range->needs_new_fence
+         || (service->needs_new_fences && range->holds.inherited_until != 0);
+}
+
 void
 key_commits_renew_fences (keys_t *self, key_service_t *service, GArray *out)
 {
-  if (service->commit_pending || !service->needs_new_fences)
+  bool needed = service->needs_new_fences;
+
+  for (guint i = 0; i < service->ranges->len; i++)
+    needed |= range_at (service, i)->needs_new_fence;
+  if (service->commit_pending || !needed)
     return;
-  service->needs_new_fences = false;
   service->commit_pending = true;
   for (guint i = 0; i < service->ranges->len; i++)
-    if (range_at (service, i)->holds.inherited_until != 0)
+    if (needs_new_fence (service, range_at (service, i)))
       range_at (service, i)->pending_fence = self->next_fence++;
+  service->needs_new_fences = false;
   append_commit (self, service, out);
 }
 
@@ -97,6 +108,9 @@
           range->fence = range->pending_fence;
           range->pending_fence = 0;
           range->next_call_at = 0;
+          if (range->needs_new_fence)
+            key_holds_new_fence (&range->holds);
+          range->needs_new_fence = false;
         }
       if (range->phase != RANGE_COMMITTING)
         continue;
--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -34,6 +34,14 @@
   self->any_until = MAX (self->any_until, self->late_until);
 }
 
+void
+key_holds_new_fence (key_holds_t *self)
+{
+  self->inherited_until = MAX (self->inherited_until, self->late_until);
+  self->late_until = 0;
+  self->fenced_off = false;
+}
+
 void
 key_holds_fenced_off (key_holds_t *self)
 {
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -12,7 +12,8 @@
  * keys, if it did not answer it.  Every grant extends the bounds below and none shortens
  * them: another grant of the range, whatever its duration, proves nothing about one that
  * is still in flight.  The bounds end when they have passed, or with the target's
- * process.  Times are in milliseconds on the granter's clock.
+ * process; those of grants under earlier fences also while the process knows a newer one.
+ * Times are in milliseconds on the granter's clock.
  */
 
 typedef struct
@@ -40,6 +41,9 @@
  * effect until it expires. */
 void key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now);
 
+/* A new fence was committed for the owner: the grants so far count as a predecessor's. */
+void key_holds_new_fence (key_holds_t *self);
+
 /* The owner accepted a grant under a fence above all those of predecessors. */
 void key_holds_fenced_off (key_holds_t *self);
 
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -293,6 +293,7 @@
   range->release_attempts = 0;
   range->next_call_at = 0;
   range->fence_confirmed = false;
+  range->needs_new_fence = false;
 }
 
 /* Binary search for the first key from which on the range carries at most WANTED load;
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -143,6 +143,18 @@
              && !name_equal (&listed->address, &range->address));
 }
 
+/* Whether a new fence for the owner frees the keys earlier than waiting for the grants
+ * that got no answer. */
+static bool
+should_renew_fence (const keys_t *self,
+                    const key_range_state_t *range,
+                    const target_entry_t *listed,
+                    msec_t now)
+{
+  return self->store_reachable && listed != NULL && !range->superseded
+         && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.late_until;
+}
+
 static void
 revoke_range (keys_t *self,
               const key_service_t *service,
@@ -172,6 +184,8 @@
     }
   else if (now < range->next_call_at || range->released || !may_grant (self, now))
     return;
+  else if (range->needs_new_fence || should_renew_fence (self, range, listed, now))
+    range->needs_new_fence = true; /* committed once no other commit is pending */
   else if (may_fence_owner (range, listed, now))
     {
       if (!service->needs_new_fences && range->pending_fence == 0)
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -115,6 +115,7 @@
   msec_t next_call_at;    /* no call before this */
   key_holds_t holds;      /* of the owner */
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
+  bool needs_new_fence;   /* against grants without an answer */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
   bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
   bool released;          /* the owner released it */
--- a/packages/keys/tests/keys_fixture.h
+++ b/packages/keys/tests/keys_fixture.h
@@ -20,6 +20,7 @@
   GArray *targets; /* target_entry_t */
   name_t service;
   msec_t now;
+  bool store_lost; /* the store does not answer, as of the next renew_role */
 } fixture_t;
 
 /* Frees and removes the collected actions. */
@@ -34,6 +35,9 @@
 /* Extends the role to ROLE_MS from now. */
 void renew_role (fixture_t *self);
 
+/* Renews the role while the store is LOST, or reachable: whether commits make sense. */
+void set_store_lost (fixture_t *self, bool lost);
+
 /* Sends the current list of targets. */
 void list_targets (fixture_t *self);
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -44,15 +44,18 @@
   return call;
 }
 
+/* No new fence can be committed meanwhile. */
 static void
 release_first_target (fixture_t *self)
 {
+  set_store_lost (self, true);
   target (self, 0)->leaving = true;
   list_targets (self);
   if (count_actions (self, KEYS_RELEASE) == 0)
     assert_true (run_until_action (self, KEYS_RELEASE, self->now + 4 * KEYS_RETRY_MS));
   keys_out_t release = *find (self, KEYS_RELEASE);
   reply (self, &release, KEYS_RELEASED, true);
+  self->store_lost = false;
 }
 
 /* Nothing is committed before UNTIL, and the move is soon after. */
@@ -173,11 +176,13 @@
   keys_out_t grant = next_grant (&fixture);
   reply (&fixture, &grant, KEYS_CALL_FAILED, true);
   msec_t failed = fixture.now;
+  set_store_lost (&fixture, true); /* no new fence can be committed */
   target (&fixture, 0)->started_at++;
   list_targets (&fixture);
   assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
   reply (&fixture, &release, KEYS_RELEASED, true);
+  fixture.store_lost = false;
   assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
   end (&fixture);
 }
@@ -494,6 +499,60 @@
   end (&fixture);
 }
 
+/* T0 has an unanswered grant and leaves; a new fence is committed for it. */
+static msec_t
+renew_fence_of_leaving_target (fixture_t *self)
+{
+  begin (self, 2);
+  assign_all_keys (self);
+  keys_out_t unanswered = next_grant (self);
+  reply (self, &unanswered, KEYS_CALL_FAILED, true);
+  msec_t failed = self->now;
+  target (self, 0)->leaving = true;
+  list_targets (self);
+  if (count_actions (self, KEYS_COMMIT) == 0)
+    tick (self, self->now);
+  assert_int_equal (count_actions (self, KEYS_RELEASE), 0);
+  const keys_out_t *commit = find (self, KEYS_COMMIT);
+  assert_non_null (commit);
+  const key_range_t *range = &g_array_index (commit->table.ranges, key_range_t, 0);
+  assert_true (name_equal (&range->target, &target (self, 0)->id));
+  assert_true (range->fence > unanswered.fence);
+  handle_msg (self, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  return failed;
+}
+
+static void
+test_a_new_fence_frees_keys_before_an_unanswered_grant_expires (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  msec_t failed = renew_fence_of_leaving_target (&fixture);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, fixture.now);
+  assert_true (fixture.now < failed + KEYS_HOLD_MS / 2);
+  end (&fixture);
+}
+
+static void
+test_a_new_fence_that_was_not_accepted_frees_no_keys (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  msec_t failed = renew_fence_of_leaving_target (&fixture);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, true);
+  release_unlisted_owner (&fixture);
+  assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -523,6 +582,8 @@
     cmocka_unit_test (test_an_unlisted_owner_may_have_restarted_since_a_call_failed),
     cmocka_unit_test (test_owners_that_are_loaded_without_the_role_are_not_granted_to),
     cmocka_unit_test (test_a_shorter_longest_hold_does_not_shorten_predecessors_grants),
+    cmocka_unit_test (test_a_new_fence_frees_keys_before_an_unanswered_grant_expires),
+    cmocka_unit_test (test_a_new_fence_that_was_not_accepted_frees_no_keys),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -255,6 +255,7 @@
   keys_out_t renewal = *find (&fixture, KEYS_GRANT);
   reply (&fixture, &renewal, KEYS_CALL_FAILED, true);
   msec_t failed = fixture.now;
+  set_store_lost (&fixture, true); /* no new fence can be committed */
   target (&fixture, name_equal (&renewal.target, &target (&fixture, 0)->id) ? 0 : 1)
       ->leaving
       = true;
@@ -263,6 +264,7 @@
   assert_non_null (release);
   keys_out_t copy = *release;
   reply (&fixture, &copy, KEYS_RELEASED, true);
+  fixture.store_lost = false;
   assert_false (run_until_action (&fixture, KEYS_COMMIT, failed + KEYS_HOLD_MS - 100));
   assert_true (run_until_action (&fixture, KEYS_COMMIT, failed + KEYS_HOLD_MS * 2));
   end (&fixture);
@@ -418,6 +420,7 @@
   reply (&fixture, &renewal, KEYS_CALL_FAILED, true);
   assert_true (run_until_action (&fixture, KEYS_GRANT, fixture.now + 2 * KEYS_RENEW_MS));
   accept_grants (&fixture);
+  set_store_lost (&fixture, true); /* no newer fence can be committed */
   target (&fixture, 0)->leaving = true;
   list_targets (&fixture);
   accept_grants (&fixture); /* under the new fence, from the owner that is to release */
@@ -426,6 +429,7 @@
         run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_RETRY_MS));
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
   reply (&fixture, &release, KEYS_RELEASED, true);
+  fixture.store_lost = false;
   while (fixture.now < START_MS + KEYS_HOLD_MS)
     {
       assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
