--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -143,6 +143,18 @@
              && !name_equal (&listed->address, &range->address));
 }
 
+/* Whether a new fence for the owner frees the keys earlier than waiting for the grants
+ * that got no answer. */
+static bool
+should_renew_fence (const keys_t *self,
+                    const key_range_state_t *range,
+                    const target_entry_t *listed,
+                    msec_t now)
+{
+  return self->store_reachable && listed != NULL && !range->superseded
+         && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.late_until;
+}
+
 static void
 revoke_range (keys_t *self,
               const key_service_t *service,
@@ -172,6 +184,8 @@
     }
   else if (now < range->next_call_at || range->released || !may_grant (self, now))
     return;
+  else if (range->needs_new_fence || should_renew_fence (self, range, listed, now))
+    range->needs_new_fence = true; /* committed once no other commit is pending */
   else if (may_fence_owner (range, listed, now))
     {
       if (!service->needs_new_fences && range->pending_fence == 0)
@@ -460,6 +474,7 @@
 keys_init (keys_t *self, msec_t hold_max)
 {
   *self = (keys_t){ .hold_max = hold_max,
+                    .longest_hold = hold_max,
                     .next_fence = 1,
                     .services = g_ptr_array_new_with_free_func (free_service),
                     .rate_limits = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
@@ -474,6 +489,21 @@
   g_array_unref (self->rate_limits);
 }
 
+void
+keys_set_hold_max (keys_t *self, msec_t hold_max)
+{
+  self->hold_max = hold_max;
+  self->longest_hold = MAX (self->longest_hold, hold_max);
+}
+
+bool
+keys_lacks_table (const keys_t *self, const name_t *name)
+{
+  const key_service_t *service = find_service (self, name);
+
+  return self->role_until != 0 && service != NULL && !service->table_loaded;
+}
+
 void
 keys_raise_fence (keys_t *self, uint64_t next_fence)
 {
@@ -485,5 +515,5 @@
 {
   /* The predecessor's last call may have been in flight for the longest time of a call.
    */
-  return MAX (key_holds_worst_case (self->hold_max) + COMMAND_CALL_MS - since, 0);
+  return MAX (key_holds_worst_case (self->longest_hold) + COMMAND_CALL_MS - since, 0);
 }
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -116,6 +116,7 @@
   msec_t next_call_at;    /* no call before this */
   key_holds_t holds;      /* of the owner */
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
+  bool needs_new_fence;   /* against grants without an answer */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
   bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
   bool released;          /* the owner released it */
@@ -145,7 +146,8 @@
 {
   msec_t role_until; /* 0: not held */
   bool store_reachable;
-  msec_t hold_max; /* longest duration of a grant */
+  msec_t hold_max;     /* longest duration of a grant */
+  msec_t longest_hold; /* that any granter may have given, as far as is known */
   bool resigning;
   uint64_t next_fence;
   uint64_t last_call;  /* the calls so far are numbered from 1 */
@@ -157,11 +159,18 @@
 /* HOLD_MAX: longest duration of a grant. */
 void keys_init (keys_t *self, msec_t hold_max);
 
+/* Changes the longest duration of a grant; predecessors may have given the earlier one.
+ */
+void keys_set_hold_max (keys_t *self, msec_t hold_max);
+
 /* Handles MSG at time NOW and appends actions (keys_out_t) to OUT. */
 void keys_handle (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out);
 
 void keys_finish (keys_t *self);
 
+/* Whether the table of SERVICE is to be read: none was loaded since the role is held. */
+bool keys_lacks_table (const keys_t *self, const name_t *service);
+
 /* Raises the next fence to NEXT_FENCE, the counter stored with the role; never lowers it.
  */
 void keys_raise_fence (keys_t *self, uint64_t next_fence);
