A streamed response of a stopping process does not cut the requests behind it

While the process drains, a response that is too large to be buffered announced Connection: close when its forwarding began, whether or not requests behind it on the connection were already at targets. Those ran, and their connection was closed without an answer. Responses that are buffered close the connection only if no request is behind them; the streamed ones now do the same.

The process test requests_behind_a_large_response_are_answered_while_the_router_stops failed before (no response to the request behind the large one) and passes in 3 of 3 runs.

--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -190,7 +190,8 @@
   exchange->response_streaming = true;
   exchange->status = head->status;
   exchange->response_chunked = head->content_length == UINT64_MAX && !exchange->http10;
-  if (self->proxy->draining || (head->content_length == UINT64_MAX && exchange->http10))
+  if ((self->proxy->draining && TAILQ_NEXT (exchange, link) == NULL)
+      || (head->content_length == UINT64_MAX && exchange->http10))
     {
       exchange->close = true;
       exchange->caller->no_more_requests = true;
