What a stopping process sends to a target is answered by the target

A stopping process sent each request on, up to 0.3 s before its last answers, with the caller's deadline. Targets that were still at work 0.2 s before the end were cut off, and the callers got 502: of a mutating request the caller can't know then whether it ran, and may not repeat it.

The proxy passes the time of the last answers to dispatch when the stop begins. Until then a request goes only to a target that ends it in time by twice its expected time; if there is none it is rejected at once (503, not run), so that its caller goes to another host while it has time left. A target gets as its deadline what is left, so that it ends the request itself and its own answer is forwarded. A target's error is no longer withheld for a retry that has no time. Ruled out: four times the expected time, as for overdue answers, since that would reject requests that targets end in time through most of the grace period.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -172,6 +172,9 @@
 #define DISPATCH_SHORT_QUEUE 3 /* requests that get a slot within an objective */
 /* Times the expected time: an answer that is later counts as lost. */
 #define DISPATCH_OVERDUE_FACTOR 4
+/* Times the expected time: a target seldom needs longer, so that a request which is sent
+ * while the process stops is answered before its end. */
+#define DISPATCH_STOP_FACTOR 2
 #define DISPATCH_RETRY_AFTER_MIN_MS 100 /* the targets' load doesn't change sooner */
 /* A target answers by its deadline; the answer may take this long to arrive. */
 #define DISPATCH_ANSWER_TRANSIT_MS 40
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -96,10 +96,11 @@
   to->in_flight++;
   request->load_at_send = target_load (to, now);
   request->timer_at = waits_next_check (self, request, now);
-  dispatch_out_t out_send = { .kind = DISPATCH_SEND,
-                              .request = request,
-                              .target = target,
-                              .timeout = request->deadline - now };
+  dispatch_out_t out_send
+      = { .kind = DISPATCH_SEND,
+          .request = request,
+          .target = target,
+          .timeout = MIN (request->deadline, self->work_until) - now };
   emit (out, &out_send);
 }
 
@@ -140,7 +141,8 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_RETRY_BUDGET, now, out);
-  else if (reason == REASON_RATE_LIMIT || waits_owner_saturated (self, request, owner)
+  else if (reason == REASON_RATE_LIMIT || reason == REASON_STOPPING
+           || waits_owner_saturated (self, request, owner)
            || waits_cannot_finish (self, request, now))
     end (self, request, reason, now, out);
   else if (now >= waits_queue_deadline (self, request, reason))
@@ -482,6 +484,7 @@
       break;
     case DISPATCH_DRAIN:
       self->draining = true;
+      self->work_until = msg->answers_until - DISPATCH_ANSWER_TRANSIT_MS;
       break;
     }
 }
@@ -494,6 +497,7 @@
     .current_weights = g_array_new (FALSE, TRUE, sizeof (double)),
     .services = g_ptr_array_new_with_free_func (services_free),
     .targets = g_ptr_array_new_with_free_func (g_free),
+    .work_until = MSEC_NEVER,
   };
   name_set (&self->data_centre, data_centre);
   suspect_init (&self->suspects, SUSPECT_LOSS_THRESHOLD);
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -39,7 +39,8 @@
   DISPATCH_SHARES,      /* the granter's list of limited targets */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_STOP,  /* the process ends soon: what waits, and what arrives, is rejected */
-  DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried */
+  DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried, and
+                     targets have to answer by ANSWERS_UNTIL */
 } dispatch_msg_kind_t;
 
 typedef enum
@@ -88,6 +89,7 @@
   bool rate_limited;        /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
   double rate_limit;        /* DISPATCH_ANSWERED: requests per second, from all hosts */
   const GArray *shares;     /* DISPATCH_SHARES: rate_share_t */
+  msec_t answers_until;     /* DISPATCH_DRAIN */
   dispatch_bounds_t bounds; /* DISPATCH_BOUNDS */
   bool sent;                /* DISPATCH_FAILED: part of the request may have been sent */
   bool connected;           /* DISPATCH_FAILED: the connection was established */
@@ -124,7 +126,7 @@
   REASON_NO_OWNER,     /* the key has no owner at present, or the owner is unreachable */
   REASON_OVERLOAD,     /* no target has capacity in time */
   REASON_RATE_LIMIT,   /* targets limited the requests from all hosts */
-  REASON_STOPPING,     /* the process ends before an attempt could */
+  REASON_STOPPING,     /* the process ends before an attempt would */
   REASON_RETRY_BUDGET, /* a retry is needed and the retry budget is spent */
   REASON_ANSWER_LOST,  /* the response was lost, invalid, overdue or a server error */
   REASON_CRASHES_TARGETS, /* the request is known to crash targets */
@@ -138,7 +140,8 @@
   dispatch_out_kind_t kind;
   dispatch_request_t *request;
   uint32_t target; /* index of a dispatch_target_t */
-  msec_t timeout;  /* DISPATCH_SEND: time left until the deadline */
+  msec_t timeout;  /* DISPATCH_SEND: time left until the deadline, or until the process
+                      ends */
   dispatch_outcome_t outcome;
   dispatch_reason_t reason;
   msec_t retry_after;    /* DISPATCH_END with OUTCOME_NOT_RUN: milliseconds */
@@ -249,9 +252,10 @@
   GPtrArray *targets; /* dispatch_target_t at stable indexes; unused entries are reused */
   suspect_t suspects;
   rng_t rng;
-  bool draining; /* the process is shutting down */
-  bool stopping; /* and ends soon: requests that wait are rejected */
-  bool outdated; /* requests are rejected, as currency decided */
+  bool draining;     /* the process is shutting down */
+  msec_t work_until; /* when a target has to have ended a request; MSEC_NEVER: no limit */
+  bool stopping;     /* and ends soon: requests that wait are rejected */
+  bool outdated;     /* requests are rejected, as currency decided */
 } dispatch_t;
 
 void dispatch_init (dispatch_t *self, text_t data_centre, uint64_t seed);
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -354,6 +354,16 @@
   return service->max_connections == 0 || target->in_flight < MAX (share, 1);
 }
 
+/* Whether the target is expected to end a request that is sent now before the process
+ * ends. */
+static bool
+ends_in_time (const dispatch_t *self, const dispatch_target_t *target, msec_t now)
+{
+  return self->work_until == MSEC_NEVER
+         || now + DISPATCH_STOP_FACTOR * target_expected_ms (target, now)
+                <= self->work_until;
+}
+
 static msec_t
 remote_penalty_percent (request_kind_t kind)
 {
@@ -407,7 +417,13 @@
         continue;
       bool rejected
           = target->rate.limited && (request->not_admitted & 1ull << i % 64) != 0;
-      if (*reason == REASON_NO_TARGET || !rejected)
+      if (!ends_in_time (self, target, now))
+        {
+          if (*reason == REASON_NO_TARGET)
+            *reason = REASON_STOPPING;
+          continue;
+        }
+      if (*reason != REASON_OVERLOAD)
         *reason = rejected ? REASON_RATE_LIMIT : REASON_OVERLOAD;
       if (rejected || !has_connection_quota (self, target)
           || !target_has_capacity (target, request->objective, now))
@@ -491,6 +507,9 @@
   const dispatch_target_t *target = at (self, (uint32_t)i);
   if (now < target->backoff_until || has_left (self, target, now))
     return -1;
+  *reason = REASON_STOPPING;
+  if (!ends_in_time (self, target, now))
+    return -1;
   *reason = REASON_RATE_LIMIT;
   if (!is_admitted (self, request, (guint)i, now))
     return -1;
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -45,8 +45,8 @@
 
 /*
  * The best target for REQUEST, of a service without key owners, or -1.  *REASON then
- * says whether there is no usable target, none with capacity, or only such whose rate
- * limits don't admit the request.
+ * says whether there is no usable target, none with capacity, only such whose rate
+ * limits don't admit the request, or none that would end it before the process ends.
  */
 int targets_select (dispatch_t *self,
                     dispatch_request_t *request,
@@ -60,8 +60,9 @@
 
 /*
  * The owner of the request's key if it can take the request now, or -1.  If it only lacks
- * capacity, *REASON is REASON_OVERLOAD, if its rate is limited, REASON_RATE_LIMIT. *OWNER
- * is the owner if it is usable, with or without capacity, else -1.  Notes the key table's
+ * capacity, *REASON is REASON_OVERLOAD, if its rate is limited, REASON_RATE_LIMIT, if it
+ * would not end the request before the process ends, REASON_STOPPING.  *OWNER is the
+ * owner if it is usable, with or without capacity, else -1.  Notes the key table's
  * version in REQUEST.
  */
 int targets_find_owner (dispatch_t *self,
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -119,7 +119,8 @@
 {
   fixture_t fixture;
   dispatch_request_t request;
-  const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN };
+  const dispatch_msg_t drain
+      = { .kind = DISPATCH_DRAIN, .answers_until = START_MS + 100 * TIMEOUT_MS };
 
   (void)state;
   begin (&fixture);
@@ -482,6 +483,128 @@
   end (&fixture);
 }
 
+/* The process drains, and targets have to answer within AFTER milliseconds. */
+static void
+drain (fixture_t *self, msec_t after)
+{
+  const dispatch_msg_t msg
+      = { .kind = DISPATCH_DRAIN, .answers_until = self->now + after };
+
+  handle_msg (self, &msg);
+}
+
+static void
+test_targets_get_the_time_until_the_process_ends (void **state)
+{
+  static const char *const paths[] = { "/order/", "/read/", "/keyed/" };
+  fixture_t fixture;
+  dispatch_request_t requests[G_N_ELEMENTS (paths)], early;
+
+  (void)state;
+  begin (&fixture);
+  drain (&fixture, 10 * TIMEOUT_MS);
+  arrive (&fixture, &early, TEXT ("/order/"));
+  assert_int_equal (find_out (&fixture, DISPATCH_SEND)->timeout, TIMEOUT_MS);
+  drain (&fixture, 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      arrive (&fixture, &requests[i], text_from_c (paths[i]));
+      assert_int_equal (find_out (&fixture, DISPATCH_SEND)->timeout,
+                        1000 - DISPATCH_ANSWER_TRANSIT_MS);
+    }
+  end (&fixture);
+}
+
+static void
+test_requests_that_no_target_ends_before_the_process_are_rejected (void **state)
+{
+  static const char *const paths[] = { "/order/", "/read/", "/keyed/" };
+  const msec_t left = DISPATCH_STOP_FACTOR * DISPATCH_INITIAL_SERVICE_TIME_MS
+                      + DISPATCH_ANSWER_TRANSIT_MS;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      fixture_t fixture;
+      dispatch_request_t request, late;
+      begin (&fixture);
+      drain (&fixture, left);
+      arrive (&fixture, &request, text_from_c (paths[i]));
+      assert_non_null (find_out (&fixture, DISPATCH_SEND));
+      fixture.now++;
+      arrive (&fixture, &late, text_from_c (paths[i]));
+      assert_null (find_out (&fixture, DISPATCH_SEND));
+      assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+      answer (&fixture, &request, ANSWER_RUN, 200);
+      assert_non_null (find_out (&fixture, DISPATCH_DELIVER));
+      end (&fixture);
+    }
+}
+
+static void
+test_requests_go_to_a_target_that_ends_them_before_the_process (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t early, middle, late;
+
+  (void)state;
+  begin (&fixture);
+  for (guint i = 0; i < fixture.dispatch.targets->len; i++)
+    {
+      dispatch_target_t *target = g_ptr_array_index (fixture.dispatch.targets, i);
+      if (text_equal (name_text (&target->entry.id), TEXT ("p2")))
+        target->service_time_ms = 300;
+      else
+        target->backoff_until = fixture.now + 900; /* only a slow one is cheaper */
+    }
+  drain (&fixture, 3 * 300);
+  arrive (&fixture, &early, TEXT ("/order/"));
+  assert_true (text_equal (sent_to (&fixture), TEXT ("p2")));
+  fixture.now += 300;
+  arrive (&fixture, &middle, TEXT ("/order/"));
+  assert_true (text_equal (sent_to (&fixture), TEXT ("p1")));
+  fixture.now += 400;
+  arrive (&fixture, &late, TEXT ("/order/"));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+  end (&fixture);
+}
+
+static void
+test_requests_that_wait_are_rejected_when_no_target_ends_them_in_time (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request;
+
+  (void)state;
+  begin (&fixture);
+  drain (&fixture, 1000);
+  arrive (&fixture, &request, TEXT ("/order/"));
+  answer (&fixture, &request, ANSWER_FULL, 503); /* at the other target it is retried */
+  fixture.now += 900;
+  answer (&fixture, &request, ANSWER_FULL, 503);
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+  end (&fixture);
+}
+
+static void
+test_errors_of_targets_are_not_replaced_when_the_process_ends (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t early, late;
+
+  (void)state;
+  begin (&fixture);
+  drain (&fixture, 1000);
+  arrive (&fixture, &early, TEXT ("/read/"));
+  answer (&fixture, &early, ANSWER_RUN, 500);
+  assert_non_null (find_out (&fixture, DISPATCH_SEND));
+  arrive (&fixture, &late, TEXT ("/read/"));
+  fixture.now += 900;
+  answer (&fixture, &late, ANSWER_RUN, 500);
+  assert_non_null (find_out (&fixture, DISPATCH_DELIVER));
+  end (&fixture);
+}
+
 static void
 test_requests_in_progress_are_answered_when_the_process_ends (void **state)
 {
@@ -590,6 +713,12 @@
     cmocka_unit_test (test_losses_reported_by_other_hosts_block_request),
     cmocka_unit_test (test_host_with_an_outdated_copy_rejects_requests_as_not_run),
     cmocka_unit_test (test_requests_that_wait_when_the_process_ends_are_rejected),
+    cmocka_unit_test (test_targets_get_the_time_until_the_process_ends),
+    cmocka_unit_test (test_requests_that_no_target_ends_before_the_process_are_rejected),
+    cmocka_unit_test (test_requests_go_to_a_target_that_ends_them_before_the_process),
+    cmocka_unit_test (
+        test_requests_that_wait_are_rejected_when_no_target_ends_them_in_time),
+    cmocka_unit_test (test_errors_of_targets_are_not_replaced_when_the_process_ends),
     cmocka_unit_test (test_requests_in_progress_are_answered_when_the_process_ends),
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -206,13 +206,15 @@
 {
   if (self->draining)
     return;
-  const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN };
+  msec_t grace = (msec_t)(self->bounds.grace_s * 1000);
+  self->idle_close_at = msclock_now (&self->clock) + PROXY_UNREADY_MS;
+  self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
+  const dispatch_msg_t drain
+      = { .kind = DISPATCH_DRAIN,
+          .answers_until = self->drain_until - PROXY_LAST_WRITES_MS };
   self->draining = true;
   proxy_dispatch (self, &drain);
   set_tick_period (self, PROXY_DRAIN_TICK_MS);
-  self->idle_close_at = msclock_now (&self->clock) + PROXY_UNREADY_MS;
-  msec_t grace = (msec_t)(self->bounds.grace_s * 1000);
-  self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
   eventlog_write (EVENT_STATE,
                   "proxy",
                   "draining",
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -302,8 +302,8 @@
     was closed meanwhile, and `grants` a (first, last, fence, end) for each key range.
     """
 
-    def __init__(self, store, name, service, port=0):
-        self.store, self.name, self.service = store, name, service
+    def __init__(self, store, name, service, port=0, slots=3):
+        self.store, self.name, self.service, self.slots = store, name, service, slots
         self.executed, self.abandoned, self.bodies, self.deadlines_ms = [], [], [], []
         self.grants = []
         self.fences = []
@@ -311,6 +311,7 @@
         self.cut_at, self.cut_resets, self.cut_framing = 0, False, "length"
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
+        self.work_s = 0.6
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -322,7 +323,7 @@
         entry = {
             "addr": self.address,
             "born": self.started_at_ms,
-            "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": 3},
+            "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": self.slots},
             "status": {"state": state, "seq": 1, "warmup_left_ms": 0},
         }
         self.store.put("servers", self.name, json.dumps(entry).encode())
@@ -432,6 +433,30 @@
         sock.sendall(self._ok_response(request_id))
         return True
 
+    def _handle_work(self, sock, request_id, body, headers):
+        """Works for `work_s`, or until the deadline that it was given or the connection's end."""
+        left_s = int(headers["deadline-ms"]) / 1000
+        self.executed.append(request_id)
+        self.executed_at.append(time.monotonic())
+        sock.settimeout(min(self.work_s, left_s))
+        try:
+            if sock.recv(1) == b"":
+                self.abandoned.append(request_id)
+                return False
+        except TimeoutError:
+            pass
+        except OSError:
+            self.abandoned.append(request_id)
+            return False
+        sock.settimeout(None)
+        if self.work_s < left_s:
+            sock.sendall(self._ok_response(request_id))
+        else:
+            sock.sendall(
+                self._head(request_id, "504 Deadline Passed") + b"Content-Length: 0\r\n\r\n"
+            )
+        return True
+
     def _handle_silent(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         return True
