--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -22,6 +22,8 @@
 
 # Larger than the responses and bodies that the router buffers completely.
 BIG = b"".join(b"%08d" % i for i in range(400000))
+# Buffered completely, and larger than what the kernel buffers for a slow reader.
+HALF_BIG = BIG[: 1000 * 1000]
 
 
 class Store:
@@ -503,6 +505,11 @@
         sock.sendall(self._ok_response(request_id, BIG))
         return True
 
+    def _handle_half_big(self, sock, request_id, body, headers):
+        self.executed.append(request_id)
+        sock.sendall(self._ok_response(request_id, HALF_BIG))
+        return True
+
     def _handle_big_chunked(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         sock.sendall(self._head(request_id, Transfer_Encoding="chunked") + b"\r\n")
