A request body beyond the limit never reaches its target whole

The length that the caller stated was not compared with the limit; the last piece was passed to the target's connection before the received bytes were compared, and both connections ended only in a later iteration of the event loop.

The stated length is compared when the head has arrived, before anything is sent; without one, each piece is counted before it is passed on. The limit is that of the configuration of the request's arrival. A request of which a part was sent ends in dispatch (DISPATCH_TOO_LARGE): its connection to the target is reset in the same iteration. The caller gets 413 in each case, with "not run" only if nothing was sent; before, its connection was closed without a response if a part was. No "100 Continue" for a body that is rejected, and no time-out runs for one whose rest is discarded.

--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -369,6 +369,20 @@
   emit (out, &out_cancel);
 }
 
+/* Ends a request that is in progress, whatever its target does. */
+static void
+give_up (dispatch_t *self,
+         dispatch_request_t *request,
+         dispatch_reason_t reason,
+         msec_t now,
+         GArray *out)
+{
+  if (request->state == REQUEST_SENT)
+    cancel (self, request, out);
+  if (request->state != REQUEST_ENDED)
+    end (self, request, reason, now, out);
+}
+
 static void
 handle_caller_left (dispatch_t *self,
                     dispatch_request_t *request,
@@ -456,10 +470,11 @@
       handle_timer (self, msg->request, now, out);
       break;
     case DISPATCH_ABANDON:
-      if (msg->request->state == REQUEST_SENT)
-        cancel (self, msg->request, out);
-      if (msg->request->state != REQUEST_ENDED)
-        end (self, msg->request, REASON_STOPPING, now, out);
+      give_up (self, msg->request, REASON_STOPPING, now, out);
+      break;
+    case DISPATCH_TOO_LARGE:
+      give_up (self, msg->request, REASON_TOO_LARGE, now, out);
+      process_queues (self, now, out);
       break;
     case DISPATCH_BOUNDS:
       self->bounds = msg->bounds;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -34,6 +34,7 @@
   DISPATCH_CALLER_LEFT, /* the caller disconnected */
   DISPATCH_TIMER,       /* the request's timer expired */
   DISPATCH_ABANDON,     /* the request ends now, whatever its target does */
+  DISPATCH_TOO_LARGE,   /* the same: its body, which is not complete, is too large */
   DISPATCH_BOUNDS,      /* new bounds take effect */
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
   DISPATCH_SHARES,      /* the granter's list of limited targets */
@@ -74,7 +75,7 @@
   directory_t *directory;      /* DISPATCH_DIRECTORY */
   const GArray *targets;       /* DISPATCH_TARGETS: target_entry_t */
   const key_table_t *keys;     /* DISPATCH_KEY_TABLE */
-  dispatch_request_t *request; /* DISPATCH_ARRIVED to DISPATCH_ABANDON */
+  dispatch_request_t *request; /* DISPATCH_ARRIVED to DISPATCH_TOO_LARGE */
   text_t host, path;           /* DISPATCH_ARRIVED */
   bool has_key;                /* DISPATCH_ARRIVED */
   uint32_t key;                /* DISPATCH_ARRIVED */
@@ -131,6 +132,7 @@
   REASON_ANSWER_LOST,  /* the response was lost, invalid, overdue or a server error */
   REASON_CRASHES_TARGETS, /* the request is known to crash targets */
   REASON_DEADLINE,        /* the deadline has passed */
+  REASON_TOO_LARGE,       /* its body is larger than the configuration allows */
   REASON_CALLER_LEFT,
   REASON_ANSWERED,
 } dispatch_reason_t;
--- a/packages/dispatch/services.c
+++ b/packages/dispatch/services.c
@@ -98,6 +98,7 @@
     [REASON_RETRY_BUDGET] = "not-taken",
     [REASON_ANSWER_LOST] = "answer-lost",
     [REASON_DEADLINE] = "time-over",
+    [REASON_TOO_LARGE] = "too-large",
     [REASON_CALLER_LEFT] = "caller-left",
     [REASON_CRASHES_TARGETS] = "crashes-targets",
     [REASON_ANSWERED] = "answered",
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -636,6 +636,37 @@
   end (&fixture);
 }
 
+static void
+test_requests_with_a_body_beyond_the_limit_end_at_once (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t sent, waiting, answered;
+  dispatch_msg_t too_large = { .kind = DISPATCH_TOO_LARGE };
+
+  (void)state;
+  begin (&fixture);
+  arrive (&fixture, &sent, TEXT ("/read/"));
+  too_large.request = &sent;
+  handle_msg (&fixture, &too_large);
+  assert_non_null (find_out (&fixture, DISPATCH_CANCEL));
+  assert_null (find_out (&fixture, DISPATCH_SEND));
+  assert_ended (&fixture, OUTCOME_UNKNOWN, REASON_TOO_LARGE);
+
+  assign_keys (&fixture, TEXT ("k9"), 2); /* not listed yet */
+  arrive (&fixture, &waiting, TEXT ("/keyed/"));
+  too_large.request = &waiting;
+  handle_msg (&fixture, &too_large);
+  assert_null (find_out (&fixture, DISPATCH_CANCEL));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_TOO_LARGE);
+
+  arrive (&fixture, &answered, TEXT ("/order/"));
+  answer (&fixture, &answered, ANSWER_RUN, 200);
+  too_large.request = &answered;
+  handle_msg (&fixture, &too_large);
+  assert_null (find_out (&fixture, DISPATCH_END));
+  end (&fixture);
+}
+
 /* The granter's list has only TARGET, which takes nothing for now; empty: no target. */
 static void
 limit_target (fixture_t *self, text_t target)
@@ -720,6 +751,7 @@
         test_requests_that_wait_are_rejected_when_no_target_ends_them_in_time),
     cmocka_unit_test (test_errors_of_targets_are_not_replaced_when_the_process_ends),
     cmocka_unit_test (test_requests_in_progress_are_answered_when_the_process_ends),
+    cmocka_unit_test (test_requests_with_a_body_beyond_the_limit_end_at_once),
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
   };
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -89,6 +89,15 @@
   exchange_t *exchange = self->receiving;
 
   self->proxy->counts.bad_requests++;
+  if (exchange != NULL && exchange->dispatched && status == 413)
+    {
+      const dispatch_msg_t too_large
+          = { .kind = DISPATCH_TOO_LARGE, .request = &exchange->request };
+      self->receiving = NULL;
+      self->no_more_requests = true;
+      proxy_dispatch (self->proxy, &too_large);
+      return;
+    }
   if (exchange != NULL && exchange->dispatched)
     {
       caller_abort (self); /* already being sent to a target: its outcome is unknown */
@@ -116,6 +125,25 @@
   self->no_more_requests = true;
 }
 
+/* Whether the body is larger than the configuration of the request's arrival allows, as
+ * stated by its length or as received so far. */
+static bool
+is_too_large (const exchange_t *exchange)
+{
+  bool has_length = exchange->content_length != UINT64_MAX;
+
+  return (has_length && exchange->content_length > exchange->body_max)
+         || exchange->body_received > exchange->body_max;
+}
+
+static uint64_t
+body_limit (const proxy_t *proxy)
+{
+  uint64_t configured = proxy->limits.max_body_bytes;
+
+  return configured > 0 ? configured : PROXY_BODY_MAX_BYTES;
+}
+
 static bool
 on_head (void *owner)
 {
@@ -125,9 +153,10 @@
   TAILQ_INSERT_TAIL (&self->pipeline, exchange, link);
   self->pipeline_len++;
   self->receiving = exchange;
+  exchange->body_max = body_limit (self->proxy);
   if (http_list_has (http_head_get (&self->reader.head, TEXT ("expect")),
                      TEXT ("100-continue"))
-      && exchange == TAILQ_FIRST (&self->pipeline))
+      && exchange == TAILQ_FIRST (&self->pipeline) && !is_too_large (exchange))
     bufferevent_write (self->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
   if (exchange->close)
     self->no_more_requests = true;
@@ -144,6 +173,8 @@
   if (exchange == NULL || exchange->response_ready)
     return; /* the response was prepared early; the rest is discarded */
   exchange->body_received += bytes.len;
+  if (is_too_large (exchange))
+    return; /* read_requests rejects it */
   evbuffer_add (exchange->body, bytes.at, bytes.len);
   if (evbuffer_get_length (exchange->body) > PROXY_BODY_BUFFER_BYTES
       && !exchange->dispatched)
@@ -158,14 +189,6 @@
 
 static const http_reader_ops_t reader_ops = { on_head, on_body };
 
-static uint64_t
-body_limit (const proxy_t *proxy)
-{
-  uint64_t configured = proxy->limits.max_body_bytes;
-
-  return configured > 0 ? configured : PROXY_BODY_MAX_BYTES;
-}
-
 static void
 read_requests (caller_t *self)
 {
@@ -179,9 +202,8 @@
         reject_request (self, 431, TEXT ("The headers are too large."));
       else if (progress == HTTP_MALFORMED)
         reject_request (self, 400, TEXT ("The request is malformed."));
-      else if (self->receiving != NULL
-               && self->receiving->body_received > body_limit (self->proxy))
-        reject_request (self, 413, TEXT ("The body is too large."));
+      else if (self->receiving != NULL && is_too_large (self->receiving))
+        reject_request (self, 413, EXCHANGE_TOO_LARGE_NOT_RUN);
       else if (progress == HTTP_COMPLETE)
         {
           g_assert (self->receiving != NULL);
@@ -212,7 +234,8 @@
   self->advancing = false;
   if (self->closing)
     return;
-  if (self->reader.in_message && self->proxy->limits.head_timeout_ms > 0)
+  bool reading = self->receiving != NULL || !self->no_more_requests;
+  if (reading && self->reader.in_message && self->proxy->limits.head_timeout_ms > 0)
     set_timer (self, self->proxy->limits.head_timeout_ms);
   else if (TAILQ_EMPTY (&self->pipeline))
     set_timer (self, idle_limit (self->proxy));
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -11,6 +11,8 @@
  * EXCHANGE: one request of a caller and its response.  Private to the proxy's files.
  */
 
+#define EXCHANGE_TOO_LARGE_NOT_RUN TEXT ("The body is too large; not run.")
+
 struct exchange
 {
   dispatch_request_t request;
@@ -25,6 +27,7 @@
   char *path;
   struct evbuffer *body;  /* of the request; if streamed, the part not sent yet */
   uint64_t body_received; /* bytes of the request body received from the caller */
+  uint64_t body_max;      /* bytes that the configuration allowed when the head arrived */
   request_facts_t facts;  /* its id is not valid after exchange_new: ID holds a copy */
   msec_t head_received_at;
   bool no_response_body;   /* the request is HEAD */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -63,6 +63,15 @@
       if (self->caller != NULL)
         self->caller->no_more_requests = true;
     }
+  if (out->reason == REASON_TOO_LARGE)
+    {
+      exchange_respond (self,
+                        413,
+                        out->outcome == OUTCOME_NOT_RUN ? EXCHANGE_TOO_LARGE_NOT_RUN
+                                                        : TEXT ("The body is too large."),
+                        0);
+      return;
+    }
   switch (out->outcome)
     {
     case OUTCOME_NOT_RUN:
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -307,6 +307,8 @@
     def __init__(self, store, name, service, port=0, slots=3):
         self.store, self.name, self.service, self.slots = store, name, service, slots
         self.executed, self.abandoned, self.bodies, self.deadlines_ms = [], [], [], []
+        self.heads = []  # the id of each request of which the head arrived
+        self.received = {}  # by id: the bytes after the head, of requests for /sink
         self.grants = []
         self.fences = []
         self.executed_at = []
@@ -342,9 +344,13 @@
                 head = read_head(sock, rest)
                 if head is None:
                     return
+                self.heads.append(head[1].get("request-id", ""))
                 if head[0].split(" ")[1].endswith("/early"):
                     self._respond_early(sock, *head)
                     return
+                if head[0].split(" ")[1].endswith("/sink"):
+                    self._receive_all(sock, head[1]["request-id"], head[2])
+                    return
                 message = read_message(sock, self._serialize_head(*head))
                 if message is None or not self._handle_request(sock, *message[:3]):
                     return
@@ -368,6 +374,12 @@
         while piece := sock.recv(65536):
             self.bytes_after_response += piece
 
+    def _receive_all(self, sock, request_id, rest):
+        """Reads until the connection is closed and doesn't respond."""
+        self.received[request_id] = rest
+        while piece := sock.recv(65536):
+            self.received[request_id] += piece
+
     def holds_key(self, key):
         now = time.monotonic()
         return any(first <= key <= last and now < until for first, last, _, until in self.grants)
@@ -699,7 +711,7 @@
 ]
 
 
-def configuration(version, routes):
+def configuration(version, routes, max_body_bytes=5000000):
     return json.dumps(
         {
             "version": "%08x" % version,
@@ -720,7 +732,7 @@
             },
             "limits": {
                 "max_header_bytes": 4096,
-                "max_body_bytes": 5000000,
+                "max_body_bytes": max_body_bytes,
                 "header_timeout_ms": 1000,
                 "idle_timeout_ms": 5000,
             },
