Callers that a stopping process rejects may return at once

They got a Retry-After spread over a third of the time that they had left, as in an overload, where all hosts reject. While one host stops the others serve them; they get the shortest time, 0.1 s.

--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -535,6 +535,8 @@
       arrive (&fixture, &late, text_from_c (paths[i]));
       assert_null (find_out (&fixture, DISPATCH_SEND));
       assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_STOPPING);
+      assert_int_equal (find_out (&fixture, DISPATCH_END)->retry_after,
+                        DISPATCH_RETRY_AFTER_MIN_MS);
       answer (&fixture, &request, ANSWER_RUN, 200);
       assert_non_null (find_out (&fixture, DISPATCH_DELIVER));
       end (&fixture);
--- a/packages/dispatch/waits.c
+++ b/packages/dispatch/waits.c
@@ -10,6 +10,8 @@
   msec_t most = MAX ((request->deadline - now) / 3, DISPATCH_RETRY_AFTER_MIN_MS);
   msec_t least = MAX (most / 3, DISPATCH_RETRY_AFTER_MIN_MS);
 
+  if (request->reason == REASON_STOPPING)
+    return DISPATCH_RETRY_AFTER_MIN_MS; /* other hosts serve it */
   return least + (msec_t)rng_below (&self->rng, (uint64_t)(most - least + 1));
 }
 
--- a/packages/dispatch/waits.h
+++ b/packages/dispatch/waits.h
@@ -9,8 +9,8 @@
  * responses.
  */
 
-/* Random Retry-After in milliseconds, spread over the time in which the caller can still
- * retry. */
+/* Retry-After in milliseconds: random, spread over the time in which the caller can still
+ * retry; the shortest if only this host rejects the request, because it stops. */
 msec_t
 waits_retry_after (dispatch_t *self, const dispatch_request_t *request, msec_t now);
 
