--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -22,6 +22,8 @@
 
 # Larger than the responses and bodies that the router buffers completely.
 BIG = b"".join(b"%08d" % i for i in range(400000))
+# Buffered completely, and larger than what the kernel buffers for a slow reader.
+HALF_BIG = BIG[: 1000 * 1000]
 
 
 class Store:
@@ -302,15 +304,18 @@
     was closed meanwhile, and `grants` a (first, last, fence, end) for each key range.
     """
 
-    def __init__(self, store, name, service, port=0):
-        self.store, self.name, self.service = store, name, service
+    def __init__(self, store, name, service, port=0, slots=3):
+        self.store, self.name, self.service, self.slots = store, name, service, slots
         self.executed, self.abandoned, self.bodies, self.deadlines_ms = [], [], [], []
+        self.heads = []  # the id of each request of which the head arrived
+        self.received = {}  # by id: the bytes after the head, of requests for /sink
         self.grants = []
         self.fences = []
         self.executed_at = []
         self.cut_at, self.cut_resets, self.cut_framing = 0, False, "length"
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
+        self.work_s = 0.6
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -322,7 +327,7 @@
         entry = {
             "addr": self.address,
             "born": self.started_at_ms,
-            "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": 3},
+            "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": self.slots},
             "status": {"state": state, "seq": 1, "warmup_left_ms": 0},
         }
         self.store.put("servers", self.name, json.dumps(entry).encode())
@@ -339,9 +344,13 @@
                 head = read_head(sock, rest)
                 if head is None:
                     return
+                self.heads.append(head[1].get("request-id", ""))
                 if head[0].split(" ")[1].endswith("/early"):
                     self._respond_early(sock, *head)
                     return
+                if head[0].split(" ")[1].endswith("/sink"):
+                    self._receive_all(sock, head[1]["request-id"], head[2])
+                    return
                 message = read_message(sock, self._serialize_head(*head))
                 if message is None or not self._handle_request(sock, *message[:3]):
                     return
@@ -365,6 +374,12 @@
         while piece := sock.recv(65536):
             self.bytes_after_response += piece
 
+    def _receive_all(self, sock, request_id, rest):
+        """Reads until the connection is closed and doesn't respond."""
+        self.received[request_id] = rest
+        while piece := sock.recv(65536):
+            self.received[request_id] += piece
+
     def holds_key(self, key):
         now = time.monotonic()
         return any(first <= key <= last and now < until for first, last, _, until in self.grants)
@@ -432,6 +447,30 @@
         sock.sendall(self._ok_response(request_id))
         return True
 
+    def _handle_work(self, sock, request_id, body, headers):
+        """Works for `work_s`, or until the deadline that it was given or the connection's end."""
+        left_s = int(headers["deadline-ms"]) / 1000
+        self.executed.append(request_id)
+        self.executed_at.append(time.monotonic())
+        sock.settimeout(min(self.work_s, left_s))
+        try:
+            if sock.recv(1) == b"":
+                self.abandoned.append(request_id)
+                return False
+        except TimeoutError:
+            pass
+        except OSError:
+            self.abandoned.append(request_id)
+            return False
+        sock.settimeout(None)
+        if self.work_s < left_s:
+            sock.sendall(self._ok_response(request_id))
+        else:
+            sock.sendall(
+                self._head(request_id, "504 Deadline Passed") + b"Content-Length: 0\r\n\r\n"
+            )
+        return True
+
     def _handle_silent(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         return True
@@ -478,6 +517,11 @@
         sock.sendall(self._ok_response(request_id, BIG))
         return True
 
+    def _handle_half_big(self, sock, request_id, body, headers):
+        self.executed.append(request_id)
+        sock.sendall(self._ok_response(request_id, HALF_BIG))
+        return True
+
     def _handle_big_chunked(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         sock.sendall(self._head(request_id, Transfer_Encoding="chunked") + b"\r\n")
@@ -667,7 +711,7 @@
 ]
 
 
-def configuration(version, routes):
+def configuration(version, routes, max_body_bytes=5000000):
     return json.dumps(
         {
             "version": "%08x" % version,
@@ -688,7 +732,7 @@
             },
             "limits": {
                 "max_header_bytes": 4096,
-                "max_body_bytes": 5000000,
+                "max_body_bytes": max_body_bytes,
                 "header_timeout_ms": 1000,
                 "idle_timeout_ms": 5000,
             },
