--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -116,6 +116,10 @@
 /* Passes the granter's list on to the proxy.  Takes ownership of SHARES. */
 void rates_apply (coordinator_t *self, GArray *shares);
 
+/* Passes GRANTS, the reply to what the proxy reported at REPORTED_AT, on to it.  Takes
+ * ownership of GRANTS. */
+void rates_grant (coordinator_t *self, GArray *grants, msec_t reported_at);
+
 /* outdated.c: performs what currency decides on the configuration and the targets.
  *
  * Reviews both, and tells the proxy when requests are to be rejected. */
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -100,12 +100,13 @@
                              MIN (feed_age (feed), LINK_AGE_UNKNOWN) };
 }
 
-/* The granter's update for other hosts: the reply to REPORT, or not a reply if that is
- * NULL.  TABLE holds the changes since BASE_VERSION, or
- * the whole table if BASE_VERSION is 0; it may be NULL. */
+/* The granter's update for other hosts: the reply to REPORT with GRANTS, or not a reply
+ * if these are NULL.  TABLE holds the changes since BASE_VERSION, or the whole table if
+ * BASE_VERSION is 0; it may be NULL. */
 static GByteArray *
 encode_update (const coordinator_t *self,
                const link_report_t *report,
+               GArray *grants,
                const key_table_t *table,
                uint64_t base_version)
 {
@@ -116,6 +117,8 @@
           .role_left_ms = self->role.lease_end - msclock_now (&self->clock),
           .n_hosts = self->host_count,
           .report_sent_at = report != NULL ? report->sent_at : 0,
+          .rates_at = report != NULL ? report->rates_at : 0,
+          .grants = grants,
           .configuration = freshness (&self->configuration),
           .targets = freshness (&self->targets),
           .has_table = table != NULL,
@@ -148,6 +151,7 @@
   keys_msg_t msg
       = { .kind = KEYS_LOADS, .service = report->service, .loads = report->loads };
   const key_table_t *table = owners_find (self, &report->service);
+  GArray *grants;
   reporter_t *reporter;
 
   if (self->role.state != ROLE_HELD)
@@ -164,13 +168,20 @@
   *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
   grants_handle (self, &msg);
-  rate_fleet_report (&self->rates, &report->host, report->rates, now);
+  grants = g_array_new (FALSE, FALSE, sizeof (rate_grant_t));
+  rate_fleet_report (&self->rates,
+                     &report->host,
+                     report->rates,
+                     report->rates_at,
+                     now,
+                     grants);
   bool wants_table = table != NULL && table->version > report->table_version
                      && (report->requests_table || report->table_version == 0
                          || now >= self->table_broadcast_at + TABLE_BROADCAST_MS);
   peers_send (self,
               &report->address,
-              encode_update (self, report, wants_table ? table : NULL, 0));
+              encode_update (self, report, grants, wants_table ? table : NULL, 0));
+  g_array_unref (grants);
   if (self->role.state == ROLE_HELD)
     rows_send_missing (self, report, now);
   g_free (host);
@@ -251,6 +262,8 @@
   self->granter_update_expires = now + MIN (update->role_left_ms, UPDATE_VALID_MS);
   role_postpone_check (self, now + update->role_left_ms);
   update_host_count (self, update->n_hosts);
+  if (update->grants->len > 0)
+    rates_grant (self, g_array_ref (update->grants), update->rates_at);
   discovery_handle_update (self, update);
   if (update->has_table)
     apply_table (self, update, now);
@@ -329,6 +342,21 @@
          || msclock_now (&self->clock) < self->granter_update_expires;
 }
 
+/* The granter's own host gets rights like the others. */
+static void
+take_own_rates (coordinator_t *self, const proxy_report_t *from)
+{
+  GArray *grants = g_array_new (FALSE, FALSE, sizeof (rate_grant_t));
+
+  rate_fleet_report (&self->rates,
+                     &self->settings->host,
+                     from->rates,
+                     from->rates_at,
+                     msclock_now (&self->clock),
+                     grants);
+  rates_grant (self, grants, from->rates_at);
+}
+
 void
 peers_forward_report (coordinator_t *self, const proxy_report_t *from)
 {
@@ -342,10 +370,7 @@
   if (self->role.state == ROLE_HELD)
     {
       if (from->rates != NULL)
-        rate_fleet_report (&self->rates,
-                           &self->settings->host,
-                           from->rates,
-                           msclock_now (&self->clock));
+        take_own_rates (self, from);
       grants_handle (self, &service_times);
       grants_handle (self, &msg);
       count_hosts (self, msclock_now (&self->clock));
@@ -364,7 +389,8 @@
                            .targets_version = self->targets.version,
                            .requests_configuration = discovery_store_unreachable (self),
                            .loads = from->key_loads,
-                           .rates = from->rates };
+                           .rates = from->rates,
+                           .rates_at = from->rates_at };
   peers_send (self, &self->granter, link_encode_report (&report));
 }
 
@@ -378,8 +404,8 @@
   key_table_init (&changes, name_text (&table->service));
   if (known != NULL)
     key_table_diff (known, table, &changes);
-  body = known != NULL ? encode_update (self, NULL, &changes, known->version)
-                       : encode_update (self, NULL, table, 0);
+  body = known != NULL ? encode_update (self, NULL, NULL, &changes, known->version)
+                       : encode_update (self, NULL, NULL, table, 0);
   peers_broadcast (self, body);
   g_byte_array_unref (body);
   key_table_finish (&changes);
--- a/packages/coordinator/rates.c
+++ b/packages/coordinator/rates.c
@@ -12,6 +12,17 @@
   discovery_post (self, msg);
 }
 
+void
+rates_grant (coordinator_t *self, GArray *grants, msec_t reported_at)
+{
+  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
+
+  msg->kind = PROXY_GRANTS;
+  msg->grants = grants;
+  msg->rates_at = reported_at;
+  discovery_post (self, msg);
+}
+
 static void
 log_shares (const GArray *shares)
 {
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -385,9 +385,14 @@
 /* Limits that targets state on the requests from all hosts. */
 /* Over which demand is counted: several reports of each host. */
 #define RATE_WINDOW_MS 2000
-#define RATE_PLAN_MS 200    /* between the granter's lists of shares */
-#define RATE_SHARE_MS 3000  /* a share is valid for: the granter may change meanwhile */
-#define RATE_REPORT_MS 1200 /* two reports of a host may be lost */
+#define RATE_PLAN_MS 200   /* between the granter's lists of shares */
+#define RATE_SHARE_MS 1000 /* a share is valid for */
+#define RATE_RIGHT_MS                                                                    \
+  1000 /* rights may be used for, from the report that they answer                       \
+        */
+/* A host's last report counts for: its rights have ended, by clocks that differ by up to
+ * a fifth. */
+#define RATE_REPORT_MS 1200
 #define RATE_STATEMENT_MS 2000 /* an own response counts more than the granter's list */
 /* A limit that nobody states any more is forgotten after the first, or, if it is so low
  * that few responses come, after the time of RATE_KEEP_REQUESTS requests up to the
@@ -395,7 +400,22 @@
 #define RATE_KEEP_MS 10000
 #define RATE_KEEP_MAX_MS 60000
 #define RATE_KEEP_REQUESTS 10
-#define RATE_BURST_MS 500 /* of the limit: what one host may send at once */
+#define RATE_BURST_MS                                                                    \
+  500 /* of its part: what a host without the granter may send at once */
+/* Rights that may be unused at any time, on all hosts and at the granter: the limit times
+ * the first, and the second. */
+#define RATE_CEILING_MS 1000
+#define RATE_CEILING_REQUESTS 3
+#define RATE_AHEAD_MS 400 /* of a host's part: rights that it gets ahead of requests */
+#define RATE_SPARE_PERCENT 50   /* of the ceiling: rights given ahead of requests */
+#define RATE_SPARE_MIN 0.5      /* requests per second for which a host gets one ahead */
+#define RATE_LISTED_MS 600      /* after which hosts tell the granter of a limit again */
+#define RATE_REPLIES 8          /* on their way to a host at the same time */
+#define RATE_UNUSED_MS 1000     /* rights that were not used for are returned */
+#define RATE_WAIT_MS 400        /* a request waits for a right: two reports */
+#define RATE_WAIT_PERCENT 115   /* of a host's part: requests that may wait */
+#define RATE_ALONE_PERCENT 33   /* of its equal part: a host that lost the granter */
+#define RATE_ALONE_KEEP_MS 2000 /* such a part is usable for, where it is rare */
 /* Of the demand in half the window: beyond what random variation makes of it. */
 #define RATE_RISE_PERCENT 90
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -19,6 +19,7 @@
 dequeue (dispatch_t *self, dispatch_request_t *request)
 {
   waits_set_owner (self, request, -1);
+  targets_leave_rate (self, request);
   if (request->state == REQUEST_WAITING)
     g_queue_unlink (&service_at (self, request->service)->queue, &request->link);
 }
@@ -140,7 +141,8 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_RETRY_BUDGET, now, out);
-  else if (reason == REASON_RATE_LIMIT || waits_owner_saturated (self, request, owner)
+  else if ((reason == REASON_RATE_LIMIT && request->rate_target < 0)
+           || waits_owner_saturated (self, request, owner)
            || waits_cannot_finish (self, request, now))
     end (self, request, reason, now, out);
   else if (now >= waits_queue_deadline (self, request, reason))
@@ -472,6 +474,10 @@
     case DISPATCH_SHARES:
       targets_set_shares (self, msg->shares, now);
       break;
+    case DISPATCH_GRANTS:
+      targets_add_grants (self, msg->grants, msg->rates_at, now);
+      process_queues (self, now, out);
+      break;
     case DISPATCH_CURRENCY:
       self->outdated = msg->outdated;
       process_queues (self, now, out);
@@ -522,5 +528,6 @@
                                 .target = -1,
                                 .queued_owner = -1,
                                 .admitted_to = -1,
+                                .rate_target = -1,
                                 .last_failed_target = -1 };
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -37,6 +37,7 @@
   DISPATCH_BOUNDS,      /* new bounds take effect */
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
   DISPATCH_SHARES,      /* the granter's list of limited targets */
+  DISPATCH_GRANTS,      /* rights to send to limited targets */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_STOP,  /* the process ends soon: what waits, and what arrives, is rejected */
   DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried */
@@ -88,6 +89,8 @@
   bool rate_limited;        /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
   double rate_limit;        /* DISPATCH_ANSWERED: requests per second, from all hosts */
   const GArray *shares;     /* DISPATCH_SHARES: rate_share_t */
+  const GArray *grants;     /* DISPATCH_GRANTS: rate_grant_t */
+  msec_t rates_at;          /* DISPATCH_GRANTS: of the report that they answer */
   dispatch_bounds_t bounds; /* DISPATCH_BOUNDS */
   bool sent;                /* DISPATCH_FAILED: part of the request may have been sent */
   bool connected;           /* DISPATCH_FAILED: the connection was established */
@@ -178,6 +181,8 @@
   int32_t target;   /* of the last attempt, or -1 */
   int32_t queued_owner; /* key owner whose capacity it waits for, or -1 */
   int32_t admitted_to;  /* target whose rate limit admitted the next attempt, or -1 */
+  int32_t rate_target;  /* target whose rate limit it waits for, or -1 */
+  msec_t rate_until;    /* and until when */
   /* Bits of the targets, by index modulo 64, whose rate limits didn't admit it. */
   uint64_t not_admitted;
   int32_t last_failed_target; /* selected again only at a penalty; or -1 */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -282,6 +282,13 @@
          && !target->address_reused;
 }
 
+/* An unlisted incarnation only waits for responses; its successor has the same id. */
+static bool
+reports_rate (const dispatch_target_t *target)
+{
+  return target->in_use && target->listed;
+}
+
 void
 targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now)
 {
@@ -305,6 +312,33 @@
   g_hash_table_unref (by_id);
 }
 
+void
+targets_add_grants (dispatch_t *self,
+                    const GArray *grants,
+                    msec_t reported_at,
+                    msec_t now)
+{
+  GHashTable *by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = 0; i < grants->len; i++)
+    {
+      const rate_grant_t *grant = &g_array_index (grants, rate_grant_t, i);
+      g_hash_table_insert (by_id,
+                           text_dup_c (name_text (&grant->target)),
+                           (gpointer)grant);
+    }
+  for (guint i = 0; i < self->targets->len; i++)
+    {
+      dispatch_target_t *target = at (self, i);
+      char *id = text_dup_c (name_text (&target->entry.id));
+      const rate_grant_t *grant = g_hash_table_lookup (by_id, id);
+      if (reports_rate (target) && grant != NULL)
+        rate_limit_grant (&target->rate, grant, reported_at, now);
+      g_free (id);
+    }
+  g_hash_table_unref (by_id);
+}
+
 bool
 targets_are_limited (const dispatch_t *self)
 {
@@ -321,17 +355,44 @@
     {
       dispatch_target_t *target = at (self, i);
       rate_report_t report = { .target = target->entry.id };
-      if (target->in_use && rate_limit_report (&target->rate, now, &report))
+      if (reports_rate (target) && rate_limit_report (&target->rate, now, &report))
         g_array_append_val (reports, report);
     }
 }
 
-/* Whether the rate limit of target I admits the request; asked once per attempt. */
+void
+targets_leave_rate (const dispatch_t *self, dispatch_request_t *request)
+{
+  if (request->rate_target < 0)
+    return;
+  /* The array entry may have been reused for another target. */
+  rate_limit_leave (&at (self, (uint32_t)request->rate_target)->rate);
+  request->rate_target = -1;
+}
+
+/* Whether a request that waits for the rate limit of target I may be sent now. */
+static bool
+is_admitted_at_last (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
+{
+  rate_limit_t *rate = &at (self, i)->rate;
+
+  if (!rate_limit_take (rate, now))
+    return false;
+  request->rate_target = -1;
+  request->admitted_to = rate->limited ? (int32_t)i : -1;
+  return true;
+}
+
+/* Whether the rate limit of target I admits the request; asked once per attempt.  A keyed
+ * request has no other target, so that it may wait. */
 static bool
 is_admitted (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
 {
   if (request->admitted_to == (int32_t)i)
     return true;
+  if (request->rate_target == (int32_t)i)
+    return is_admitted_at_last (self, request, i, now);
+  targets_leave_rate (self, request);
   if ((request->not_admitted & 1ull << i % 64) != 0)
     return false;
   if (rate_limit_admit (&at (self, i)->rate, self->bounds.hosts, now))
@@ -340,6 +401,11 @@
       return true;
     }
   request->not_admitted |= 1ull << i % 64;
+  if (request->keyed && rate_limit_wait (&at (self, i)->rate, now))
+    {
+      request->rate_target = (int32_t)i;
+      request->rate_until = now + RATE_WAIT_MS;
+    }
   return false;
 }
 
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -37,6 +37,15 @@
 /* SHARES (rate_share_t) lists all targets whose rate is limited, as the granter knows. */
 void targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now);
 
+/* GRANTS (rate_grant_t) are the reply to what was reported at REPORTED_AT. */
+void targets_add_grants (dispatch_t *self,
+                         const GArray *grants,
+                         msec_t reported_at,
+                         msec_t now);
+
+/* REQUEST no longer waits for a rate limit, if it did. */
+void targets_leave_rate (const dispatch_t *self, dispatch_request_t *request);
+
 /* Whether any target limits its rate. */
 bool targets_are_limited (const dispatch_t *self);
 
--- a/packages/dispatch/waits.c
+++ b/packages/dispatch/waits.c
@@ -46,6 +46,8 @@
 {
   msec_t objective = request->objective - request->arrived;
 
+  if (reason == REASON_RATE_LIMIT)
+    return MIN (request->rate_until, request->deadline);
   if (reason == REASON_OVERLOAD
       && service_at (self, request->service)->queue.length <= DISPATCH_SHORT_QUEUE)
     return MIN (request->objective, request->deadline);
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -9,12 +9,13 @@
  * header claims.
  */
 
-#define LINK_CODEC_VERSION 6
+#define LINK_CODEC_VERSION 7
 #define LOADS_MAX 8192
 #define RANGES_MAX 8192
 #define ROWS_MAX 8192
 #define FORWARD_MAX 1024
 #define RATES_MAX 8192
+#define RIGHTS_MAX (1000 * 1000)
 
 /* Limits and shares are sent in thousandths, limits up to a million. */
 #define THOUSANDTHS 1000
@@ -76,6 +77,24 @@
       msgpack_pack_uint64 (packer, (uint64_t)CLAMP (rate->age, 0, AGE_MAX));
       pack_thousandths (packer, rate->wanted, LIMIT_MAX);
       pack_thousandths (packer, rate->wanted_lately, LIMIT_MAX);
+      msgpack_pack_uint32 (packer, MIN (rate->held, RIGHTS_MAX));
+      msgpack_pack_uint32 (packer, MIN (rate->returned, RIGHTS_MAX));
+      msgpack_pack_uint32 (packer, MIN (rate->waiting, RIGHTS_MAX));
+      msgpack_pack_uint64 (packer, (uint64_t)rate->accepted);
+    }
+}
+
+static void
+pack_grants (msgpack_packer *packer, const GArray *grants)
+{
+  guint n = grants != NULL ? MIN (grants->len, RATES_MAX) : 0;
+
+  msgpack_pack_uint32 (packer, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const rate_grant_t *grant = &g_array_index (grants, rate_grant_t, i);
+      pack_name (packer, &grant->target);
+      msgpack_pack_uint32 (packer, MIN (grant->rights, RIGHTS_MAX));
     }
 }
 
@@ -103,6 +122,7 @@
       msgpack_pack_uint32 (&packer, load->bucket);
       msgpack_pack_uint32 (&packer, load->count);
     }
+  msgpack_pack_uint64 (&packer, (uint64_t)report->rates_at);
   pack_rates (&packer, report->rates);
   return bytes;
 }
@@ -120,6 +140,7 @@
       const rate_share_t *share = &g_array_index (shares->shares, rate_share_t, i);
       pack_name (&packer, &share->target);
       pack_thousandths (&packer, share->limit, LIMIT_MAX);
+      msgpack_pack_uint64 (&packer, (uint64_t)CLAMP (share->age, 0, AGE_MAX));
       pack_thousandths (&packer, share->share, 1);
     }
   return bytes;
@@ -162,6 +183,8 @@
   msgpack_pack_uint64 (&packer, (uint64_t)MAX (update->role_left_ms, 0));
   msgpack_pack_uint32 (&packer, update->n_hosts);
   msgpack_pack_uint64 (&packer, (uint64_t)update->report_sent_at);
+  msgpack_pack_uint64 (&packer, (uint64_t)update->rates_at);
+  pack_grants (&packer, update->grants);
   pack_freshness (&packer, &update->configuration);
   pack_freshness (&packer, &update->targets);
   msgpack_pack_uint8 (&packer, update->has_table);
@@ -299,10 +322,27 @@
       rate.age = (msec_t)read_uint (self, AGE_MAX);
       rate.wanted = read_thousandths (self, LIMIT_MAX);
       rate.wanted_lately = read_thousandths (self, LIMIT_MAX);
+      rate.held = (uint32_t)read_uint (self, RIGHTS_MAX);
+      rate.returned = (uint32_t)read_uint (self, RIGHTS_MAX);
+      rate.waiting = (uint32_t)read_uint (self, RIGHTS_MAX);
+      rate.accepted = (msec_t)read_uint (self, INT64_MAX);
       g_array_append_val (report->rates, rate);
     }
 }
 
+static void
+read_grants (reader_t *self, link_update_t *update)
+{
+  update->grants = g_array_new (FALSE, FALSE, sizeof (rate_grant_t));
+  for (uint64_t n = read_uint (self, RATES_MAX); n > 0 && self->ok; n--)
+    {
+      rate_grant_t grant = { 0 };
+      read_name (self, &grant.target);
+      grant.rights = (uint32_t)read_uint (self, RIGHTS_MAX);
+      g_array_append_val (update->grants, grant);
+    }
+}
+
 static void
 read_shares (reader_t *self, link_shares_t *shares)
 {
@@ -312,6 +352,7 @@
       rate_share_t share = { 0 };
       read_name (self, &share.target);
       share.limit = read_thousandths (self, LIMIT_MAX);
+      share.age = (msec_t)read_uint (self, AGE_MAX);
       share.share = read_thousandths (self, 1);
       g_array_append_val (shares->shares, share);
     }
@@ -339,6 +380,7 @@
       load.count = (uint32_t)read_uint (self, UINT32_MAX);
       g_array_append_val (report->loads, load);
     }
+  report->rates_at = (msec_t)read_uint (self, INT64_MAX);
   read_rates (self, report);
 }
 
@@ -380,6 +422,8 @@
   update->role_left_ms = (msec_t)read_uint (self, 1000 * 1000);
   update->n_hosts = (uint32_t)read_uint (self, UINT32_MAX);
   update->report_sent_at = (msec_t)read_uint (self, INT64_MAX);
+  update->rates_at = (msec_t)read_uint (self, INT64_MAX);
+  read_grants (self, update);
   update->configuration = read_freshness (self);
   update->targets = read_freshness (self);
   update->has_table = read_uint (self, 1) == 1;
@@ -484,6 +528,8 @@
     g_array_unref (self->shares.shares);
   if (self->rows.rows != NULL)
     g_array_unref (self->rows.rows);
+  if (self->update.grants != NULL)
+    g_array_unref (self->update.grants);
   if (self->update.table.ranges != NULL)
     key_table_finish (&self->update.table);
   *self = (link_msg_t){ 0 };
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -29,6 +29,7 @@
   bool requests_configuration; /* it gets no response from the store, and needs the row */
   GArray *loads;               /* key_load_t */
   GArray *rates;               /* rate_report_t */
+  msec_t rates_at; /* when RATES was made, on a clock of the host; the reply returns it */
 } link_report_t;
 
 /* The granter's list of all targets whose rate is limited. */
@@ -54,6 +55,8 @@
   msec_t role_left_ms;   /* ms for which its role lasts at least */
   uint32_t n_hosts;      /* number of hosts that report, itself included */
   msec_t report_sent_at; /* of the report that this replies to; 0: not a reply */
+  msec_t rates_at;       /* of that report; its rates get GRANTS */
+  GArray *grants;        /* rate_grant_t; NULL when encoded: none */
   link_freshness_t configuration, targets;
   bool has_table;
   uint64_t table_base_version; /* TABLE has the changes since this version; 0: complete */
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -27,7 +27,12 @@
                          .limit = 7.25,
                          .age = 40,
                          .wanted = 9.5,
-                         .wanted_lately = 0.25 };
+                         .wanted_lately = 0.25,
+                         .held = 3,
+                         .returned = 2,
+                         .waiting = 1,
+                         .accepted = 4200 };
+  report.rates_at = 4399;
   name_set (&rate.target, TEXT ("t"));
   g_array_append_val (report.rates, rate);
   g_array_append_vals (report.loads, loads, G_N_ELEMENTS (loads));
@@ -43,6 +48,11 @@
 
   update.table_base_version = 70;
   update.report_sent_at = 4400;
+  update.rates_at = 4399;
+  update.grants = g_array_new (FALSE, TRUE, sizeof (rate_grant_t));
+  rate_grant_t grant = { .rights = 3 };
+  name_set (&grant.target, TEXT ("t"));
+  g_array_append_val (update.grants, grant);
   update.configuration = (link_freshness_t){ 11, LINK_AGE_UNKNOWN };
   update.targets = (link_freshness_t){ 12, 250 };
   name_set (&update.host, TEXT ("host"));
@@ -96,6 +106,7 @@
   assert_memory_equal (msg.report.rates->data,
                        report.rates->data,
                        sizeof (rate_report_t));
+  assert_int_equal (msg.report.rates_at, 4399);
   assert_int_equal (msg.report.table_version, 9);
   assert_int_equal (msg.report.targets_version, 12);
   assert_int_equal (msg.report.link_mbps, 200);
@@ -112,7 +123,7 @@
 static void
 test_shares_round_trip (void **state)
 {
-  rate_share_t share = { .limit = 7.25, .share = 0.125 };
+  rate_share_t share = { .limit = 7.25, .age = 30, .share = 0.125 };
   link_shares_t shares = { g_array_new (FALSE, TRUE, sizeof (rate_share_t)) };
   link_msg_t msg;
 
@@ -143,6 +154,11 @@
   assert_int_equal (msg.kind, LINK_UPDATE);
   assert_int_equal (msg.update.role_left_ms, 900);
   assert_int_equal (msg.update.report_sent_at, 4400);
+  assert_int_equal (msg.update.rates_at, 4399);
+  assert_int_equal (msg.update.grants->len, 1);
+  assert_memory_equal (msg.update.grants->data,
+                       update.grants->data,
+                       sizeof (rate_grant_t));
   assert_int_equal (msg.update.configuration.age_ms, LINK_AGE_UNKNOWN);
   assert_int_equal (msg.update.targets.newest_change, 12);
   assert_int_equal (msg.update.targets.age_ms, 250);
@@ -155,6 +171,7 @@
   for (size_t len = 0; len < bytes->len; len++)
     assert_int_equal (decode (&msg, bytes, len), STATUS_DECODE);
   g_byte_array_unref (bytes);
+  g_array_unref (update.grants);
   key_table_finish (&update.table);
 }
 
@@ -211,6 +228,7 @@
   link_msg_finish (&msg);
   g_byte_array_unref (bytes);
   g_byte_array_unref (body);
+  g_array_unref (update.grants);
   key_table_finish (&update.table);
 }
 
@@ -232,6 +250,7 @@
         bytes->data[at] = before;
       }
   g_byte_array_unref (bytes);
+  g_array_unref (update.grants);
   key_table_finish (&update.table);
 }
 
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -235,6 +235,8 @@
     g_array_unref (msg->targets);
   if (msg->shares != NULL)
     g_array_unref (msg->shares);
+  if (msg->grants != NULL)
+    g_array_unref (msg->grants);
   if (msg->key_table.ranges != NULL)
     key_table_finish (&msg->key_table);
   g_free (msg);
@@ -308,6 +310,12 @@
       dispatch_msg.shares = msg->shares;
       proxy_dispatch (self, &dispatch_msg);
       break;
+    case PROXY_GRANTS:
+      dispatch_msg.kind = DISPATCH_GRANTS;
+      dispatch_msg.grants = msg->grants;
+      dispatch_msg.rates_at = msg->rates_at;
+      proxy_dispatch (self, &dispatch_msg);
+      break;
     case PROXY_CURRENCY:
       dispatch_msg.kind = DISPATCH_CURRENCY;
       dispatch_msg.outdated = msg->outdated;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -26,6 +26,7 @@
   PROXY_HOST_COUNT, /* HOST_COUNT hosts share the retry budget */
   PROXY_BOUNDS,     /* new BOUNDS take effect */
   PROXY_SHARES,     /* targets whose rate is limited; takes ownership of SHARES */
+  PROXY_GRANTS,     /* the reply to its rates of RATES_AT; takes ownership of GRANTS */
   PROXY_CURRENCY,   /* OUTDATED: requests are rejected until further notice */
   PROXY_SUSPECT,    /* another host reports or clears a suspect request */
   PROXY_DRAIN,      /* shut down gracefully, within the grace period */
@@ -40,6 +41,8 @@
   uint32_t host_count;
   router_bounds_t bounds;
   GArray *shares; /* rate_share_t */
+  GArray *grants; /* rate_grant_t */
+  msec_t rates_at;
   bool outdated;
   suspect_out_t suspect;
   msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
@@ -85,6 +88,7 @@
   GArray *key_loads;     /* key_load_t since the last report; owned by the report */
   GArray *service_times; /* target_service_time_t; owned by the report */
   GArray *rates;         /* rate_report_t; owned by the report; NULL: none */
+  msec_t rates_at;       /* when RATES was made, on the proxy's clock */
 } proxy_report_t;
 
 typedef struct caller caller_t;
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -65,13 +65,12 @@
 }
 
 /* Of the targets of all services. */
-static GArray *
-take_rates (proxy_t *self)
+static void
+add_rates (proxy_t *self, proxy_report_t *report)
 {
-  GArray *rates = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
-
-  targets_report_rates (&self->dispatch, msclock_now (&self->clock), rates);
-  return rates;
+  report->rates = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+  report->rates_at = msclock_now (&self->clock);
+  targets_report_rates (&self->dispatch, report->rates_at, report->rates);
 }
 
 void
@@ -131,7 +130,7 @@
       report->key_loads = take_key_loads (service);
       report->service_times = list_service_times (self, i);
       if (!posted)
-        report->rates = take_rates (self);
+        add_rates (self, report);
       post_report (self, report);
       posted = true;
     }
--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -2,6 +2,7 @@
 
 #include "../core/limits.h"
 
+#include <math.h>
 #include <string.h>
 
 #define BUCKET_MS (RATE_WINDOW_MS / RATE_BUCKETS)
@@ -52,16 +53,17 @@
 }
 
 static void
-start_limit (rate_limit_t *self, double limit, msec_t now)
+start_limit (rate_limit_t *self, double limit, msec_t stated_at, msec_t now)
 {
   if (!self->limited)
     {
       self->wanted = (rate_window_t){ .newest = now / BUCKET_MS, .since = now };
-      self->tokens = 1;
-      self->tokens_at = now;
+      self->rights = 0;
+      self->tokens_at = 0;
     }
   self->limited = true;
   self->limit = limit;
+  self->known_at = MAX (self->known_at, stated_at);
   self->valid_until = now + keep_time (limit);
 }
 
@@ -74,7 +76,7 @@
   self->stated_at = now;
   self->unreported_statement = true;
   if (limited)
-    start_limit (self, limit, now);
+    start_limit (self, limit, now, now);
   else
     self->limited = false;
 }
@@ -86,7 +88,7 @@
 
   if (share == NULL)
     {
-      self->share_until = 0;
+      self->share_until = MIN (self->share_until, now);
       if (!self->stated || !stated_lately)
         self->limited = false;
       self->valid_until = self->stated_at + RATE_STATEMENT_MS;
@@ -94,30 +96,58 @@
     }
   if (stated_lately && !self->stated)
     return;
-  start_limit (self, stated_lately ? self->limit : share->limit, now);
+  start_limit (self, stated_lately ? self->limit : share->limit, now - share->age, now);
   self->share = share->share;
   self->share_until = now + RATE_SHARE_MS;
+  self->listed_at = now;
 }
 
-static double
-current_share (rate_limit_t *self, uint32_t hosts, msec_t now)
+void
+rate_limit_grant (rate_limit_t *self,
+                  const rate_grant_t *grant,
+                  msec_t reported_at,
+                  msec_t now)
 {
-  if (hosts == 1)
-    return 1; /* the tokens alone keep the limit */
-  if (now < self->share_until)
-    return self->share;
-  double wanted = window_rate (&self->wanted, RATE_BUCKETS, now);
-  return MIN (self->limit / MAX (hosts, 1) / MAX (wanted, 0.001), 1);
+  if (!self->limited || reported_at <= self->accepted
+      || now >= reported_at + RATE_RIGHT_MS)
+    return;
+  self->rights = (now < self->rights_until ? self->rights : 0) + grant->rights;
+  self->rights_until = reported_at + RATE_RIGHT_MS;
+  self->accepted = reported_at;
+  if (grant->rights > 0)
+    self->rights_idle_since = now;
 }
 
-static void
-fill_tokens (rate_limit_t *self, msec_t now)
+static uint32_t
+usable_rights (const rate_limit_t *self, msec_t now)
 {
-  double most = MAX (self->limit * RATE_BURST_MS / 1000, 1);
+  return now < self->rights_until ? self->rights : 0;
+}
+
+/* One request takes a token of an equal part of the limit.  Where a host gets one only
+ * now and then, it lasts RATE_ALONE_KEEP_MS: else all hosts would have one at a time. */
+static bool
+take_token (rate_limit_t *self, uint32_t hosts, msec_t now)
+{
+  double part = self->limit / MAX (hosts, 1);
 
-  self->tokens
-      = MIN (self->tokens + self->limit * (double)(now - self->tokens_at) / 1000, most);
+  if (hosts > 1 && self->share_until > 0)
+    part = part * RATE_ALONE_PERCENT / 100;
+  double most = part * RATE_BURST_MS / 1000;
+  if (self->tokens_at == 0)
+    self->tokens = hosts > 1 ? self->phase : 1;
+  else
+    self->tokens += part * (double)(now - self->tokens_at) / 1000;
   self->tokens_at = now;
+  double keep = part * RATE_ALONE_KEEP_MS / 1000;
+  if (hosts == 1 || keep >= 1)
+    self->tokens = MIN (self->tokens, MAX (most, 1));
+  else if (self->tokens >= 1 + keep)
+    self->tokens -= floor (self->tokens - keep);
+  if (self->tokens < 1)
+    return false;
+  self->tokens -= 1;
+  return true;
 }
 
 bool
@@ -128,30 +158,83 @@
   if (!self->limited)
     return true;
   window_add (&self->wanted, 1, now);
-  fill_tokens (self, now);
-  self->credit += current_share (self, hosts, now);
-  if (self->credit < 1 || self->tokens < 1)
+  if (hosts == 1)
+    return take_token (self, hosts, now);
+  if (now >= self->share_until && now >= self->rights_until)
+    return take_token (self, hosts, now);
+  self->tokens_at = 0;
+  self->credit = MIN (self->credit + self->share * RATE_WAIT_PERCENT / 100, 2);
+  if (usable_rights (self, now) <= self->waiting)
+    return false;
+  self->credit = MAX (self->credit - 1, -1);
+  self->rights--;
+  self->rights_idle_since = now;
+  return true;
+}
+
+bool
+rate_limit_wait (rate_limit_t *self, msec_t now)
+{
+  if (!self->limited || now >= self->share_until || self->credit < 1
+      || self->waiting >= MAX (self->limit * RATE_WAIT_MS / 1000, 1))
+    return false;
+  self->credit -= 1;
+  self->waiting++;
+  return true;
+}
+
+bool
+rate_limit_take (rate_limit_t *self, msec_t now)
+{
+  if (self->limited && usable_rights (self, now) == 0)
+    return false;
+  if (self->limited)
     {
-      self->credit = MIN (self->credit, 1);
-      return false;
+      self->rights--;
+      self->rights_idle_since = now;
     }
-  self->credit -= 1;
-  self->tokens -= 1;
+  rate_limit_leave (self);
   return true;
 }
 
+void
+rate_limit_leave (rate_limit_t *self)
+{
+  self->waiting -= self->waiting > 0 ? 1 : 0;
+}
+
+/* If nobody lists the limit, another granter may not know of it yet. */
+static bool
+has_statement (const rate_limit_t *self, msec_t now)
+{
+  return self->unreported_statement
+         || (self->limited && now - self->listed_at >= RATE_LISTED_MS);
+}
+
 bool
 rate_limit_report (rate_limit_t *self, msec_t now, rate_report_t *report)
 {
+  bool relayed = !self->unreported_statement;
+
   report->wanted = self->limited ? window_rate (&self->wanted, RATE_BUCKETS, now) : 0;
   report->wanted_lately
       = self->limited ? window_rate (&self->wanted, RATE_BUCKETS / 2, now) : 0;
-  if (report->wanted <= 0 && !self->reported_demand && !self->unreported_statement)
+  self->rights = self->limited ? usable_rights (self, now) : 0;
+  if (self->rights > self->waiting && now - self->rights_idle_since >= RATE_UNUSED_MS)
+    {
+      report->returned = self->rights - self->waiting;
+      self->rights = self->waiting;
+    }
+  report->held = self->rights;
+  report->waiting = self->waiting;
+  report->accepted = self->accepted;
+  report->stated = has_statement (self, now);
+  if (report->wanted <= 0 && !self->reported_demand && !report->stated
+      && report->held == 0 && report->returned == 0 && report->waiting == 0)
     return false;
-  report->stated = self->unreported_statement;
-  report->limited = self->stated;
+  report->limited = relayed ? self->limited : self->stated;
   report->limit = self->limit;
-  report->age = now - self->stated_at;
+  report->age = now - (relayed ? self->known_at : self->stated_at);
   self->reported_demand = report->wanted > 0;
   self->unreported_statement = false;
   return true;
@@ -160,16 +243,26 @@
 void
 rate_limit_init (rate_limit_t *self, double phase)
 {
-  *self = (rate_limit_t){ .credit = phase };
+  *self = (rate_limit_t){ .credit = phase, .phase = phase };
 }
 
 /* The fleet. */
 
-/* The demand of one host. */
+/* Rights in the reply to a report, until the host says that it has them. */
+typedef struct
+{
+  msec_t reported_at; /* time of that report, on the host's clock */
+  uint32_t rights;
+} fleet_reply_t;
+
+/* What one host last reported, and what it was given since. */
 typedef struct
 {
   double wanted, wanted_lately;
   msec_t at; /* of its last report */
+  msec_t reported_at;
+  uint32_t held;
+  fleet_reply_t replies[RATE_REPLIES];
 } fleet_host_t;
 
 typedef struct
@@ -178,6 +271,10 @@
   double limit;
   msec_t stated_at;  /* of the latest statement */
   GHashTable *hosts; /* name to fleet_host_t */
+  double wanted;     /* by all hosts, at the last plan */
+  double tokens;     /* rights that may be given now */
+  msec_t tokens_at;
+  uint32_t unused; /* rights that hosts may have */
 } fleet_target_t;
 
 static void
@@ -189,8 +286,10 @@
   g_free (target);
 }
 
+/* A target that was not known gets no rights to give at once: an earlier granter may have
+ * given some that are still valid. */
 static fleet_target_t *
-find_or_add (rate_fleet_t *self, const name_t *target)
+find_or_add (rate_fleet_t *self, const name_t *target, msec_t now)
 {
   char *id = text_dup_c (name_text (target));
   fleet_target_t *found = g_hash_table_lookup (self->targets, id);
@@ -201,44 +300,143 @@
       return found;
     }
   found = g_new0 (fleet_target_t, 1);
+  found->tokens_at = now;
   found->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_insert (self->targets, id, found);
   return found;
 }
 
+static double
+unused_ceiling (const fleet_target_t *self)
+{
+  return self->limit * RATE_CEILING_MS / 1000 + RATE_CEILING_REQUESTS;
+}
+
+static void
+refill (fleet_target_t *self, msec_t now)
+{
+  double room = MAX (unused_ceiling (self) - self->unused, 0);
+
+  self->tokens += self->limit * (double)(now - self->tokens_at) / 1000;
+  self->tokens = MIN (self->tokens, room);
+  self->tokens_at = now;
+}
+
+static uint32_t
+unused_rights (const fleet_host_t *self)
+{
+  uint32_t sum = self->held;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (self->replies); i++)
+    sum += self->replies[i].rights;
+  return sum;
+}
+
+static fleet_host_t *
+find_or_add_host (fleet_target_t *self, const name_t *host)
+{
+  char *id = text_dup_c (name_text (host));
+  fleet_host_t *found = g_hash_table_lookup (self->hosts, id);
+
+  if (found != NULL)
+    {
+      g_free (id);
+      return found;
+    }
+  found = g_new0 (fleet_host_t, 1);
+  g_hash_table_insert (self->hosts, id, found);
+  return found;
+}
+
 static void
-set_demand (fleet_target_t *self,
-            const name_t *host,
-            const rate_report_t *report,
-            msec_t now)
+update_host (fleet_target_t *self,
+             fleet_host_t *host,
+             const rate_report_t *report,
+             msec_t reported_at,
+             msec_t now)
 {
-  fleet_host_t *demand = g_new (fleet_host_t, 1);
+  self->unused -= unused_rights (host);
+  host->wanted = report->wanted;
+  host->wanted_lately = report->wanted_lately;
+  host->at = now;
+  host->reported_at = reported_at;
+  host->held = report->held;
+  for (size_t i = 0; i < G_N_ELEMENTS (host->replies); i++)
+    if (host->replies[i].reported_at <= report->accepted)
+      host->replies[i].rights = 0;
+  self->unused += unused_rights (host);
+  self->tokens += report->returned;
+  refill (self, now);
+}
 
-  *demand = (fleet_host_t){ report->wanted, report->wanted_lately, now };
-  g_hash_table_insert (self->hosts, text_dup_c (name_text (host)), demand);
+/* First to requests that wait, then ahead of requests. */
+static uint32_t
+choose_rights (const fleet_target_t *self,
+               const fleet_host_t *host,
+               const rate_report_t *report)
+{
+  double spare = unused_ceiling (self) * RATE_SPARE_PERCENT / 100;
+  double part = host->wanted * MIN (self->limit / MAX (self->wanted, 0.001), 1);
+  uint32_t has = unused_rights (host);
+  uint32_t available = (uint32_t)MAX (self->tokens, 0);
+  uint32_t needed = report->waiting > has ? report->waiting - has : 0;
+  uint32_t ahead = (uint32_t)(part * RATE_AHEAD_MS / 1000);
+
+  if (ahead == 0 && host->wanted >= RATE_SPARE_MIN)
+    ahead = 1;
+  uint32_t wanted = ahead + report->waiting > has ? ahead + report->waiting - has : 0;
+  uint32_t room = spare > self->unused ? (uint32_t)(spare - self->unused) : 0;
+  return MIN (MAX (needed, MIN (wanted, room)), available);
+}
+
+static uint32_t
+give_rights (fleet_target_t *self, fleet_host_t *host, const rate_report_t *report)
+{
+  uint32_t rights = choose_rights (self, host, report);
+
+  if (!self->limited || rights == 0)
+    return 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (host->replies); i++)
+    if (host->replies[i].rights == 0)
+      {
+        host->replies[i] = (fleet_reply_t){ host->reported_at, rights };
+        self->tokens -= rights;
+        self->unused += rights;
+        return rights;
+      }
+  return 0;
 }
 
 void
 rate_fleet_report (rate_fleet_t *self,
                    const name_t *host,
                    const GArray *reports,
-                   msec_t now)
+                   msec_t reported_at,
+                   msec_t now,
+                   GArray *grants)
 {
   for (guint i = 0; i < reports->len; i++)
     {
       const rate_report_t *report = &g_array_index (reports, rate_report_t, i);
-      fleet_target_t *target = find_or_add (self, &report->target);
+      fleet_target_t *target = find_or_add (self, &report->target, now);
+      fleet_host_t *from = find_or_add_host (target, host);
       if (report->stated && now - report->age >= target->stated_at)
         {
           target->limited = report->limited;
           target->limit = report->limit;
           target->stated_at = now - report->age;
         }
-      set_demand (target, host, report, now);
+      if (reported_at <= from->reported_at)
+        continue;
+      update_host (target, from, report, reported_at, now);
+      rate_grant_t grant
+          = { .target = report->target, .rights = give_rights (target, from, report) };
+      g_array_append_val (grants, grant);
     }
 }
 
-/* Of all hosts that reported lately.  A sudden rise counts before it fills the window. */
+/* Of all hosts that reported lately; the rights of the others have ended.  A sudden rise
+ * counts before it fills the window. */
 static double
 sum_demand (fleet_target_t *self, msec_t now)
 {
@@ -252,6 +450,7 @@
       const fleet_host_t *host = value;
       if (now - host->at >= RATE_REPORT_MS)
         {
+          self->unused -= unused_rights (host);
           g_hash_table_iter_remove (&iter);
           continue;
         }
@@ -281,9 +480,10 @@
         }
       if (!target->limited)
         continue;
-      double wanted = sum_demand (target, now);
+      double wanted = target->wanted = sum_demand (target, now);
       rate_share_t share
           = { .limit = target->limit,
+              .age = now - target->stated_at,
               .wanted = wanted,
               .share = wanted > target->limit ? target->limit / wanted : 1 };
       name_set (&share.target, text_from_c (id));
--- a/packages/rate/tests/test_rate.c
+++ b/packages/rate/tests/test_rate.c
@@ -60,7 +60,8 @@
   rate_limit_init (&limit, 0);
   rate_limit_state (&limit, true, 5, START);
   rate_limit_set_share (&limit, &share, START + 100);
-  assert_in_range (admitted (&limit, 8, START + 100, START + 1100, 10), 4, 8);
+  rate_limit_grant (&limit, &(rate_grant_t){ .rights = 5 }, START + 100, START + 150);
+  assert_int_equal (admitted (&limit, 8, START + 150, START + 1100, 10), 5);
   rate_limit_state (&limit, false, 0, START + 1200);
   rate_limit_set_share (&limit, &share, START + 1300); /* sent before that was known */
   assert_int_equal (admitted (&limit, 8, START + 1300, START + 1400, 1), 100);
@@ -107,7 +108,8 @@
 /* A whole fleet: hosts with unequal load that come and go, and a granter that changes. */
 
 #define HOSTS_MAX 90
-#define DELAY_MS 100 /* of messages and responses */
+#define DELAY_MS 100       /* of the granter's list */
+#define REPORT_DELAY_MS 50 /* of reports and their replies */
 
 typedef struct
 {
@@ -116,8 +118,23 @@
   msec_t phase;   /* of its reports */
   msec_t told_at; /* of its first response that stated the limit; MSEC_NEVER */
   double weight;
+  double calm_weight; /* before an adversary changed it */
+  bool frozen;        /* does nothing at all */
+  bool cut_off;       /* serves callers, but no message arrives or leaves */
+  GArray *waits;      /* msec_t: until when each waiting request waits */
 } sim_host_t;
 
+/* A report of a host, or the reply to it. */
+typedef struct
+{
+  guint host;
+  bool is_reply;
+  msec_t at; /* of its arrival */
+  msec_t reported_at;
+  rate_report_t report;
+  rate_grant_t grant;
+} sim_message_t;
+
 typedef struct
 {
   sim_host_t hosts[HOSTS_MAX];
@@ -126,6 +143,7 @@
   rate_fleet_t fleet;
   GArray *list; /* rate_share_t: on its way, arrives at list_at */
   msec_t list_at;
+  GArray *messages; /* sim_message_t */
   rng_t rng;
   GArray *arrivals; /* msec_t: at the target */
   GArray *counted;  /* of these, the ones from hosts that it had told before */
@@ -152,6 +170,7 @@
 {
   self->hosts[i].up = true;
   self->hosts[i].told_at = MSEC_NEVER;
+  g_array_set_size (self->hosts[i].waits, 0);
   rate_limit_init (&self->hosts[i].limit, draw (self));
 }
 
@@ -162,14 +181,17 @@
                    .limit = limit,
                    .list = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
                    .list_at = MSEC_NEVER,
+                   .messages = g_array_new (FALSE, FALSE, sizeof (sim_message_t)),
                    .arrivals = g_array_new (FALSE, FALSE, sizeof (msec_t)),
                    .counted = g_array_new (FALSE, FALSE, sizeof (msec_t)) };
   rng_init (&self->rng, seed);
   rate_fleet_init (&self->fleet);
   for (guint i = 0; i < n; i++)
     {
+      self->hosts[i].waits = g_array_new (FALSE, FALSE, sizeof (msec_t));
       start_host (self, i);
       self->hosts[i].weight = 0.2 + 2 * draw (self) * draw (self);
+      self->hosts[i].calm_weight = self->hosts[i].weight;
       self->hosts[i].phase = seed % 2 == 0 ? 0 : (msec_t)i * 37; /* all may be in step */
     }
 }
@@ -178,7 +200,10 @@
 sim_end (sim_t *self)
 {
   rate_fleet_finish (&self->fleet);
+  for (guint i = 0; i < self->n; i++)
+    g_array_unref (self->hosts[i].waits);
   g_array_unref (self->list);
+  g_array_unref (self->messages);
   g_array_unref (self->arrivals);
   g_array_unref (self->counted);
 }
@@ -186,18 +211,86 @@
 static void
 host_report (sim_t *self, sim_host_t *host, msec_t now)
 {
-  GArray *reports = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
-  rate_report_t report = { 0 };
+  sim_message_t message = { .host = (guint)(host - self->hosts),
+                            .at = now + REPORT_DELAY_MS,
+                            .reported_at = now };
+
+  name_set (&message.report.target, TEXT ("t"));
+  if (rate_limit_report (&host->limit, now, &message.report))
+    g_array_append_val (self->messages, message);
+}
 
-  name_set (&report.target, TEXT ("t"));
-  if (rate_limit_report (&host->limit, now - DELAY_MS, &report))
-    g_array_append_val (reports, report);
+static void
+receive_report (sim_t *self, const sim_message_t *message, msec_t now)
+{
+  GArray *reports = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+  GArray *grants = g_array_new (FALSE, FALSE, sizeof (rate_grant_t));
+  sim_message_t reply
+      = { .host = message->host, .is_reply = true, .at = now + REPORT_DELAY_MS };
   char name[16];
   name_t id;
-  g_snprintf (name, sizeof name, "h%d", (int)(host - self->hosts));
+
+  g_snprintf (name, sizeof name, "h%u", message->host);
   name_set (&id, text_from_c (name));
-  rate_fleet_report (&self->fleet, &id, reports, now);
+  g_array_append_val (reports, message->report);
+  rate_fleet_report (&self->fleet, &id, reports, message->reported_at, now, grants);
+  reply.reported_at = message->reported_at;
+  for (guint i = 0; i < grants->len; i++)
+    {
+      reply.grant = g_array_index (grants, rate_grant_t, i);
+      g_array_append_val (self->messages, reply);
+    }
   g_array_unref (reports);
+  g_array_unref (grants);
+}
+
+static void
+count_arrival (sim_t *self, sim_host_t *host, bool states_limit, msec_t now)
+{
+  g_array_append_val (self->arrivals, now);
+  if (host->told_at != MSEC_NEVER && now - host->told_at >= 500)
+    g_array_append_val (self->counted, now);
+  if (host->told_at == MSEC_NEVER)
+    host->told_at = now;
+  rate_limit_state (&host->limit, states_limit, self->limit, now);
+}
+
+/* Sends what waits, oldest first, as far as there are rights; ends what waited too long.
+ */
+static void
+serve_waits (sim_t *self, sim_host_t *host, bool states_limit, msec_t now)
+{
+  while (host->waits->len > 0)
+    {
+      if (rate_limit_take (&host->limit, now))
+        count_arrival (self, host, states_limit, now);
+      else if (now >= g_array_index (host->waits, msec_t, 0))
+        rate_limit_leave (&host->limit);
+      else
+        return;
+      g_array_remove_index (host->waits, 0);
+    }
+}
+
+/* A frozen host gets its messages when it runs again; one that is cut off loses them. */
+static void
+receive_messages (sim_t *self, msec_t now)
+{
+  for (guint i = 0; i < self->messages->len;)
+    {
+      sim_message_t message = g_array_index (self->messages, sim_message_t, i);
+      sim_host_t *host = &self->hosts[message.host];
+      if (message.at > now || (message.is_reply && host->frozen))
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (self->messages, i);
+      if (!message.is_reply)
+        receive_report (self, &message, now);
+      else if (host->up && !host->cut_off)
+        rate_limit_grant (&host->limit, &message.grant, message.reported_at, now);
+    }
 }
 
 static void
@@ -207,10 +300,11 @@
     return;
   self->list_at = MSEC_NEVER;
   for (guint i = 0; i < self->n; i++)
-    rate_limit_set_share (
-        &self->hosts[i].limit,
-        self->list->len > 0 ? &g_array_index (self->list, rate_share_t, 0) : NULL,
-        now);
+    if (self->hosts[i].up && !self->hosts[i].frozen && !self->hosts[i].cut_off)
+      rate_limit_set_share (
+          &self->hosts[i].limit,
+          self->list->len > 0 ? &g_array_index (self->list, rate_share_t, 0) : NULL,
+          now);
 }
 
 /* One millisecond in which callers make WANTED requests per second for the target. */
@@ -222,22 +316,22 @@
   for (guint i = 0; i < self->n; i++)
     {
       sim_host_t *host = &self->hosts[i];
-      if (!host->up)
+      if (!host->up || host->frozen)
         continue;
-      if (draw (self) < wanted / 1000 * host->weight / total
-          && rate_limit_admit (&host->limit, self->n, now))
+      serve_waits (self, host, states_limit, now);
+      if (draw (self) < wanted / 1000 * host->weight / total)
         {
-          g_array_append_val (self->arrivals, now);
-          if (host->told_at != MSEC_NEVER && now - host->told_at >= 500)
-            g_array_append_val (self->counted, now);
-          if (host->told_at == MSEC_NEVER)
-            host->told_at = now;
-          rate_limit_state (&host->limit, states_limit, self->limit, now);
+          msec_t until = now + RATE_WAIT_MS;
+          if (rate_limit_admit (&host->limit, self->n, now))
+            count_arrival (self, host, states_limit, now);
+          else if (rate_limit_wait (&host->limit, now))
+            g_array_append_val (host->waits, until);
         }
-      if ((now + host->phase) % PROXY_LIMITED_REPORT_MS == 0)
+      if (!host->cut_off && (now + host->phase) % PROXY_LIMITED_REPORT_MS == 0)
         host_report (self, host, now);
     }
   receive_list (self, now);
+  receive_messages (self, now);
   GArray *list = g_array_new (FALSE, FALSE, sizeof (rate_share_t));
   if (rate_fleet_plan (&self->fleet, now, list))
     {
@@ -378,6 +472,128 @@
       }
 }
 
+/* Where the requests of a jump arrive.  CALM is the demand before it, in requests per
+ * second; SET sets the weights of the hosts and returns the demand. */
+typedef struct
+{
+  double (*set) (sim_t *self, double calm, double factor, msec_t at);
+} adversary_t;
+
+static double
+jump_on_all (sim_t *self, double calm, double factor, msec_t at)
+{
+  (void)self;
+  (void)at;
+  return calm * factor;
+}
+
+static double
+jump_on_one (sim_t *self, double calm, double factor, msec_t at)
+{
+  (void)at;
+  self->hosts[0].weight = 0;
+  self->hosts[0].weight = total_weight (self) * (factor - 1);
+  return calm * factor;
+}
+
+/* From host to host at the period of the reports. */
+static double
+jump_moving (sim_t *self, double calm, double factor, msec_t at)
+{
+  guint to = (guint)(at / PROXY_LIMITED_REPORT_MS) % self->n;
+
+  for (guint i = 0; i < self->n; i++)
+    self->hosts[i].weight = i == to ? 1 : 0.001;
+  return calm * factor;
+}
+
+static const adversary_t adversaries[]
+    = { { jump_on_all }, { jump_on_one }, { jump_moving } };
+static const double jump_factors[] = { 2, 10, 100 };
+static const fleet_case_t adversary_cases[]
+    = { { 8, 5, 0 }, { 12, 3.5, 0 }, { 90, 2, 0 }, { 90, 12, 0 }, { 8, 100, 0 } };
+
+/* One second of each two at 0.7 of the limit, the other at FACTOR times that; DISTURB, if
+ * any, is called each millisecond. */
+static void
+play_adversary (const fleet_case_t *fleet,
+                const adversary_t *adversary,
+                double factor,
+                void (*disturb) (sim_t *self, msec_t at, msec_t now),
+                uint64_t seed)
+{
+  const double calm = 0.7 * fleet->limit;
+  sim_t sim;
+
+  sim_begin (&sim, fleet->hosts, fleet->limit, seed);
+  for (msec_t now = START; now < START + 22000; now++)
+    {
+      msec_t at = now - START;
+      double wanted = calm;
+      for (guint i = 0; i < sim.n; i++)
+        sim.hosts[i].weight = sim.hosts[i].calm_weight;
+      if (at >= 6000 && (at < 16000 ? at % 5000 < 2500 : at % 1000 < 500))
+        wanted = adversary->set (&sim, calm, factor, at);
+      if (disturb != NULL)
+        disturb (&sim, at, now);
+      sim_step (&sim, wanted, true, now);
+    }
+  assert_limit_is_kept (&sim, START + 3000, START + 22000);
+  sim_end (&sim);
+}
+
+static void
+test_limit_is_kept_whatever_an_adversary_asks (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (adversary_cases); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (adversaries); k++)
+      for (size_t f = 0; f < G_N_ELEMENTS (jump_factors); f++)
+        for (uint64_t seed = 1; seed <= 4; seed++)
+          play_adversary (&adversary_cases[i],
+                          &adversaries[k],
+                          jump_factors[f],
+                          NULL,
+                          seed);
+}
+
+/* Hosts freeze, are cut off, leave and start; another granter takes over. */
+static void
+disturb_fleet (sim_t *self, msec_t at, msec_t now)
+{
+  for (guint i = 0; i < self->n; i++)
+    {
+      if (i % 4 == 1)
+        self->hosts[i].frozen = at >= 6800 && at < 8500;
+      if (i % 4 == 2)
+        self->hosts[i].cut_off = at >= 7000 && at < 11200;
+      if (i % 4 == 3 && at == 11000)
+        self->hosts[i].up = false;
+      if (i % 4 == 3 && at == 12000)
+        start_host (self, i);
+    }
+  if (at == 16200)
+    {
+      rate_fleet_clear (&self->fleet);
+      self->fleet.next_plan = now + 1200;
+    }
+}
+
+static void
+test_limit_is_kept_whatever_an_adversary_asks_of_a_disturbed_fleet (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (adversary_cases); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (adversaries); k++)
+      for (size_t f = 0; f < G_N_ELEMENTS (jump_factors); f++)
+        for (uint64_t seed = 31; seed <= 33; seed++)
+          play_adversary (&adversary_cases[i],
+                          &adversaries[k],
+                          jump_factors[f],
+                          disturb_fleet,
+                          seed);
+}
+
 static void
 test_fleet_is_unlimited_again_when_the_target_recovers (void **state)
 {
@@ -407,6 +623,8 @@
     cmocka_unit_test (test_fleet_serves_everything_below_the_limit),
     cmocka_unit_test (test_limit_is_kept_while_hosts_come_and_go),
     cmocka_unit_test (test_limit_is_kept_when_the_demand_jumps),
+    cmocka_unit_test (test_limit_is_kept_whatever_an_adversary_asks),
+    cmocka_unit_test (test_limit_is_kept_whatever_an_adversary_asks_of_a_disturbed_fleet),
     cmocka_unit_test (test_fleet_is_unlimited_again_when_the_target_recovers),
   };
 
