--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -405,16 +405,20 @@
 /* Rights that may be unused at any time, on all hosts and at the granter: the limit times
  * the first, and the second. */
 #define RATE_CEILING_MS 1000
-#define RATE_CEILING_REQUESTS 3
+#define RATE_CEILING_REQUESTS 4
 #define RATE_AHEAD_MS 400 /* of a host's part: rights that it gets ahead of requests */
-#define RATE_SPARE_PERCENT 50   /* of the ceiling: rights given ahead of requests */
-#define RATE_SPARE_MIN 0.5      /* requests per second for which a host gets one ahead */
-#define RATE_LISTED_MS 600      /* after which hosts tell the granter of a limit again */
-#define RATE_REPLIES 8          /* on their way to a host at the same time */
-#define RATE_UNUSED_MS 1000     /* rights that were not used for are returned */
-#define RATE_WAIT_MS 400        /* a request waits for a right: two reports */
-#define RATE_WAIT_PERCENT 115   /* of a host's part: requests that may wait */
-#define RATE_ALONE_PERCENT 33   /* of its equal part: a host that lost the granter */
+#define RATE_SPARE_PERCENT 65 /* of the ceiling: rights given ahead of requests */
+#define RATE_SPARE_MIN 0.5    /* requests per second for which a host gets one ahead */
+#define RATE_LISTED_MS 600    /* after which hosts tell the granter of a limit again */
+#define RATE_REPLIES 8        /* on their way to a host at the same time */
+#define RATE_UNUSED_MS 1000   /* rights that were not used for are returned */
+#define RATE_WAIT_MS 400      /* a request waits for a right: two reports */
+/* Of the limit: requests that may wait when no rights are left at the granter; twice as
+ * far above the limit when those of RATE_LEFT_MS, and one at least, are left twice. */
+#define RATE_WAIT_MIN_PERCENT 90
+#define RATE_LEFT_MS 100
+#define RATE_CREDIT_MAX 2     /* requests that were sent beyond the share, of one host */
+#define RATE_ALONE_PERCENT 33 /* of its equal part: a host that lost the granter */
 #define RATE_ALONE_KEEP_MS 2000 /* such a part is usable for, where it is rare */
 /* Of the demand in half the window: beyond what random variation makes of it. */
 #define RATE_RISE_PERCENT 90
--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -163,10 +163,10 @@
   if (now >= self->share_until && now >= self->rights_until)
     return take_token (self, hosts, now);
   self->tokens_at = 0;
-  self->credit = MIN (self->credit + self->share * RATE_WAIT_PERCENT / 100, 2);
+  self->credit = MIN (self->credit + self->share, 2);
   if (usable_rights (self, now) <= self->waiting)
     return false;
-  self->credit = MAX (self->credit - 1, -1);
+  self->credit = MAX (self->credit - 1, -RATE_CREDIT_MAX);
   self->rights--;
   self->rights_idle_since = now;
   return true;
@@ -262,6 +262,7 @@
   msec_t at; /* of its last report */
   msec_t reported_at;
   uint32_t held;
+  uint32_t needed; /* requests that wait and have got no right */
   fleet_reply_t replies[RATE_REPLIES];
 } fleet_host_t;
 
@@ -275,6 +276,7 @@
   double tokens;     /* rights that may be given now */
   msec_t tokens_at;
   uint32_t unused; /* rights that hosts may have */
+  uint32_t needed; /* by requests that wait at any host */
 } fleet_target_t;
 
 static void
@@ -348,6 +350,16 @@
   return found;
 }
 
+static void
+set_needed (fleet_target_t *self, fleet_host_t *host, const rate_report_t *report)
+{
+  uint32_t has = unused_rights (host);
+
+  self->needed -= host->needed;
+  host->needed = report->waiting > has ? report->waiting - has : 0;
+  self->needed += host->needed;
+}
+
 static void
 update_host (fleet_target_t *self,
              fleet_host_t *host,
@@ -365,11 +377,12 @@
     if (host->replies[i].reported_at <= report->accepted)
       host->replies[i].rights = 0;
   self->unused += unused_rights (host);
+  set_needed (self, host, report);
   self->tokens += report->returned;
   refill (self, now);
 }
 
-/* First to requests that wait, then ahead of requests. */
+/* First to requests that wait at any host, then ahead of requests. */
 static uint32_t
 choose_rights (const fleet_target_t *self,
                const fleet_host_t *host,
@@ -379,14 +392,15 @@
   double part = host->wanted * MIN (self->limit / MAX (self->wanted, 0.001), 1);
   uint32_t has = unused_rights (host);
   uint32_t available = (uint32_t)MAX (self->tokens, 0);
-  uint32_t needed = report->waiting > has ? report->waiting - has : 0;
+  uint32_t others = self->needed - host->needed;
   uint32_t ahead = (uint32_t)(part * RATE_AHEAD_MS / 1000);
 
   if (ahead == 0 && host->wanted >= RATE_SPARE_MIN)
     ahead = 1;
   uint32_t wanted = ahead + report->waiting > has ? ahead + report->waiting - has : 0;
   uint32_t room = spare > self->unused ? (uint32_t)(spare - self->unused) : 0;
-  return MIN (MAX (needed, MIN (wanted, room)), available);
+  uint32_t left = available > others ? available - others : 0;
+  return MIN (MAX (host->needed, MIN (wanted, MIN (room, left))), available);
 }
 
 static uint32_t
@@ -402,6 +416,7 @@
         host->replies[i] = (fleet_reply_t){ host->reported_at, rights };
         self->tokens -= rights;
         self->unused += rights;
+        set_needed (self, host, report);
         return rights;
       }
   return 0;
@@ -451,6 +466,7 @@
       if (now - host->at >= RATE_REPORT_MS)
         {
           self->unused -= unused_rights (host);
+          self->needed -= host->needed;
           g_hash_table_iter_remove (&iter);
           continue;
         }
@@ -460,6 +476,20 @@
   return MAX (wanted, lately * RATE_RISE_PERCENT / 100);
 }
 
+/* The part of all requests that may wait for a right: more than the limit allows while
+ * rights are left, fewer when none are. */
+static double
+waiting_share (const fleet_target_t *self)
+{
+  double level = MAX (self->limit * RATE_LEFT_MS / 1000, 1);
+  double percent = RATE_WAIT_MIN_PERCENT
+                   + (100 - RATE_WAIT_MIN_PERCENT) * MIN (self->tokens / level, 2);
+
+  if (self->wanted <= self->limit)
+    return 1;
+  return MIN (self->limit / self->wanted * percent / 100, 1);
+}
+
 bool
 rate_fleet_plan (rate_fleet_t *self, msec_t now, GArray *out)
 {
@@ -480,12 +510,12 @@
         }
       if (!target->limited)
         continue;
-      double wanted = target->wanted = sum_demand (target, now);
-      rate_share_t share
-          = { .limit = target->limit,
-              .age = now - target->stated_at,
-              .wanted = wanted,
-              .share = wanted > target->limit ? target->limit / wanted : 1 };
+      target->wanted = sum_demand (target, now);
+      refill (target, now);
+      rate_share_t share = { .limit = target->limit,
+                             .age = now - target->stated_at,
+                             .wanted = target->wanted,
+                             .share = waiting_share (target) };
       name_set (&share.target, text_from_c (id));
       g_array_append_val (out, share);
     }
