A right is used when the request is sent

Cause: a request took its right before the target had capacity, and the right was lost if the request ended unsent. Such a right is now held, reported as held, and put back.

--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -86,8 +86,8 @@
 {
   dispatch_target_t *to = target_at (self, target);
 
+  targets_use_rate (self, request);
   dequeue (self, request);
-  request->admitted_to = -1;
   request->not_admitted = 0;
   request->state = REQUEST_SENT;
   request->target = (int32_t)target;
--- a/packages/dispatch/retries.c
+++ b/packages/dispatch/retries.c
@@ -36,7 +36,9 @@
       || now < waits_overdue_at (self, request, now))
     return false;
   second_attempt.last_failed_target = request->target;
+  second_attempt.admitted_to = -1;
   int other = targets_select (self, &second_attempt, now, &reason);
+  targets_leave_rate (self, &second_attempt);
   return other >= 0 && other != request->target
          && now + target_expected_ms (target_at (self, (uint32_t)other), now)
                 < request->deadline
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -360,14 +360,33 @@
     }
 }
 
+/* The array entry of the target may have been reused for another one. */
 void
 targets_leave_rate (const dispatch_t *self, dispatch_request_t *request)
 {
-  if (request->rate_target < 0)
-    return;
-  /* The array entry may have been reused for another target. */
-  rate_limit_leave (&at (self, (uint32_t)request->rate_target)->rate);
+  if (request->rate_target >= 0)
+    rate_limit_leave (&at (self, (uint32_t)request->rate_target)->rate);
+  if (request->admitted_to >= 0)
+    rate_limit_put_back (&at (self, (uint32_t)request->admitted_to)->rate);
   request->rate_target = -1;
+  request->admitted_to = -1;
+}
+
+void
+targets_use_rate (const dispatch_t *self, dispatch_request_t *request)
+{
+  if (request->admitted_to >= 0)
+    rate_limit_sent (&at (self, (uint32_t)request->admitted_to)->rate);
+  request->admitted_to = -1;
+}
+
+static void
+note_admitted (dispatch_t *self, dispatch_request_t *request, guint i)
+{
+  if (!at (self, i)->rate.limited)
+    return;
+  request->admitted_to = (int32_t)i;
+  rate_limit_hold (&at (self, i)->rate);
 }
 
 /* Whether a request that waits for the rate limit of target I may be sent now. */
@@ -379,7 +398,7 @@
   if (!rate_limit_take (rate, now))
     return false;
   request->rate_target = -1;
-  request->admitted_to = rate->limited ? (int32_t)i : -1;
+  note_admitted (self, request, i);
   return true;
 }
 
@@ -397,7 +416,7 @@
     return false;
   if (rate_limit_admit (&at (self, i)->rate, self->bounds.hosts, now))
     {
-      request->admitted_to = at (self, i)->rate.limited ? (int32_t)i : -1;
+      note_admitted (self, request, i);
       return true;
     }
   request->not_admitted |= 1ull << i % 64;
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -43,9 +43,12 @@
                          msec_t reported_at,
                          msec_t now);
 
-/* REQUEST no longer waits for a rate limit, if it did. */
+/* REQUEST no longer waits for a rate limit, and gives back what it was admitted by. */
 void targets_leave_rate (const dispatch_t *self, dispatch_request_t *request);
 
+/* REQUEST is sent to the target that admitted it. */
+void targets_use_rate (const dispatch_t *self, dispatch_request_t *request);
+
 /* Whether any target limits its rate. */
 bool targets_are_limited (const dispatch_t *self);
 
--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -172,6 +172,27 @@
   return true;
 }
 
+void
+rate_limit_hold (rate_limit_t *self)
+{
+  self->admitted++;
+}
+
+void
+rate_limit_sent (rate_limit_t *self)
+{
+  self->admitted -= self->admitted > 0 ? 1 : 0;
+}
+
+void
+rate_limit_put_back (rate_limit_t *self)
+{
+  if (self->admitted == 0)
+    return;
+  self->admitted--;
+  self->rights++;
+}
+
 bool
 rate_limit_wait (rate_limit_t *self, msec_t now)
 {
@@ -225,8 +246,8 @@
       report->returned = self->rights - self->waiting;
       self->rights = self->waiting;
     }
-  report->held = self->rights;
-  report->waiting = self->waiting;
+  report->held = self->rights + self->admitted;
+  report->waiting = self->waiting + self->admitted;
   report->accepted = self->accepted;
   report->stated = has_statement (self, now);
   if (report->wanted <= 0 && !self->reported_demand && !report->stated
--- a/packages/rate/rate.h
+++ b/packages/rate/rate.h
@@ -58,6 +58,7 @@
   msec_t accepted; /* time of the report that the last accepted rights answered */
   msec_t rights_idle_since; /* of the last use or arrival */
   uint32_t waiting;         /* requests that wait for a right */
+  uint32_t admitted;        /* requests that have one and aren't sent yet */
   double tokens;            /* of a host without the granter */
   msec_t tokens_at;         /* 0: it has the granter */
   double phase;
@@ -76,10 +77,10 @@
   msec_t age;
   double wanted;        /* requests that it had for the target, over RATE_WINDOW_MS */
   double wanted_lately; /* and over about half of that */
-  uint32_t held;        /* its unused rights */
-  uint32_t returned;    /* rights that it gives back */
-  uint32_t waiting;     /* requests that wait for a right */
-  msec_t accepted;      /* time of the report that its last rights answered; 0: none */
+  uint32_t held;     /* its unused rights, those of requests that aren't sent included */
+  uint32_t returned; /* rights that it gives back */
+  uint32_t waiting;  /* requests that wait for a right, or have one and aren't sent */
+  msec_t accepted;   /* time of the report that its last rights answered; 0: none */
 } rate_report_t;
 
 /* The part of its requests for a target that every host may have wait. */
@@ -118,6 +119,12 @@
  * share the limit. */
 bool rate_limit_admit (rate_limit_t *self, uint32_t hosts, msec_t now);
 
+/* A request that was admitted isn't sent at once; rate_limit_sent or rate_limit_put_back
+ * follows. */
+void rate_limit_hold (rate_limit_t *self);
+void rate_limit_sent (rate_limit_t *self);
+void rate_limit_put_back (rate_limit_t *self);
+
 /* Whether a request that was not admitted may wait for a right; it then has to end that
  * by rate_limit_take, if this returns true, or by rate_limit_leave. */
 bool rate_limit_wait (rate_limit_t *self, msec_t now);
