--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -236,7 +236,9 @@
 rate_limit_report (rate_limit_t *self, msec_t now, rate_report_t *report)
 {
   bool relayed = !self->unreported_statement;
+  name_t target = report->target;
 
+  *report = (rate_report_t){ .target = target };
   report->wanted = self->limited ? window_rate (&self->wanted, RATE_BUCKETS, now) : 0;
   report->wanted_lately
       = self->limited ? window_rate (&self->wanted, RATE_BUCKETS / 2, now) : 0;
