--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -1,3 +1,4 @@
+#include "../targets.h"
 #include "dispatch_fixture.h"
 
 /* Routing, retry and key owner decisions of one host. */
@@ -546,6 +547,62 @@
   end (&fixture);
 }
 
+/* TARGET is limited, and all requests may wait for its rights. */
+static void
+give_rights (fixture_t *self, text_t target, uint32_t rights)
+{
+  GArray *shares = g_array_new (FALSE, TRUE, sizeof (rate_share_t));
+  GArray *grants = g_array_new (FALSE, TRUE, sizeof (rate_grant_t));
+  const dispatch_msg_t list = { .kind = DISPATCH_SHARES, .shares = shares };
+  const dispatch_msg_t reply
+      = { .kind = DISPATCH_GRANTS, .grants = grants, .rates_at = self->now };
+  rate_share_t share = { .limit = 5, .share = 1 };
+  rate_grant_t grant = { .rights = rights };
+
+  name_set (&share.target, target);
+  name_set (&grant.target, target);
+  g_array_append_val (shares, share);
+  g_array_append_val (grants, grant);
+  handle_msg (self, &list);
+  handle_msg (self, &reply);
+  g_array_unref (shares);
+  g_array_unref (grants);
+}
+
+static void
+test_request_waits_for_a_right_of_its_owner (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t first, second;
+  GArray *reports = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+
+  (void)state;
+  begin (&fixture);
+  fixture.dispatch.bounds.hosts = 8;
+  give_rights (&fixture, TEXT ("k1"), 0);
+  arrive (&fixture, &first, TEXT ("/keyed/"));
+  arrive (&fixture, &second, TEXT ("/keyed/"));
+  assert_int_equal (first.state, REQUEST_WAITING);
+  assert_int_equal (second.state, REQUEST_WAITING);
+  fixture.now += 100;
+  targets_report_rates (&fixture.dispatch, fixture.now, reports);
+  assert_int_equal (reports->len, 1);
+  assert_int_equal (g_array_index (reports, rate_report_t, 0).waiting, 2);
+  give_rights (&fixture, TEXT ("k1"), 1);
+  assert_int_equal (first.state, REQUEST_SENT);
+  assert_int_equal (second.state, REQUEST_WAITING);
+  fixture.now += RATE_WAIT_MS;
+  dispatch_msg_t timer = { .kind = DISPATCH_TIMER, .request = &second };
+  handle_msg (&fixture, &timer);
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_RATE_LIMIT);
+  g_array_set_size (reports, 0);
+  targets_report_rates (&fixture.dispatch, fixture.now, reports);
+  assert_int_equal (g_array_index (reports, rate_report_t, 0).waiting, 0);
+  assert_int_equal (g_array_index (reports, rate_report_t, 0).held, 0);
+  g_array_unref (reports);
+  end (&fixture);
+}
+
 static void
 test_request_beyond_a_rate_limit_goes_to_another_target (void **state)
 {
@@ -593,6 +650,7 @@
     cmocka_unit_test (test_requests_in_progress_are_answered_when_the_process_ends),
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
+    cmocka_unit_test (test_request_waits_for_a_right_of_its_owner),
   };
 
   return cmocka_run_group_tests_name ("dispatch", tests, NULL, NULL);
