--- a/packages/coordinator/rates.c
+++ b/packages/coordinator/rates.c
@@ -26,23 +26,23 @@
 static void
 log_shares (const GArray *shares)
 {
-  double limit = 0, wanted = 0, admitted = 0;
+  double limit = 0, wanted = 0, may_wait = 0;
 
   for (guint i = 0; i < shares->len; i++)
     {
       const rate_share_t *share = &g_array_index (shares, rate_share_t, i);
       limit += share->limit;
       wanted += share->wanted;
-      admitted += share->wanted * share->share;
+      may_wait += share->wanted * share->share;
     }
   eventlog_write (EVENT_STATE,
                   "rate",
                   "shares",
-                  "targets=%u limit=%.1f wanted=%.1f admitted=%.1f",
+                  "targets=%u limit=%.1f wanted=%.1f may_wait=%.1f",
                   shares->len,
                   limit,
                   wanted,
-                  admitted);
+                  may_wait);
 }
 
 void
