--- a/packages/rate/rate.c
+++ b/packages/rate/rate.c
@@ -311,10 +311,8 @@
   g_free (target);
 }
 
-/* A target that was not known gets no rights to give at once: an earlier granter may have
- * given some that are still valid. */
 static fleet_target_t *
-find_or_add (rate_fleet_t *self, const name_t *target, msec_t now)
+find_or_add (rate_fleet_t *self, const name_t *target)
 {
   char *id = text_dup_c (name_text (target));
   fleet_target_t *found = g_hash_table_lookup (self->targets, id);
@@ -325,7 +323,6 @@
       return found;
     }
   found = g_new0 (fleet_target_t, 1);
-  found->tokens_at = now;
   found->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_insert (self->targets, id, found);
   return found;
@@ -337,11 +334,22 @@
   return self->limit * RATE_CEILING_MS / 1000 + RATE_CEILING_REQUESTS;
 }
 
+/* On a granter that is new, an earlier one may have given rights that are still valid. */
+static void
+start_target (const rate_fleet_t *fleet, fleet_target_t *self, msec_t now)
+{
+  if (now - fleet->since >= RATE_REPORT_MS)
+    self->tokens = unused_ceiling (self);
+  self->tokens_at = now;
+}
+
 static void
 refill (fleet_target_t *self, msec_t now)
 {
   double room = MAX (unused_ceiling (self) - self->unused, 0);
 
+  if (self->tokens_at == 0)
+    return; /* no limit is known yet */
   self->tokens += self->limit * (double)(now - self->tokens_at) / 1000;
   self->tokens = MIN (self->tokens, room);
   self->tokens_at = now;
@@ -453,10 +461,12 @@
                    msec_t now,
                    GArray *grants)
 {
+  if (self->since == 0)
+    self->since = now;
   for (guint i = 0; i < reports->len; i++)
     {
       const rate_report_t *report = &g_array_index (reports, rate_report_t, i);
-      fleet_target_t *target = find_or_add (self, &report->target, now);
+      fleet_target_t *target = find_or_add (self, &report->target);
       fleet_host_t *from = find_or_add_host (target, host);
       if (report->stated && now - report->age >= target->stated_at)
         {
@@ -464,6 +474,8 @@
           target->limit = report->limit;
           target->stated_at = now - report->age;
         }
+      if (target->tokens_at == 0 && target->limited)
+        start_target (self, target, now);
       if (reported_at <= from->reported_at)
         continue;
       update_host (target, from, report, reported_at, now);
@@ -551,6 +563,7 @@
 rate_fleet_clear (rate_fleet_t *self)
 {
   g_hash_table_remove_all (self->targets);
+  self->since = 0;
   self->was_limited = false;
 }
 
--- a/packages/rate/rate.h
+++ b/packages/rate/rate.h
@@ -140,6 +140,7 @@
 {
   GHashTable *targets; /* id to the state of one limited target */
   msec_t next_plan;
+  msec_t since;     /* of the first report; 0: none yet */
   bool was_limited; /* the last plan had shares */
 } rate_fleet_t;
 
--- a/packages/rate/tests/test_rate.c
+++ b/packages/rate/tests/test_rate.c
@@ -253,6 +253,33 @@
   rate_fleet_finish (&fleet);
 }
 
+/* A granter that has been one for as long as rights last may give all at once. */
+static void
+test_new_granter_has_no_rights_to_give (void **state)
+{
+  const rate_report_t asks = { .wanted = 100, .waiting = 100 };
+  const uint32_t ceiling = 5 * RATE_CEILING_MS / 1000 + RATE_CEILING_REQUESTS;
+  rate_fleet_t fleet;
+
+  (void)state;
+  rate_fleet_init (&fleet);
+  for (int round = 0; round < 2; round++)
+    {
+      msec_t now = START + round * 10000;
+      GArray *none = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+      name_t host;
+      name_set (&host, TEXT ("b"));
+      assert_int_equal (report_to (&fleet, TEXT ("a"), asks, now), 0);
+      rate_fleet_clear (&fleet);
+      rate_fleet_report (&fleet, &host, none, now + 1, now + 1, none);
+      assert_int_equal (report_to (&fleet, TEXT ("a"), asks, now + 1 + RATE_REPORT_MS),
+                        ceiling);
+      rate_fleet_clear (&fleet);
+      g_array_unref (none);
+    }
+  rate_fleet_finish (&fleet);
+}
+
 /* Host a asks for much, says nothing of what it got, and falls silent. */
 static void
 test_rights_of_a_silent_host_are_not_given_again (void **state)
@@ -843,6 +870,7 @@
     cmocka_unit_test (test_right_of_an_unsent_request_counts_as_held),
     cmocka_unit_test (test_unused_rights_are_returned),
     cmocka_unit_test (test_demand_of_all_hosts_counts),
+    cmocka_unit_test (test_new_granter_has_no_rights_to_give),
     cmocka_unit_test (test_rights_of_a_silent_host_are_not_given_again),
     cmocka_unit_test (test_fleet_serves_up_to_the_limit),
     cmocka_unit_test (test_nine_tenths_of_the_limit_are_used),
