A target that states in a response that it leaves gets no new requests

Targets state in all their responses that they leave. Until now a host learned it from the list of targets alone, which may be late, or go back to an older row.

The header is read in every response head, whatever the status, and also if the response fails afterwards or belongs to another request; not if another target sent it. The statement binds the host from then on, for as long as that process of the target runs: a row without the mark, a removal with a new listing, or a response without the header don't take it back. New requests go elsewhere at once; an owner gets requests for its keys until 80% of the drain time after the statement, and none later, whether these are new, queued or to be tried again.

--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -98,6 +98,13 @@
   msec_t warm_up_left; /* remaining warm-up time, as the target reports it */
 } target_entry_t;
 
+/* One process of a target; a restart under the same id is another one. */
+typedef struct
+{
+  name_t id;
+  uint64_t started_at; /* 0: unknown */
+} target_incarnation_t;
+
 /* Neighbouring keys that one load counter covers. */
 #define KEY_BUCKET_SIZE 1
 #define KEY_BUCKETS ((KEY_LAST + 1) / KEY_BUCKET_SIZE)
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -472,6 +472,9 @@
     case DISPATCH_SHARES:
       targets_set_shares (self, msg->shares, now);
       break;
+    case DISPATCH_LEAVING:
+      targets_note_leaving (self, &msg->leaving, now, out);
+      break;
     case DISPATCH_CURRENCY:
       self->outdated = msg->outdated;
       process_queues (self, now, out);
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -5,6 +5,7 @@
 #include "../rate/rate.h"
 #include "../suspect/suspect.h"
 #include "budget.h"
+#include "leaving.h"
 
 /*
  * DISPATCH: routing, queueing and retry decisions for the requests of one host.
@@ -37,6 +38,7 @@
   DISPATCH_BOUNDS,      /* new bounds take effect */
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
   DISPATCH_SHARES,      /* the granter's list of limited targets */
+  DISPATCH_LEAVING,     /* a target stated in a response that it leaves */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_STOP,  /* the process ends soon: what waits, and what arrives, is rejected */
   DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried */
@@ -88,12 +90,13 @@
   bool rate_limited;        /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
   double rate_limit;        /* DISPATCH_ANSWERED: requests per second, from all hosts */
   const GArray *shares;     /* DISPATCH_SHARES: rate_share_t */
-  dispatch_bounds_t bounds; /* DISPATCH_BOUNDS */
-  bool sent;                /* DISPATCH_FAILED: part of the request may have been sent */
-  bool connected;           /* DISPATCH_FAILED: the connection was established */
-  bool refused;             /* DISPATCH_FAILED: the connection was refused */
-  bool connection_reset;    /* DISPATCH_FAILED: a new connection was reset before any
-                               response */
+  target_incarnation_t leaving; /* DISPATCH_LEAVING */
+  dispatch_bounds_t bounds;     /* DISPATCH_BOUNDS */
+  bool sent;             /* DISPATCH_FAILED: part of the request may have been sent */
+  bool connected;        /* DISPATCH_FAILED: the connection was established */
+  bool refused;          /* DISPATCH_FAILED: the connection was refused */
+  bool connection_reset; /* DISPATCH_FAILED: a new connection was reset before any
+                            response */
 } dispatch_msg_t;
 
 typedef enum
@@ -104,6 +107,7 @@
   DISPATCH_END,     /* end the request without a response from a target */
   DISPATCH_BROADCAST_SUSPECT, /* report or clear a suspect request at all hosts */
   DISPATCH_CLOSE_IDLE, /* a target is no longer listed: close idle connections to it */
+  DISPATCH_TARGET_LEAVING, /* a target first stated that it leaves */
 } dispatch_out_kind_t;
 
 typedef enum
@@ -143,6 +147,8 @@
   dispatch_reason_t reason;
   msec_t retry_after;    /* DISPATCH_END with OUTCOME_NOT_RUN: milliseconds */
   suspect_out_t suspect; /* DISPATCH_BROADCAST_SUSPECT */
+  msec_t owner_for; /* DISPATCH_TARGET_LEAVING: for so long it still gets requests for
+                       keys that it owns */
 } dispatch_out_t;
 
 typedef enum
@@ -217,8 +223,7 @@
   bool saturated; /* the last of these requests to leave the queue was not sent in time */
   dispatch_loss_t losses[DISPATCH_LOSS_HISTORY]; /* ring buffer of the most recent ones */
   uint32_t next_loss;
-  msec_t leaving_at;    /* when this host first saw it leaving; MSEC_NEVER: not leaving */
-  msec_t leaving_since; /* the earliest time at which it can have begun to leave */
+  leaving_t leaving;
   rate_limit_t rate;
 } dispatch_target_t;
 
@@ -247,6 +252,7 @@
   GArray *current_weights; /* double per share, for smooth weighted round robin */
   GPtrArray *services;     /* dispatch_service_t */
   GPtrArray *targets; /* dispatch_target_t at stable indexes; unused entries are reused */
+  leaving_history_t left;
   suspect_t suspects;
   rng_t rng;
   bool draining; /* the process is shutting down */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -176,8 +176,8 @@
                                  .service = service,
                                  .service_time_ms = service_state->service_time_ms,
                                  .reported_at = now - DISPATCH_LOAD_REPORT_MAX_AGE_MS,
-                                 .warm_up_end = now + entry->warm_up_left,
-                                 .leaving_at = MSEC_NEVER };
+                                 .warm_up_end = now + entry->warm_up_left };
+  leaving_init (&target->leaving, &self->left, entry);
   rate_limit_init (&target->rate, (double)rng_below (&self->rng, 1000) / 1000);
   return target;
 }
@@ -252,13 +252,7 @@
         target->address_reused = false;
       target->entry = *entry;
       target->listed = true;
-      if (!entry->leaving)
-        target->leaving_at = MSEC_NEVER;
-      else if (target->leaving_at == MSEC_NEVER)
-        {
-          target->leaving_at = now;
-          target->leaving_since = now - entry->leaving_for;
-        }
+      leaving_update (&target->leaving, entry, now);
     }
   g_hash_table_unref (index);
   g_free (keys);
@@ -267,7 +261,7 @@
       dispatch_target_t *target = at (self, i);
       if (!target->in_use || target->listed)
         continue;
-      if (!target->entry.leaving)
+      if (!leaving_is_known (&target->leaving))
         losses_confirm (self, target, now, out);
       dispatch_out_t close_idle = { .kind = DISPATCH_CLOSE_IDLE, .target = i };
       g_array_append_val (out, close_idle);
@@ -278,10 +272,44 @@
 static bool
 is_available (const dispatch_target_t *target)
 {
-  return target->in_use && target->listed && !target->entry.leaving
+  return target->in_use && target->listed && !leaving_is_known (&target->leaving)
          && !target->address_reused;
 }
 
+void
+targets_note_leaving (dispatch_t *self,
+                      const target_incarnation_t *stated,
+                      msec_t now,
+                      GArray *out)
+{
+  int i = find_target (self, name_text (&stated->id), stated->started_at);
+  dispatch_target_t *target = i >= 0 ? at (self, (uint32_t)i) : NULL;
+
+  if (target == NULL
+      || !leaving_state (&target->leaving, &self->left, &target->entry, now))
+    return;
+  const msec_t until = leaving_owner_until (&target->leaving, self->bounds.drain);
+  const dispatch_out_t leaving = { .kind = DISPATCH_TARGET_LEAVING,
+                                   .target = (uint32_t)i,
+                                   .owner_for = MAX (until - now, 0) };
+  g_array_append_val (out, leaving);
+}
+
+void
+targets_report_leaving (const dispatch_t *self, GArray *reports)
+{
+  for (guint i = 0; i < self->targets->len; i++)
+    {
+      const dispatch_target_t *target = at (self, i);
+      const dispatch_service_t *service
+          = g_ptr_array_index (self->services, target->service);
+      const target_incarnation_t report = { target->entry.id, target->entry.started_at };
+      if (target->in_use && target->listed && service->keyed
+          && leaving_is_stated (&target->leaving))
+        g_array_append_val (reports, report);
+    }
+}
+
 void
 targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now)
 {
@@ -455,17 +483,6 @@
         = now + DISPATCH_OWNER_RETRY_MS;
 }
 
-/* Whether a leaving owner gets no more requests for its keys. */
-static bool
-has_left (const dispatch_t *self, const dispatch_target_t *target, msec_t now)
-{
-  const msec_t drain = self->bounds.drain;
-
-  return target->leaving_at != MSEC_NEVER
-         && (now > target->leaving_at + drain * DISPATCH_LEAVING_OWNER_PERCENT / 100
-             || now > target->leaving_since + drain * DISPATCH_LEFT_PERCENT / 100);
-}
-
 int
 targets_find_owner (dispatch_t *self,
                     dispatch_request_t *request,
@@ -489,7 +506,8 @@
   if (i < 0 || !at (self, (uint32_t)i)->listed || at (self, (uint32_t)i)->address_reused)
     return -1;
   const dispatch_target_t *target = at (self, (uint32_t)i);
-  if (now < target->backoff_until || has_left (self, target, now))
+  if (now < target->backoff_until
+      || now > leaving_owner_until (&target->leaving, self->bounds.drain))
     return -1;
   *reason = REASON_RATE_LIMIT;
   if (!is_admitted (self, request, (guint)i, now))
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -34,6 +34,18 @@
  * OUT, and reports of requests lost there unless the target was leaving. */
 void targets_update (dispatch_t *self, const GArray *entries, msec_t now, GArray *out);
 
+/* The target with incarnation STATED has stated that it leaves.  The first time, appends
+ * DISPATCH_TARGET_LEAVING to OUT.  No request is sent or ended by this: the event may
+ * come from within a response. */
+void targets_note_leaving (dispatch_t *self,
+                           const target_incarnation_t *stated,
+                           msec_t now,
+                           GArray *out);
+
+/* Appends the listed targets of keyed services that stated it (target_incarnation_t) to
+ * REPORTS. */
+void targets_report_leaving (const dispatch_t *self, GArray *reports);
+
 /* SHARES (rate_share_t) lists all targets whose rate is limited, as the granter knows. */
 void targets_set_shares (dispatch_t *self, const GArray *shares, msec_t now);
 
--- a/packages/proxy/dialect.h
+++ b/packages/proxy/dialect.h
@@ -27,6 +27,7 @@
   load_report_t load;
   bool rate_limited;   /* the target states RATE_LIMIT */
   double rate_limit;   /* requests per second that it takes from all hosts */
+  bool leaving;        /* the target states that it leaves */
   msec_t idle_timeout; /* the target's idle timeout in milliseconds; -1: none given */
 } response_facts_t;
 
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -114,6 +114,23 @@
   caller_advance (caller);
 }
 
+static void
+log_leaving (const proxy_t *self, const dispatch_out_t *out)
+{
+  const dispatch_target_t *target = dispatch_target (&self->dispatch, out->target);
+
+  eventlog_write (
+      EVENT_STATE,
+      "dispatch",
+      "target_leaving",
+      "target=%.*s service=%.*s born=%llu listed_leaving=%d owner_for_ms=%lld",
+      NAME_ARG (target->entry.id),
+      NAME_ARG (target->entry.service),
+      (unsigned long long)target->entry.started_at,
+      target->entry.leaving,
+      (long long)out->owner_for);
+}
+
 static void
 perform (proxy_t *self, const dispatch_out_t *out)
 {
@@ -142,6 +159,9 @@
     case DISPATCH_CLOSE_IDLE:
       pool_close_target (self, out->target);
       break;
+    case DISPATCH_TARGET_LEAVING:
+      log_leaving (self, out);
+      break;
     }
 }
 
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -74,6 +74,21 @@
   fail_with (self, reason, CONNECT_FAILURE_NONE);
 }
 
+/* Any response states it, whatever comes of this one; not if another target sent it. */
+static void
+note_leaving (const target_conn_t *self)
+{
+  const target_entry_t *entry
+      = &dispatch_target (&self->proxy->dispatch, self->target)->entry;
+  const dispatch_msg_t msg
+      = { .kind = DISPATCH_LEAVING, .leaving = { entry->id, entry->started_at } };
+
+  if (self->facts.leaving
+      && (self->facts.target.len == 0
+          || text_equal (self->facts.target, name_text (&entry->id))))
+    proxy_dispatch (self->proxy, &msg);
+}
+
 static bool
 on_head (void *owner)
 {
@@ -85,6 +100,7 @@
   self->keep_alive = head->keep_alive && head->has_framing;
   self->mismatched = self->exchange == NULL
                      || !text_equal (self->facts.id, name_text (&self->exchange->id));
+  note_leaving (self);
   return self->exchange == NULL || !self->exchange->no_response_body;
 }
 
