The granter moves the keys of a target that stated that it leaves

The keys of a leaving owner moved only once its row said so, which it cannot if the target does not reach the store.

Hosts name the targets of keyed services that stated it in the reports that they send to the granter anyway (a report each 0.5 s); a new granter hears it by the next ones. The responses to grants and releases are read as well, and bind the granter's own requests. For the assignment of keys such a target counts as listed as leaving, until its row names another process.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -22,8 +22,9 @@
 typedef struct
 {
   target_entry_t entry;
-  bool parsed;       /* an entry was parsed successfully */
-  bool seen;         /* during the current full read */
+  bool parsed;         /* an entry was parsed successfully */
+  bool seen;           /* during the current full read */
+  bool stated_leaving; /* this process of it stated, to any host, that it leaves */
   msec_t expires_at; /* when a target without a row is dropped; MSEC_NEVER: it has one */
 } known_target_t;
 
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -32,6 +32,14 @@
                            uint64_t after,
                            const GArray *rows);
 
+/* HOST heard TARGET state that it leaves: it is assigned no keys. */
+void discovery_note_leaving (coordinator_t *self,
+                             const target_incarnation_t *target,
+                             const name_t *host);
+
+/* The process that is listed under ID; started_at is 0 if there is none. */
+target_incarnation_t discovery_find_target (const coordinator_t *self, const name_t *id);
+
 /* The store is reachable again: reissues the feeds' calls in flight, which it may never
  * answer. */
 void discovery_restart_calls (coordinator_t *self);
--- a/packages/coordinator/deployment.h
+++ b/packages/coordinator/deployment.h
@@ -28,11 +28,15 @@
   name_t handover; /* of a grant: what the last owner returned; may be empty */
 } key_command_t;
 
-/* SENT: at least one byte may have been sent.  HANDOVER: of a release; may be empty. */
-typedef void (*command_done_t) (void *owner,
-                                command_outcome_t outcome,
-                                bool sent,
-                                text_t handover);
+typedef struct
+{
+  command_outcome_t outcome;
+  bool sent;       /* at least one byte may have been sent */
+  bool leaving;    /* the target states that it leaves */
+  text_t handover; /* of a release; may be empty */
+} command_result_t;
+
+typedef void (*command_done_t) (void *owner, const command_result_t *result);
 
 typedef struct
 {
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -13,6 +13,28 @@
     proxy_msg_free (msg);
 }
 
+/* For the assignment of keys a target that stated that it leaves counts as listed so. */
+static void
+publish_to_keys (coordinator_t *self)
+{
+  GArray *targets = g_array_new (FALSE, FALSE, sizeof (target_entry_t));
+  const keys_msg_t msg = { .kind = KEYS_TARGETS, .targets = targets };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->targets_by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const known_target_t *target = value;
+      target_entry_t entry = target->entry;
+      entry.leaving = entry.leaving || target->stated_leaving;
+      if (target->parsed)
+        g_array_append_val (targets, entry);
+    }
+  grants_handle (self, &msg);
+  g_array_unref (targets);
+}
+
 static void
 publish_targets (coordinator_t *self)
 {
@@ -27,8 +49,7 @@
       if (target->parsed)
         g_array_append_val (listed, target->entry);
     }
-  keys_msg_t to_keys = { .kind = KEYS_TARGETS, .targets = listed };
-  grants_handle (self, &to_keys);
+  publish_to_keys (self);
   proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
   msg->kind = PROXY_TARGETS;
   msg->targets = listed;
@@ -262,6 +283,8 @@
   if (entry.leaving)
     entry.leaving_for = before.leaving ? before.leaving_for : longest_since_change (self);
   target->entry = entry;
+  target->stated_leaving
+      = target->stated_leaving && entry.started_at == before.started_at;
   target->seen = true;
   target->expires_at = MSEC_NEVER;
   log_target (target, &before);
@@ -270,6 +293,41 @@
   target->parsed = true;
 }
 
+void
+discovery_note_leaving (coordinator_t *self,
+                        const target_incarnation_t *target,
+                        const name_t *host)
+{
+  char *id = text_dup_c (name_text (&target->id));
+  known_target_t *known = g_hash_table_lookup (self->targets_by_id, id);
+
+  g_free (id);
+  if (known == NULL || !known->parsed || known->stated_leaving
+      || known->entry.started_at != target->started_at)
+    return;
+  known->stated_leaving = true;
+  eventlog_write (EVENT_STATE,
+                  "targets",
+                  "stated_leaving",
+                  "target=%.*s service=%.*s born=%llu host=%.*s listed_leaving=%d",
+                  NAME_ARG (target->id),
+                  NAME_ARG (known->entry.service),
+                  (unsigned long long)target->started_at,
+                  NAME_ARG (*host),
+                  known->entry.leaving);
+  publish_to_keys (self);
+}
+
+target_incarnation_t
+discovery_find_target (const coordinator_t *self, const name_t *id)
+{
+  char *key = text_dup_c (name_text (id));
+  const known_target_t *known = g_hash_table_lookup (self->targets_by_id, key);
+
+  g_free (key);
+  return (target_incarnation_t){ *id, known != NULL ? known->entry.started_at : 0 };
+}
+
 /* Drops targets whose rows have been missing for too long, and publishes changes. */
 static void
 publish_changes (coordinator_t *self)
--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -7,6 +7,7 @@
 {
   coordinator_t *coordinator;
   keys_out_t action;
+  target_incarnation_t target;
   msec_t started;
 } pending_command_t;
 
@@ -65,22 +66,36 @@
                   (long long)(now - command->started));
 }
 
+/* A response to a command stated it: this host's requests are bound by it as well. */
 static void
-on_command_done (void *owner, command_outcome_t outcome, bool sent, text_t handover)
+note_leaving (coordinator_t *self, const target_incarnation_t *target)
+{
+  proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
+
+  msg->kind = PROXY_LEAVING;
+  msg->leaving = *target;
+  discovery_post (self, msg);
+  discovery_note_leaving (self, target, &self->settings->host);
+}
+
+static void
+on_command_done (void *owner, const command_result_t *result)
 {
   pending_command_t *command = owner;
   coordinator_t *self = command->coordinator;
+  const command_outcome_t outcome = result->outcome;
+  const target_incarnation_t target = command->target;
   bool release = command->action.kind == KEYS_RELEASE;
   keys_msg_t msg = { .service = command->action.service,
                      .call = command->action.call,
                      .release = release,
-                     .sent = sent };
+                     .sent = result->sent };
 
   switch (outcome)
     {
     case COMMAND_ACCEPTED:
       msg.kind = release ? KEYS_RELEASED : KEYS_GRANTED;
-      if (!name_set (&msg.handover, handover))
+      if (!name_set (&msg.handover, result->handover))
         msg.handover.len = 0;
       break;
     case COMMAND_SUPERSEDED:
@@ -98,12 +113,14 @@
                  outcome == COMMAND_ACCEPTED       ? "released"
                  : outcome == COMMAND_SUPERSEDED   ? "superseded"
                  : outcome == COMMAND_WRONG_TARGET ? "target_replaced"
-                 : sent                            ? "command_unanswered"
+                 : result->sent                    ? "command_unanswered"
                                                    : "command_not_sent",
                  EVENT_STATE,
                  msclock_now (&self->clock));
   g_free (command);
   grants_handle (self, &msg);
+  if (result->leaving)
+    note_leaving (self, &target);
 }
 
 static void
@@ -118,11 +135,15 @@
                          .fence = action->fence,
                          .hold = action->hold,
                          .handover = action->handover };
+  const command_result_t not_sent = { .outcome = COMMAND_FAILED };
 
-  *command = (pending_command_t){ self, *action, now };
+  *command = (pending_command_t){ self,
+                                  *action,
+                                  discovery_find_target (self, &action->target),
+                                  now };
   /* The role may have ended since the decision; no grant may be sent after that. */
   if (!call.release && now >= self->role.lease_end)
-    on_command_done (command, COMMAND_FAILED, false, TEXT_NONE);
+    on_command_done (command, &not_sent);
   else
     self->deployment->send_command (target_pool (self, &action->address),
                                     &call,
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -140,6 +140,16 @@
   update_host_count (self, g_hash_table_size (self->reporters) + 1);
 }
 
+/* LEAVING (target_incarnation_t) is what HOST reports; NULL: nothing. */
+static void
+note_leaving (coordinator_t *self, const GArray *leaving, const name_t *host)
+{
+  for (guint i = 0; leaving != NULL && i < leaving->len; i++)
+    discovery_note_leaving (self,
+                            &g_array_index (leaving, target_incarnation_t, i),
+                            host);
+}
+
 static void
 handle_report (coordinator_t *self, const link_report_t *report)
 {
@@ -165,6 +175,7 @@
   count_hosts (self, now);
   grants_handle (self, &msg);
   rate_fleet_report (&self->rates, &report->host, report->rates, now);
+  note_leaving (self, report->leaving, &report->host);
   bool wants_table = table != NULL && table->version > report->table_version
                      && (report->requests_table || report->table_version == 0
                          || now >= self->table_broadcast_at + TABLE_BROADCAST_MS);
@@ -346,6 +357,7 @@
                            &self->settings->host,
                            from->rates,
                            msclock_now (&self->clock));
+      note_leaving (self, from->leaving, &self->settings->host);
       grants_handle (self, &service_times);
       grants_handle (self, &msg);
       count_hosts (self, msclock_now (&self->clock));
@@ -364,7 +376,8 @@
                            .targets_version = self->targets.version,
                            .requests_configuration = discovery_store_unreachable (self),
                            .loads = from->key_loads,
-                           .rates = from->rates };
+                           .rates = from->rates,
+                           .leaving = from->leaving };
   peers_send (self, &self->granter, link_encode_report (&report));
 }
 
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -54,7 +54,8 @@
 read_target (text_t id, text_t bytes, target_entry_t *target, fault_t *fault)
 {
   (void)fault;
-  *target = (target_entry_t){ .leaving = text_equal (bytes, TEXT ("leaving")) };
+  *target = (target_entry_t){ .leaving = text_equal (bytes, TEXT ("leaving")),
+                              .started_at = text_equal (bytes, TEXT ("restarted")) };
   return name_set (&target->id, id) ? STATUS_OK : STATUS_DECODE;
 }
 
@@ -290,6 +291,54 @@
   teardown (&fixture);
 }
 
+/* Another host heard the process of "t" that started at STARTED_AT state that it leaves.
+ */
+static void
+hear_leaving (fixture_t *self, uint64_t started_at)
+{
+  target_incarnation_t target = { .started_at = started_at };
+  name_t host;
+
+  name_set (&target.id, TEXT ("t"));
+  name_set (&host, TEXT ("h1"));
+  discovery_note_leaving (&self->coordinator, &target, &host);
+}
+
+/* Whether "t" is assigned no keys because it is leaving. */
+static bool
+leaves_for_keys (const fixture_t *self)
+{
+  const GArray *targets = self->coordinator.keys.targets;
+
+  assert_int_equal (targets->len, 1);
+  return g_array_index (targets, target_entry_t, 0).leaving;
+}
+
+static void
+test_target_that_stated_that_it_leaves_is_assigned_no_keys (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  hear_leaving (&fixture, 7); /* a process that is not listed */
+  assert_false (leaves_for_keys (&fixture));
+  hear_leaving (&fixture, 0);
+  assert_true (leaves_for_keys (&fixture));
+  assert_false (find_target (&fixture)->entry.leaving);
+  relay (&fixture, 5, 7, "ready");
+  pass_time (&fixture, 0, 0);
+  assert_true (leaves_for_keys (&fixture));
+  relay (&fixture, 7, 8, "leaving");
+  relay (&fixture, 8, 9, "ready");
+  pass_time (&fixture, 0, 0);
+  assert_true (leaves_for_keys (&fixture));
+  relay (&fixture, 9, 10, "restarted");
+  pass_time (&fixture, 0, 0);
+  assert_false (leaves_for_keys (&fixture));
+  teardown (&fixture);
+}
+
 /* Makes the feed of configurations fail once and its next watch be suspended. */
 static void
 fail_configuration (fixture_t *self)
@@ -422,6 +471,7 @@
     cmocka_unit_test (test_watch_that_misses_a_newer_version_is_restarted_once),
     cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
     cmocka_unit_test (test_leaving_target_states_how_long_it_may_have_been_leaving),
+    cmocka_unit_test (test_target_that_stated_that_it_leaves_is_assigned_no_keys),
     cmocka_unit_test (
         test_granter_whose_watch_was_late_counts_from_its_last_confirmation),
     cmocka_unit_test (
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -9,12 +9,13 @@
  * header claims.
  */
 
-#define LINK_CODEC_VERSION 6
+#define LINK_CODEC_VERSION 7
 #define LOADS_MAX 8192
 #define RANGES_MAX 8192
 #define ROWS_MAX 8192
 #define FORWARD_MAX 1024
 #define RATES_MAX 8192
+#define LEAVING_MAX 1024
 
 /* Limits and shares are sent in thousandths, limits up to a million. */
 #define THOUSANDTHS 1000
@@ -79,6 +80,21 @@
     }
 }
 
+static void
+pack_leaving (msgpack_packer *packer, const GArray *leaving)
+{
+  guint n = leaving != NULL ? MIN (leaving->len, LEAVING_MAX) : 0;
+
+  msgpack_pack_uint32 (packer, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const target_incarnation_t *target
+          = &g_array_index (leaving, target_incarnation_t, i);
+      pack_name (packer, &target->id);
+      msgpack_pack_uint64 (packer, target->started_at);
+    }
+}
+
 GByteArray *
 link_encode_report (const link_report_t *report)
 {
@@ -104,6 +120,7 @@
       msgpack_pack_uint32 (&packer, load->count);
     }
   pack_rates (&packer, report->rates);
+  pack_leaving (&packer, report->leaving);
   return bytes;
 }
 
@@ -303,6 +320,19 @@
     }
 }
 
+static void
+read_leaving (reader_t *self, link_report_t *report)
+{
+  report->leaving = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t));
+  for (uint64_t n = read_uint (self, LEAVING_MAX); n > 0 && self->ok; n--)
+    {
+      target_incarnation_t target = { 0 };
+      read_name (self, &target.id);
+      target.started_at = read_uint (self, UINT64_MAX);
+      g_array_append_val (report->leaving, target);
+    }
+}
+
 static void
 read_shares (reader_t *self, link_shares_t *shares)
 {
@@ -340,6 +370,7 @@
       g_array_append_val (report->loads, load);
     }
   read_rates (self, report);
+  read_leaving (self, report);
 }
 
 static void
@@ -480,6 +511,8 @@
     g_array_unref (self->report.loads);
   if (self->report.rates != NULL)
     g_array_unref (self->report.rates);
+  if (self->report.leaving != NULL)
+    g_array_unref (self->report.leaving);
   if (self->shares.shares != NULL)
     g_array_unref (self->shares.shares);
   if (self->rows.rows != NULL)
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -29,6 +29,7 @@
   bool requests_configuration; /* it gets no response from the store, and needs the row */
   GArray *loads;               /* key_load_t */
   GArray *rates;               /* rate_report_t */
+  GArray *leaving; /* target_incarnation_t: targets that stated that they leave */
 } link_report_t;
 
 /* The granter's list of all targets whose rate is limited. */
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -30,6 +30,10 @@
                          .wanted_lately = 0.25 };
   name_set (&rate.target, TEXT ("t"));
   g_array_append_val (report.rates, rate);
+  report.leaving = g_array_new (FALSE, TRUE, sizeof (target_incarnation_t));
+  target_incarnation_t leaving = { .started_at = 1700000000123 };
+  name_set (&leaving.id, TEXT ("t"));
+  g_array_append_val (report.leaving, leaving);
   g_array_append_vals (report.loads, loads, G_N_ELEMENTS (loads));
   return report;
 }
@@ -96,6 +100,10 @@
   assert_memory_equal (msg.report.rates->data,
                        report.rates->data,
                        sizeof (rate_report_t));
+  assert_int_equal (msg.report.leaving->len, 1);
+  assert_memory_equal (msg.report.leaving->data,
+                       report.leaving->data,
+                       sizeof (target_incarnation_t));
   assert_int_equal (msg.report.table_version, 9);
   assert_int_equal (msg.report.targets_version, 12);
   assert_int_equal (msg.report.link_mbps, 200);
@@ -107,6 +115,7 @@
   g_byte_array_unref (bytes);
   g_array_unref (report.loads);
   g_array_unref (report.rates);
+  g_array_unref (report.leaving);
 }
 
 static void
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -338,6 +338,11 @@
       dispatch_msg.suspect = msg->suspect;
       proxy_dispatch (self, &dispatch_msg);
       break;
+    case PROXY_LEAVING:
+      dispatch_msg.kind = DISPATCH_LEAVING;
+      dispatch_msg.leaving = msg->leaving;
+      proxy_dispatch (self, &dispatch_msg);
+      break;
     case PROXY_DRAIN:
       start_draining (self);
       break;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -28,6 +28,7 @@
   PROXY_SHARES,     /* targets whose rate is limited; takes ownership of SHARES */
   PROXY_CURRENCY,   /* OUTDATED: requests are rejected until further notice */
   PROXY_SUSPECT,    /* another host reports or clears a suspect request */
+  PROXY_LEAVING,    /* a target stated to this host's coordinator that it leaves */
   PROXY_DRAIN,      /* shut down gracefully, within the grace period */
 } proxy_msg_kind_t;
 
@@ -42,6 +43,7 @@
   GArray *shares; /* rate_share_t */
   bool outdated;
   suspect_out_t suspect;
+  target_incarnation_t leaving;
   msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
 } proxy_msg_t;
 
@@ -85,6 +87,9 @@
   GArray *key_loads;     /* key_load_t since the last report; owned by the report */
   GArray *service_times; /* target_service_time_t; owned by the report */
   GArray *rates;         /* rate_report_t; owned by the report; NULL: none */
+  /* target_incarnation_t: targets of keyed services that stated that they leave; owned by
+   * the report; NULL: none. */
+  GArray *leaving;
 } proxy_report_t;
 
 typedef struct caller caller_t;
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -74,6 +74,15 @@
   return rates;
 }
 
+static GArray *
+list_leaving (const proxy_t *self)
+{
+  GArray *leaving = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t));
+
+  targets_report_leaving (&self->dispatch, leaving);
+  return leaving;
+}
+
 void
 proxy_report_free (void *item)
 {
@@ -85,6 +94,8 @@
     g_array_unref (report->service_times);
   if (report->rates != NULL)
     g_array_unref (report->rates);
+  if (report->leaving != NULL)
+    g_array_unref (report->leaving);
   g_free (report);
 }
 
@@ -131,7 +142,10 @@
       report->key_loads = take_key_loads (service);
       report->service_times = list_service_times (self, i);
       if (!posted)
-        report->rates = take_rates (self);
+        {
+          report->rates = take_rates (self);
+          report->leaving = list_leaving (self);
+        }
       post_report (self, report);
       posted = true;
     }
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -311,10 +311,11 @@
       if (event->kind == EVENT_STORE_RESPONSE)
         event->done (event->owner, &event->reply);
       else
-        event->command_done (g_steal_pointer (&event->owner),
-                             event->outcome,
-                             true,
-                             TEXT ("warm"));
+        {
+          const command_result_t result
+              = { .outcome = event->outcome, .sent = true, .handover = TEXT ("warm") };
+          event->command_done (g_steal_pointer (&event->owner), &result);
+        }
       break;
     }
 }
