--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -311,6 +311,7 @@
         self.cut_at, self.cut_resets, self.cut_framing = 0, False, "length"
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
+        self.leaving = False  # whether its responses state that it leaves
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -376,7 +377,7 @@
         if path.endswith("grant"):
             self.grants = [grant for grant in self.grants if grant[:3] != granted]
             self.grants.append((*granted, time.monotonic() + call["hold_ms"] / 1000))
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            return b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n" % self._leaving_line()
         remaining = []
         for first, last, fence, until in self.grants:
             if first < call["from"]:
@@ -384,7 +385,13 @@
             if last > call["to"]:
                 remaining.append((max(first, call["to"] + 1), last, fence, until))
         self.grants = remaining
-        return b"HTTP/1.1 200 OK\r\nHandover: warm\r\nContent-Length: 0\r\n\r\n"
+        return (
+            b"HTTP/1.1 200 OK\r\nHandover: warm\r\n%sContent-Length: 0\r\n\r\n"
+            % self._leaving_line()
+        )
+
+    def _leaving_line(self):
+        return b"Server-Leaving: 1\r\n" if self.leaving else b""
 
     def _handle_request(self, sock, start, headers, body):
         method, path, _ = start.split(" ")
@@ -395,16 +402,16 @@
         if headers.get("target-instance") != self.name:
             sock.sendall(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
-                b"Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                % (self.name.encode(), request_id.encode())
+                b"Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+                % (self.name.encode(), request_id.encode(), self._leaving_line())
             )
             return True
         key = headers.get("shard-key")
         if self.service == "keyed" and (key is None or not self.holds_key(int(key))):
             sock.sendall(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
-                b"Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                % (self.name.encode(), request_id.encode())
+                b"Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+                % (self.name.encode(), request_id.encode(), self._leaving_line())
             )
             return True
         name = path.rsplit("/", 1)[-1]
@@ -419,6 +426,8 @@
         lines += ["%s: %s" % (k.replace("_", "-"), v) for k, v in more.items()]
         if self.limit is not None:
             lines.append("Server-Limit: %.1f" % self.limit)
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         return ("\r\n".join(lines) + "\r\n").encode()
 
     def _ok_response(self, request_id, body=b"hello"):
