The soak checks that targets get no requests after they state that they leave

A request that a caller sent later than the drain time after a host had passed on such a response, and that reaches the target from the same process of that host, is a violation of DRAIN, whatever other faults there are; only a freeze of the host since then excuses it.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,8 @@
 MANY_ROUTES = 3000  # a configuration of some 300 KB
 LIMIT_WINDOW_MS = 4000
 LIMIT_TOLD_MS = 500  # a host counts this long after it passed on the first limit
+# How a target leaves; each life of a target in another way.
+LEAVES_BY = ("row", "both", "header")
 # The time limits of some checks hold during these.
 OPERATIONS = ("stop_router", "reload", "add_route", "drain_target", "add_routes_in_series",
               "add_many_routes", "signals_in_series", "limit_target", "slow_store_link")
@@ -79,6 +81,15 @@
         with self.lock:
             self.spans[span][2] = now_ms()
 
+    def affected(self, what, host, first, last):
+        """Whether the fault WHAT was in effect on HOST between FIRST and LAST."""
+        with self.lock:
+            return any(
+                name == what and only_host in (None, host)
+                and begun <= last and (ended or 1e18) >= first
+                for name, begun, ended, only_host in self.spans
+            )
+
     def is_quiet(self, host, first, last, ignored=()):
         """Whether no fault affected HOST from QUIET_MS before FIRST until LAST."""
         with self.lock:
@@ -102,11 +113,14 @@
         self.process = subprocess.Popen(
             [sys.executable, os.path.join(HERE, "target_process.py"), str(self.soak.store_port),
              self.name, self.service, "127.0.0.1:%d" % self.proxy.port, str(self.port),
-             self.log_path],
+             self.log_path, self._leaves_by()],
             stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
         self.lifetimes.append([now_ms(), None])
         threading.Thread(target=self._listen, args=(self.process,), daemon=True).start()
 
+    def _leaves_by(self):
+        return LEAVES_BY[(int(self.name[1:]) + len(self.lifetimes)) % len(LEAVES_BY)]
+
     def _listen(self, process):
         for line in process.stdout:
             if line.startswith("announced"):
@@ -449,6 +463,7 @@
         self.check_fences(lines)
         self.check_holds(lines)
         self.check_drains(lines)
+        statements = self.check_statements(lines)
         self.check_configurations()
         self.check_limits(lines)
         late = [r for r in self.results if r[5] > recovered_by and r[1] != "added"]
@@ -456,9 +471,9 @@
         if not late or served < 0.9 * len(late):
             self.report("RECOVER", "%d of %d served %d ms after the last fault"
                         % (served, len(late), recovered_by - last_fault_end))
-        self.summary = "%d requests, %d served, %d executions" % (
+        self.summary = "%d requests, %d served, %d executions, %s" % (
             len(self.results), sum(r[7] == 200 for r in self.results),
-            sum(len(r) for r in executions.values()))
+            sum(len(r) for r in executions.values()), statements)
 
     def check_requests(self, executions):
         for request_id, kind, _path, i, _started_at, begun, ended, status, _reused in self.results:
@@ -523,6 +538,39 @@
                                 target.name, line["id"], hosts[line["id"]],
                                 line["ms"] - announced))
 
+    def check_statements(self, lines):
+        """A request that a caller sent later than DRAIN_MAX_MS after a host had passed on a response
+        which states that the target leaves doesn't reach that target from that host, whatever other
+        faults there are; a restart or a freeze of the host since then excuses it."""
+        results = {result[0]: result for result in self.results}
+        told_hosts = early = late = 0
+        for target in self.targets:
+            told = {}  # when a process of a host had passed on the first such response
+            since = 0
+            for line in (line for line in lines if line["target"] == target.name):
+                if any(since < begun <= line["ms"] for begun, _end in target.lifetimes):
+                    told = {}
+                since = line["ms"]
+                result = results.get(line.get("told") or line.get("id"))
+                if result is None:
+                    continue
+                host, started_at, begun, ended, status = result[3:8]
+                if "told" in line and status == 200 and (host, started_at) not in told:
+                    told[host, started_at] = ended
+                    told_hosts += 1
+                if "id" not in line or begun <= told.get((host, started_at), 1e18):
+                    continue
+                passed_on = told[host, started_at]
+                if begun <= passed_on + DRAIN_MAX_MS:
+                    early += 1
+                elif not self.fault_log.affected("freeze_router", host, passed_on, line["ms"]):
+                    late += 1
+                    self.report("DRAIN", "%s got %s from h%d, sent %d ms after it stated to that "
+                                "host that it leaves" % (
+                                    target.name, line["id"], host, begun - passed_on))
+        return "%d hosts told by leaving targets, %d requests after that, %d later than allowed" % (
+            told_hosts, early + late, late)
+
     def check_limits(self, lines):
         """In any LIMIT_WINDOW_MS, from QUIET_MS after a target first stated its limit, it gets at
         most one and a half times what that allows and 5 requests from hosts that it had told."""
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -1,10 +1,12 @@
 """An emulated target in its own process.
 
 Arguments: the store's port, the target's name, its service, the address that it announces,
-the port that it listens on, and a log file. The log has a JSON line for each grant, release
+the port that it listens on, a log file, and how it leaves: "row" (its row says so), "header" (its
+responses do) or "both". The log has a JSON line for each grant, release
 and started request; a request's line has the time (ms of the monotonic clock, which all
 processes share), the request's id, its key and the fence under which the target holds the
-key. On SIGUSR1 the target announces that it is draining; on SIGUSR2 its responses state a limit
+key. A line with "told" is written after a response that states that the target leaves, to the
+request of that id. On SIGUSR1 the target begins to leave; on SIGUSR2 its responses state a limit
 of LIMIT requests per second, or no longer do so.
 """
 
@@ -94,15 +96,24 @@
                 return True
             self._write(id=request_id, key=key, fence=fence)
         time.sleep(random.uniform(0.005, 0.03))
+        leaving = self.leaving
         sock.sendall(self._ok_response(request_id, (request_id + ":" + "x" * 200).encode()))
+        if leaving:
+            with self.lock:
+                self._write(told=request_id)
         return True
 
 
 def main():
-    store_port, name, service, address, own_port, log = sys.argv[1:]
+    store_port, name, service, address, own_port, log, leaves_by = sys.argv[1:]
     target = SoakTarget(RemoteStore(store_port), name, service, address, int(own_port), log)
     state = ["ready"]
-    signal.signal(signal.SIGUSR1, lambda *args: state.__setitem__(0, "draining"))
+
+    def leave(*_args):
+        target.leaving = leaves_by != "row"
+        if leaves_by != "header":
+            state[0] = "draining"
+    signal.signal(signal.SIGUSR1, leave)
     toggles = [0]
     signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
     print("ready", flush=True)
