Process test of each way in which the granter hears that an owner leaves

One owner states it in responses to a host that isn't the granter, and in none to a grant; the next one in responses to grants alone. The earlier case covered both at once, so that neither was tested by itself.

--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -312,6 +312,7 @@
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
         self.leaving = False  # whether its responses state that it leaves
+        self.leaving_in_commands = True  # also those to grants and releases
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -377,7 +378,7 @@
         if path.endswith("grant"):
             self.grants = [grant for grant in self.grants if grant[:3] != granted]
             self.grants.append((*granted, time.monotonic() + call["hold_ms"] / 1000))
-            return b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n" % self._leaving_line()
+            return b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n" % self._leaving_line(True)
         remaining = []
         for first, last, fence, until in self.grants:
             if first < call["from"]:
@@ -387,11 +388,12 @@
         self.grants = remaining
         return (
             b"HTTP/1.1 200 OK\r\nHandover: warm\r\n%sContent-Length: 0\r\n\r\n"
-            % self._leaving_line()
+            % self._leaving_line(True)
         )
 
-    def _leaving_line(self):
-        return b"Server-Leaving: 1\r\n" if self.leaving else b""
+    def _leaving_line(self, to_command=False):
+        stated = self.leaving and (self.leaving_in_commands or not to_command)
+        return b"Server-Leaving: 1\r\n" if stated else b""
 
     def _handle_request(self, sock, start, headers, body):
         method, path, _ = start.split(" ")
