--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -181,6 +181,8 @@
  * begun to leave.  The rest is for requests on their way. */
 #define DISPATCH_LEAVING_OWNER_PERCENT 25
 #define DISPATCH_LEFT_PERCENT 80
+/* Statements of targets that they leave, remembered over a removal from the list. */
+#define DISPATCH_LEAVING_HISTORY 64
 /* Interrupted requests remembered per target: several run at the same time. */
 #define DISPATCH_LOSS_HISTORY 8
 /* The end of a target is known within this: its entry expires, or it has restarted. */
--- a/packages/dispatch/leaving.c
+++ b/packages/dispatch/leaving.c
@@ -1,7 +1,5 @@
 #include "leaving.h"
 
-#include "../core/limits.h"
-
 static bool
 is_same (const target_incarnation_t *target, const target_entry_t *entry)
 {
@@ -15,7 +13,7 @@
 {
   *self = (leaving_t){ .listed_at = MSEC_NEVER, .stated_at = MSEC_NEVER };
   /* Without a start time, a new process can't be told from the one that stated it. */
-  for (uint32_t i = 0; i < MIN (history->n, LEAVING_HISTORY); i++)
+  for (uint32_t i = 0; i < MIN (history->n, DISPATCH_LEAVING_HISTORY); i++)
     if (entry->started_at != 0 && is_same (&history->statements[i].target, entry))
       self->stated_at = history->statements[i].stated_at;
 }
@@ -41,7 +39,7 @@
   if (leaving_is_stated (self))
     return false;
   self->stated_at = now;
-  history->statements[history->n++ % LEAVING_HISTORY]
+  history->statements[history->n++ % DISPATCH_LEAVING_HISTORY]
       = (leaving_statement_t){ { entry->id, entry->started_at }, now };
   return true;
 }
--- a/packages/dispatch/leaving.h
+++ b/packages/dispatch/leaving.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../core/limits.h"
 #include "../directory/directory.h"
 
 /*
@@ -12,13 +13,10 @@
  * Decision logic without I/O.  Times are in ms on one clock.
  */
 
-/* Statements kept for targets that are removed from the list and listed again. */
-#define LEAVING_HISTORY 64
-
 typedef struct
 {
-  msec_t listed_at;    /* when this host first saw it listed as leaving; MSEC_NEVER: it is
-                          not    listed so */
+  /* When this host first saw it listed as leaving; MSEC_NEVER: it is not listed so. */
+  msec_t listed_at;
   msec_t listed_since; /* the earliest time at which it can have begun to leave */
   msec_t stated_at;    /* its first response that stated it; MSEC_NEVER: none has */
 } leaving_t;
@@ -29,10 +27,11 @@
   msec_t stated_at;
 } leaving_statement_t;
 
-/* Ring buffer of the most recent statements. */
+/* Ring buffer of the most recent statements, for targets that are removed from the list
+ * and listed again. */
 typedef struct
 {
-  leaving_statement_t statements[LEAVING_HISTORY];
+  leaving_statement_t statements[DISPATCH_LEAVING_HISTORY];
   uint32_t n; /* statements so far */
 } leaving_history_t;
 
--- a/packages/dispatch/tests/test_leaving.c
+++ b/packages/dispatch/tests/test_leaving.c
@@ -303,7 +303,7 @@
 
   (void)state;
   name_set (&target.id, TEXT ("t"));
-  for (uint64_t i = 0; i <= LEAVING_HISTORY; i++)
+  for (uint64_t i = 0; i <= DISPATCH_LEAVING_HISTORY; i++)
     {
       target.started_at = i;
       leaving_init (&leaving, &history, &target);
@@ -315,7 +315,7 @@
   target.started_at = 1;
   leaving_init (&leaving, &history, &target);
   assert_true (leaving_is_known (&leaving));
-  target.started_at = LEAVING_HISTORY + 1;
+  target.started_at = DISPATCH_LEAVING_HISTORY + 1;
   assert_true (
       leaving_state (&(leaving_t){ MSEC_NEVER, 0, MSEC_NEVER }, &history, &target, 1));
   target.started_at = 1;
