--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -74,7 +74,11 @@
   if (current->slow)
     msclock_set (&current->coordinator.clock, current->coordinator.role.lease_end);
   current->slow = false;
-  done (owner, COMMAND_ACCEPTED, true, command->release ? TEXT ("warm") : TEXT_NONE);
+  const command_result_t result
+      = { .outcome = COMMAND_ACCEPTED,
+          .sent = true,
+          .handover = command->release ? TEXT ("warm") : TEXT_NONE };
+  done (owner, &result);
 }
 
 static const deployment_ops_t deployment = { .send_command = send_command };
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -494,6 +494,9 @@
       targets_add_grants (self, msg->grants, msg->rates_at, now);
       process_queues (self, now, out);
       break;
+    case DISPATCH_LEAVING:
+      targets_note_leaving (self, &msg->leaving, now, out);
+      break;
     case DISPATCH_CURRENCY:
       self->outdated = msg->outdated;
       process_queues (self, now, out);
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -5,6 +5,7 @@
 #include "../rate/rate.h"
 #include "../suspect/suspect.h"
 #include "budget.h"
+#include "leaving.h"
 
 /*
  * DISPATCH: routing, queueing and retry decisions for the requests of one host.
@@ -39,6 +40,7 @@
   DISPATCH_SUSPECT,     /* another host reports or clears a suspect request */
   DISPATCH_SHARES,      /* the granter's list of limited targets */
   DISPATCH_GRANTS,      /* rights to send to limited targets */
+  DISPATCH_LEAVING,     /* a target stated in a response that it leaves */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_STOP,  /* the process ends soon: what waits, and what arrives, is rejected */
   DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried, and
@@ -94,12 +96,13 @@
   msec_t answers_until;     /* DISPATCH_DRAIN */
   const GArray *grants;     /* DISPATCH_GRANTS: rate_grant_t */
   msec_t rates_at;          /* DISPATCH_GRANTS: of the report that they answer */
-  dispatch_bounds_t bounds; /* DISPATCH_BOUNDS */
-  bool sent;                /* DISPATCH_FAILED: part of the request may have been sent */
-  bool connected;           /* DISPATCH_FAILED: the connection was established */
-  bool refused;             /* DISPATCH_FAILED: the connection was refused */
-  bool connection_reset;    /* DISPATCH_FAILED: a new connection was reset before any
-                               response */
+  target_incarnation_t leaving; /* DISPATCH_LEAVING */
+  dispatch_bounds_t bounds;     /* DISPATCH_BOUNDS */
+  bool sent;             /* DISPATCH_FAILED: part of the request may have been sent */
+  bool connected;        /* DISPATCH_FAILED: the connection was established */
+  bool refused;          /* DISPATCH_FAILED: the connection was refused */
+  bool connection_reset; /* DISPATCH_FAILED: a new connection was reset before any
+                            response */
 } dispatch_msg_t;
 
 typedef enum
@@ -110,6 +113,7 @@
   DISPATCH_END,     /* end the request without a response from a target */
   DISPATCH_BROADCAST_SUSPECT, /* report or clear a suspect request at all hosts */
   DISPATCH_CLOSE_IDLE, /* a target is no longer listed: close idle connections to it */
+  DISPATCH_TARGET_LEAVING, /* a target first stated that it leaves */
 } dispatch_out_kind_t;
 
 typedef enum
@@ -151,6 +155,8 @@
   dispatch_reason_t reason;
   msec_t retry_after;    /* DISPATCH_END with OUTCOME_NOT_RUN: milliseconds */
   suspect_out_t suspect; /* DISPATCH_BROADCAST_SUSPECT */
+  msec_t owner_for; /* DISPATCH_TARGET_LEAVING: for so long it still gets requests for
+                       keys that it owns */
 } dispatch_out_t;
 
 typedef enum
@@ -227,8 +233,7 @@
   bool saturated; /* the last of these requests to leave the queue was not sent in time */
   dispatch_loss_t losses[DISPATCH_LOSS_HISTORY]; /* ring buffer of the most recent ones */
   uint32_t next_loss;
-  msec_t leaving_at;    /* when this host first saw it leaving; MSEC_NEVER: not leaving */
-  msec_t leaving_since; /* the earliest time at which it can have begun to leave */
+  leaving_t leaving;
   rate_limit_t rate;
 } dispatch_target_t;
 
@@ -257,6 +262,7 @@
   GArray *current_weights; /* double per share, for smooth weighted round robin */
   GPtrArray *services;     /* dispatch_service_t */
   GPtrArray *targets; /* dispatch_target_t at stable indexes; unused entries are reused */
+  leaving_history_t left;
   suspect_t suspects;
   rng_t rng;
   bool draining;     /* the process is shutting down */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -123,6 +123,23 @@
   caller_advance (caller);
 }
 
+static void
+log_leaving (const proxy_t *self, const dispatch_out_t *out)
+{
+  const dispatch_target_t *target = dispatch_target (&self->dispatch, out->target);
+
+  eventlog_write (
+      EVENT_STATE,
+      "dispatch",
+      "target_leaving",
+      "target=%.*s service=%.*s born=%llu listed_leaving=%d owner_for_ms=%lld",
+      NAME_ARG (target->entry.id),
+      NAME_ARG (target->entry.service),
+      (unsigned long long)target->entry.started_at,
+      target->entry.leaving,
+      (long long)out->owner_for);
+}
+
 static void
 perform (proxy_t *self, const dispatch_out_t *out)
 {
@@ -151,6 +168,9 @@
     case DISPATCH_CLOSE_IDLE:
       pool_close_target (self, out->target);
       break;
+    case DISPATCH_TARGET_LEAVING:
+      log_leaving (self, out);
+      break;
     }
 }
 
@@ -337,6 +357,11 @@
       dispatch_msg.suspect = msg->suspect;
       proxy_dispatch (self, &dispatch_msg);
       break;
+    case PROXY_LEAVING:
+      dispatch_msg.kind = DISPATCH_LEAVING;
+      dispatch_msg.leaving = msg->leaving;
+      proxy_dispatch (self, &dispatch_msg);
+      break;
     case PROXY_DRAIN:
       start_draining (self);
       break;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -29,6 +29,7 @@
   PROXY_GRANTS,     /* the reply to its rates of RATES_AT; takes ownership of GRANTS */
   PROXY_CURRENCY,   /* OUTDATED: requests are rejected until further notice */
   PROXY_SUSPECT,    /* another host reports or clears a suspect request */
+  PROXY_LEAVING,    /* a target stated to this host's coordinator that it leaves */
   PROXY_DRAIN,      /* shut down gracefully, within the grace period */
 } proxy_msg_kind_t;
 
@@ -45,6 +46,7 @@
   msec_t rates_at;
   bool outdated;
   suspect_out_t suspect;
+  target_incarnation_t leaving;
   msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
 } proxy_msg_t;
 
@@ -89,6 +91,9 @@
   GArray *service_times; /* target_service_time_t; owned by the report */
   GArray *rates;         /* rate_report_t; owned by the report; NULL: none */
   msec_t rates_at;       /* when RATES was made, on the proxy's clock */
+  /* target_incarnation_t: targets of keyed services that stated that they leave; owned by
+   * the report; NULL: none. */
+  GArray *leaving;
 } proxy_report_t;
 
 typedef struct caller caller_t;
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -73,6 +73,15 @@
   targets_report_rates (&self->dispatch, report->rates_at, report->rates);
 }
 
+static GArray *
+list_leaving (const proxy_t *self)
+{
+  GArray *leaving = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t));
+
+  targets_report_leaving (&self->dispatch, leaving);
+  return leaving;
+}
+
 void
 proxy_report_free (void *item)
 {
@@ -84,6 +93,8 @@
     g_array_unref (report->service_times);
   if (report->rates != NULL)
     g_array_unref (report->rates);
+  if (report->leaving != NULL)
+    g_array_unref (report->leaving);
   g_free (report);
 }
 
@@ -130,7 +141,10 @@
       report->key_loads = take_key_loads (service);
       report->service_times = list_service_times (self, i);
       if (!posted)
-        add_rates (self, report);
+        {
+          add_rates (self, report);
+          report->leaving = list_leaving (self);
+        }
       post_report (self, report);
       posted = true;
     }
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -316,6 +316,8 @@
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
         self.work_s = 0.6
+        self.leaving = False  # whether its responses state that it leaves
+        self.leaving_in_commands = True  # also those to grants and releases
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -391,7 +393,7 @@
         if path.endswith("grant"):
             self.grants = [grant for grant in self.grants if grant[:3] != granted]
             self.grants.append((*granted, time.monotonic() + call["hold_ms"] / 1000))
-            return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            return b"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n" % self._leaving_line(True)
         remaining = []
         for first, last, fence, until in self.grants:
             if first < call["from"]:
@@ -399,7 +401,14 @@
             if last > call["to"]:
                 remaining.append((max(first, call["to"] + 1), last, fence, until))
         self.grants = remaining
-        return b"HTTP/1.1 200 OK\r\nHandover: warm\r\nContent-Length: 0\r\n\r\n"
+        return (
+            b"HTTP/1.1 200 OK\r\nHandover: warm\r\n%sContent-Length: 0\r\n\r\n"
+            % self._leaving_line(True)
+        )
+
+    def _leaving_line(self, to_command=False):
+        stated = self.leaving and (self.leaving_in_commands or not to_command)
+        return b"Server-Leaving: 1\r\n" if stated else b""
 
     def _handle_request(self, sock, start, headers, body):
         method, path, _ = start.split(" ")
@@ -410,16 +419,16 @@
         if headers.get("target-instance") != self.name:
             sock.sendall(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
-                b"Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                % (self.name.encode(), request_id.encode())
+                b"Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+                % (self.name.encode(), request_id.encode(), self._leaving_line())
             )
             return True
         key = headers.get("shard-key")
         if self.service == "keyed" and (key is None or not self.holds_key(int(key))):
             sock.sendall(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
-                b"Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                % (self.name.encode(), request_id.encode())
+                b"Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+                % (self.name.encode(), request_id.encode(), self._leaving_line())
             )
             return True
         name = path.rsplit("/", 1)[-1]
@@ -434,6 +443,8 @@
         lines += ["%s: %s" % (k.replace("_", "-"), v) for k, v in more.items()]
         if self.limit is not None:
             lines.append("Server-Limit: %.1f" % self.limit)
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         return ("\r\n".join(lines) + "\r\n").encode()
 
     def _ok_response(self, request_id, body=b"hello"):
