A target that asks for no requests for a time gets none until it is over

Cause: a target may add Retry-After to a 503 that was not run, and then wants nothing from this host for so long. The header was not read: the target's next request went there as soon as its load seemed to allow it.

Change: - pauses: for how long one target is left alone (the latest end of all that it stated, an hour at most), and the return: one request, and one more at a time for each answer to a request sent since. It belongs to the incarnation, and outlives a missing entry. - admission: pauses, the back-off of owners, rate limits, connection shares and capacity are one decision, asked for each candidate; the selection of targets no longer knows them. - Requests that no target takes, and those that wait for a paused owner, are rejected at once with reason=paused. Their Retry-After is the earliest end of a pause, spread over half of that time more. - A pause is neither an error of the target nor a sign of other hosts' load. - retry_after: whole and fractional seconds and the three forms of an HTTP date. Unreadable values count as none, absurdly large ones as an hour, of several the longest counts; each has a line in the log (odd_retry_after). - Lines paused and resumed, once for a target and once for a service, and two counters.

Ruled out: counting the requests that are there when the pause ends in the limit of the return: a long download would keep the host away.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -173,6 +173,13 @@
 /* Times the expected time: an answer that is later counts as lost. */
 #define DISPATCH_OVERDUE_FACTOR 4
 #define DISPATCH_RETRY_AFTER_MIN_MS 100 /* the targets' load doesn't change sooner */
+/* The longest time for which a target is left alone because it said so; then one request
+ * is tried. */
+#define DISPATCH_PAUSE_MAX_MS (60 * 60 * 1000)
+/* Of the time until a target takes requests again, added to it at random for each caller:
+ * the targets take a few at first. */
+#define DISPATCH_PAUSE_SPREAD_PERCENT 50
+#define DISPATCH_PAUSE_SPREAD_MAX_MS 5000
 /* A target answers by its deadline; the answer may take this long to arrive. */
 #define DISPATCH_ANSWER_TRANSIT_MS 40
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -1,5 +1,6 @@
 #include "dispatch.h"
 
+#include "admission.h"
 #include "dispatch_parts.h"
 #include "losses.h"
 #include "retries.h"
@@ -30,7 +31,8 @@
 
   g_assert (request->state == REQUEST_SENT && target->in_flight > 0);
   target->in_flight--;
-  if (target->in_flight == 0 && !target->listed)
+  pause_released (&target->pause, request->sent_at);
+  if (target->in_flight == 0 && !target->listed && target->pause.since == 0)
     target->in_use = false;
 }
 
@@ -51,8 +53,11 @@
     ended.outcome = OUTCOME_NO_ROUTE;
   else if (request->executions == 0)
     {
+      /* Unless it was sent, or found all targets paused, it may have no service yet. */
+      bool has_service = request->attempts > 0 || reason == REASON_PAUSED;
+      msec_t earliest = has_service ? targets_next (self, request, now) : now;
       ended.outcome = OUTCOME_NOT_RUN;
-      ended.retry_after = waits_retry_after (self, request, now);
+      ended.retry_after = waits_retry_after (self, request, earliest, now);
     }
   else
     ended.outcome = reason == REASON_DEADLINE ? OUTCOME_TIMED_OUT : OUTCOME_UNKNOWN;
@@ -96,6 +101,7 @@
   to->in_flight++;
   request->load_at_send = target_load (to, now);
   request->timer_at = waits_next_check (self, request, now);
+  admission_sent (self, target, now, out);
   dispatch_out_t out_send = { .kind = DISPATCH_SEND,
                               .request = request,
                               .target = target,
@@ -140,6 +146,11 @@
     send (self, request, (uint32_t)target, now, out);
   else if (target >= 0)
     end (self, request, REASON_RETRY_BUDGET, now, out);
+  else if (reason == REASON_PAUSED)
+    {
+      admission_rejected (self, request, now, out);
+      end (self, request, reason, now, out);
+    }
   else if (reason == REASON_RATE_LIMIT || waits_owner_saturated (self, request, owner)
            || waits_cannot_finish (self, request, now))
     end (self, request, reason, now, out);
@@ -305,6 +316,7 @@
 
   release_target (self, request);
   target_answered (target, request, msg, now);
+  admission_answered (self, msg, now, out);
   if (msg->answer == ANSWER_RUN)
     {
       dispatch_service_t *service_state = service_at (self, service);
@@ -318,13 +330,15 @@
     }
   else
     {
+      /* The owner is known to take no request after the delay either. */
+      bool delayed = request->keyed && !pause_is_active (&target->pause, now);
       request->executions--;
       if (msg->answer == ANSWER_NOT_OWNER && request->keyed)
         targets_note_not_owner (self, request, now);
       retry (self,
              request,
              msg->answer == ANSWER_FULL ? REASON_OVERLOAD : REASON_NO_OWNER,
-             request->keyed ? now + retries_delay (self, request) : now,
+             delayed ? now + retries_delay (self, request) : now,
              now,
              out);
     }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -5,6 +5,7 @@
 #include "../rate/rate.h"
 #include "../suspect/suspect.h"
 #include "budget.h"
+#include "pauses.h"
 
 /*
  * DISPATCH: routing, queueing and retry decisions for the requests of one host.
@@ -87,6 +88,7 @@
   load_report_t load;       /* DISPATCH_ANSWERED */
   bool rate_limited;        /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
   double rate_limit;        /* DISPATCH_ANSWERED: requests per second, from all hosts */
+  pause_statement_t pause;  /* DISPATCH_ANSWERED: for how long it wants no requests */
   const GArray *shares;     /* DISPATCH_SHARES: rate_share_t */
   dispatch_bounds_t bounds; /* DISPATCH_BOUNDS */
   bool sent;                /* DISPATCH_FAILED: part of the request may have been sent */
@@ -103,7 +105,9 @@
   DISPATCH_DELIVER, /* forward the received response to the caller */
   DISPATCH_END,     /* end the request without a response from a target */
   DISPATCH_BROADCAST_SUSPECT, /* report or clear a suspect request at all hosts */
-  DISPATCH_CLOSE_IDLE, /* a target is no longer listed: close idle connections to it */
+  DISPATCH_CLOSE_IDLE,    /* a target is no longer listed: close idle connections to it */
+  DISPATCH_TARGET_PAUSE,  /* a target asked for no requests, or gets them again */
+  DISPATCH_SERVICE_PAUSE, /* all targets of a service asked for that, or one gets them */
 } dispatch_out_kind_t;
 
 typedef enum
@@ -124,6 +128,7 @@
   REASON_NO_OWNER,     /* the key has no owner at present, or the owner is unreachable */
   REASON_OVERLOAD,     /* no target has capacity in time */
   REASON_RATE_LIMIT,   /* targets limited the requests from all hosts */
+  REASON_PAUSED,       /* all usable targets asked this host for no requests */
   REASON_STOPPING,     /* the process ends before an attempt could */
   REASON_RETRY_BUDGET, /* a retry is needed and the retry budget is spent */
   REASON_ANSWER_LOST,  /* the response was lost, invalid, overdue or a server error */
@@ -143,6 +148,9 @@
   dispatch_reason_t reason;
   msec_t retry_after;    /* DISPATCH_END with OUTCOME_NOT_RUN: milliseconds */
   suspect_out_t suspect; /* DISPATCH_BROADCAST_SUSPECT */
+  uint32_t service;      /* DISPATCH_SERVICE_PAUSE */
+  bool paused;           /* DISPATCH_TARGET_PAUSE, DISPATCH_SERVICE_PAUSE */
+  msec_t duration;       /* of a pause that begins, or that is over */
 } dispatch_out_t;
 
 typedef enum
@@ -220,6 +228,7 @@
   msec_t leaving_at;    /* when this host first saw it leaving; MSEC_NEVER: not leaving */
   msec_t leaving_since; /* the earliest time at which it can have begun to leave */
   rate_limit_t rate;
+  pause_t pause;
 } dispatch_target_t;
 
 typedef struct
@@ -235,6 +244,7 @@
   GArray *not_owner_until;
   GQueue queue;             /* queued dispatch_request_t, in order of arrival */
   uint32_t service_time_ms; /* moving average over its targets */
+  msec_t paused_since;      /* since when no target took requests; MSEC_NEVER: one does */
   uint32_t *key_loads;      /* requests per KEY_BUCKET_SIZE keys since the last reset */
 } dispatch_service_t;
 
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -1,5 +1,6 @@
 #include "targets.h"
 
+#include "admission.h"
 #include "losses.h"
 
 /* A new sample has a weight of 1/8 in the moving averages. */
@@ -101,7 +102,7 @@
       self->reported_at = now;
       update_average (&self->other_load_average, self->other_load * 1000);
     }
-  else if (msg->answer == ANSWER_FULL)
+  else if (msg->answer == ANSWER_FULL && !admission_states_pause (msg))
     assume_full (self, now);
   if (run && msg->status < 500)
     {
@@ -114,8 +115,10 @@
     self->address_reused = true;
   if (msg->answer != ANSWER_WRONG_TARGET)
     rate_limit_state (&self->rate, msg->rate_limited, msg->rate_limit, now);
-  update_average (&self->errors_permille,
-                  (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
+  /* A pause is no failure: the target says when it takes requests again. */
+  if (!admission_states_pause (msg))
+    update_average (&self->errors_permille,
+                    (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
 }
 
 static void
@@ -271,7 +274,8 @@
         losses_confirm (self, target, now, out);
       dispatch_out_t close_idle = { .kind = DISPATCH_CLOSE_IDLE, .target = i };
       g_array_append_val (out, close_idle);
-      target->in_use = target->in_flight > 0;
+      /* The entry may return, and the pause holds then. */
+      target->in_use = target->in_flight > 0 || pause_is_active (&target->pause, now);
     }
 }
 
@@ -326,34 +330,6 @@
     }
 }
 
-/* Whether the rate limit of target I admits the request; asked once per attempt. */
-static bool
-is_admitted (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
-{
-  if (request->admitted_to == (int32_t)i)
-    return true;
-  if ((request->not_admitted & 1ull << i % 64) != 0)
-    return false;
-  if (rate_limit_admit (&at (self, i)->rate, self->bounds.hosts, now))
-    {
-      request->admitted_to = at (self, i)->rate.limited ? (int32_t)i : -1;
-      return true;
-    }
-  request->not_admitted |= 1ull << i % 64;
-  return false;
-}
-
-/* Whether this host is below its share of the connections that TARGET accepts from all
- * hosts. */
-static bool
-has_connection_quota (const dispatch_t *self, const dispatch_target_t *target)
-{
-  const dispatch_service_t *service = g_ptr_array_index (self->services, target->service);
-  uint32_t share = service->max_connections / MAX (self->bounds.hosts, 1);
-
-  return service->max_connections == 0 || target->in_flight < MAX (share, 1);
-}
-
 static msec_t
 remote_penalty_percent (request_kind_t kind)
 {
@@ -388,7 +364,14 @@
   return expected;
 }
 
-/* The target with the lowest cost whose rate limit has not rejected REQUEST. */
+/* Why no target gets a request, by the last of the results of admission_check. */
+static const dispatch_reason_t admission_reasons[] = {
+  [ADMISSION_PAUSED] = REASON_PAUSED,         [ADMISSION_BACK_OFF] = REASON_NO_OWNER,
+  [ADMISSION_RATE_LIMIT] = REASON_RATE_LIMIT, [ADMISSION_NO_CAPACITY] = REASON_OVERLOAD,
+  [ADMISSION_NOW] = REASON_OVERLOAD,
+};
+
+/* The target with the lowest cost that may get REQUEST, its rate limit aside. */
 static int
 select_cheapest (dispatch_t *self,
                  const dispatch_request_t *request,
@@ -398,6 +381,7 @@
   int best = -1;
   msec_t best_cost = MSEC_NEVER;
   uint32_t ties = 0;
+  admission_t last = ADMISSION_PAUSED;
 
   *reason = REASON_NO_TARGET;
   for (guint i = 0; i < self->targets->len; i++)
@@ -405,12 +389,10 @@
       const dispatch_target_t *target = at (self, i);
       if (!is_available (target) || target->service != request->service)
         continue;
-      bool rejected
-          = target->rate.limited && (request->not_admitted & 1ull << i % 64) != 0;
-      if (*reason == REASON_NO_TARGET || !rejected)
-        *reason = rejected ? REASON_RATE_LIMIT : REASON_OVERLOAD;
-      if (rejected || !has_connection_quota (self, target)
-          || !target_has_capacity (target, request->objective, now))
+      admission_t admission = admission_check (self, request, i, now);
+      last = MAX (last, admission);
+      *reason = admission_reasons[last];
+      if (admission != ADMISSION_NOW)
         continue;
       msec_t cost = selection_cost (self, target, request, now);
       if ((int)i == request->last_failed_target)
@@ -425,6 +407,17 @@
   return best;
 }
 
+msec_t
+targets_service_next (const dispatch_t *self, uint32_t service, msec_t now)
+{
+  msec_t next = MSEC_NEVER;
+
+  for (guint i = 0; i < self->targets->len; i++)
+    if (is_available (at (self, i)) && at (self, i)->service == service)
+      next = MIN (next, admission_next (self, i, now));
+  return next == MSEC_NEVER ? now : next;
+}
+
 int
 targets_select (dispatch_t *self,
                 dispatch_request_t *request,
@@ -433,7 +426,7 @@
 {
   int best = select_cheapest (self, request, now, reason);
 
-  while (best >= 0 && !is_admitted (self, request, (guint)best, now))
+  while (best >= 0 && !admission_take (self, request, (guint)best, now))
     best = select_cheapest (self, request, now, reason);
   return best;
 }
@@ -466,6 +459,23 @@
              || now > target->leaving_since + drain * DISPATCH_LEFT_PERCENT / 100);
 }
 
+msec_t
+targets_next (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  const dispatch_service_t *service
+      = g_ptr_array_index (self->services, request->service);
+  const key_range_t *range
+      = request->keyed ? key_table_find (&service->keys, request->key) : NULL;
+
+  if (!request->keyed)
+    return targets_service_next (self, request->service, now);
+  int owner
+      = range == NULL
+            ? -1
+            : find_target (self, name_text (&range->target), range->target_started_at);
+  return owner < 0 ? now : admission_next (self, (uint32_t)owner, now);
+}
+
 int
 targets_find_owner (dispatch_t *self,
                     dispatch_request_t *request,
@@ -488,16 +498,16 @@
   int i = find_target (self, name_text (&range->target), range->target_started_at);
   if (i < 0 || !at (self, (uint32_t)i)->listed || at (self, (uint32_t)i)->address_reused)
     return -1;
-  const dispatch_target_t *target = at (self, (uint32_t)i);
-  if (now < target->backoff_until || has_left (self, target, now))
+  if (has_left (self, at (self, (uint32_t)i), now))
+    return -1;
+  admission_t admission = admission_check (self, request, (guint)i, now);
+  *reason = admission_reasons[admission];
+  if (admission < ADMISSION_RATE_LIMIT)
     return -1;
   *reason = REASON_RATE_LIMIT;
-  if (!is_admitted (self, request, (guint)i, now))
+  if (!admission_take (self, request, (guint)i, now))
     return -1;
   *reason = REASON_OVERLOAD;
   *owner = i;
-  return has_connection_quota (self, target)
-                 && target_has_capacity (target, request->objective, now)
-             ? i
-             : -1;
+  return admission == ADMISSION_NOW ? i : -1;
 }
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -43,10 +43,20 @@
 /* Appends what is to be reported of rate limits (rate_report_t) to REPORTS. */
 void targets_report_rates (dispatch_t *self, msec_t now, GArray *reports);
 
+/*
+ * The earliest time at which a target of SERVICE may get a request: NOW unless all usable
+ * ones are paused.
+ */
+msec_t targets_service_next (const dispatch_t *self, uint32_t service, msec_t now);
+
+/* The same for REQUEST: the key's owner decides if it has one. */
+msec_t
+targets_next (const dispatch_t *self, const dispatch_request_t *request, msec_t now);
+
 /*
  * The best target for REQUEST, of a service without key owners, or -1.  *REASON then
  * says whether there is no usable target, none with capacity, or only such whose rate
- * limits don't admit the request.
+ * limits don't admit the request or that are paused.
  */
 int targets_select (dispatch_t *self,
                     dispatch_request_t *request,
@@ -60,7 +70,8 @@
 
 /*
  * The owner of the request's key if it can take the request now, or -1.  If it only lacks
- * capacity, *REASON is REASON_OVERLOAD, if its rate is limited, REASON_RATE_LIMIT. *OWNER
+ * capacity, *REASON is REASON_OVERLOAD, if its rate is limited, REASON_RATE_LIMIT, if it
+ * asked for no requests, REASON_PAUSED. *OWNER
  * is the owner if it is usable, with or without capacity, else -1.  Notes the key table's
  * version in REQUEST.
  */
--- a/packages/dispatch/waits.c
+++ b/packages/dispatch/waits.c
@@ -4,9 +4,25 @@
 
 #include "targets.h"
 
+/* Spread after the WAIT until a target takes requests again. */
+static msec_t
+retry_after_pause (dispatch_t *self, msec_t wait)
+{
+  msec_t spread = CLAMP (wait * DISPATCH_PAUSE_SPREAD_PERCENT / 100,
+                         DISPATCH_RETRY_AFTER_MIN_MS,
+                         DISPATCH_PAUSE_SPREAD_MAX_MS);
+
+  return wait + (msec_t)rng_below (&self->rng, (uint64_t)spread + 1);
+}
+
 msec_t
-waits_retry_after (dispatch_t *self, const dispatch_request_t *request, msec_t now)
+waits_retry_after (dispatch_t *self,
+                   const dispatch_request_t *request,
+                   msec_t earliest,
+                   msec_t now)
 {
+  if (earliest > now)
+    return retry_after_pause (self, earliest - now);
   msec_t most = MAX ((request->deadline - now) / 3, DISPATCH_RETRY_AFTER_MIN_MS);
   msec_t least = MAX (most / 3, DISPATCH_RETRY_AFTER_MIN_MS);
 
--- a/packages/dispatch/waits.h
+++ b/packages/dispatch/waits.h
@@ -9,10 +9,15 @@
  * responses.
  */
 
-/* Random Retry-After in milliseconds, spread over the time in which the caller can still
- * retry. */
-msec_t
-waits_retry_after (dispatch_t *self, const dispatch_request_t *request, msec_t now);
+/*
+ * Random Retry-After in milliseconds.  If no target takes the request before EARLIEST,
+ * somewhat later than that; else spread over the time in which the caller can still
+ * retry.
+ */
+msec_t waits_retry_after (dispatch_t *self,
+                          const dispatch_request_t *request,
+                          msec_t earliest,
+                          msec_t now);
 
 /* When a missing response is treated as lost, if another target has capacity. */
 msec_t
--- a/packages/proxy/dialect.h
+++ b/packages/proxy/dialect.h
@@ -25,9 +25,10 @@
   bool not_run;         /* the target reports that it did not run the request */
   bool content_encoded; /* the body has a Content-Encoding other than identity */
   load_report_t load;
-  bool rate_limited;   /* the target states RATE_LIMIT */
-  double rate_limit;   /* requests per second that it takes from all hosts */
-  msec_t idle_timeout; /* the target's idle timeout in milliseconds; -1: none given */
+  bool rate_limited;       /* the target states RATE_LIMIT */
+  double rate_limit;       /* requests per second that it takes from all hosts */
+  pause_statement_t pause; /* for how long it wants no requests; if it rejects this one */
+  msec_t idle_timeout;     /* the target's idle timeout in milliseconds; -1: none given */
 } response_facts_t;
 
 typedef struct
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -107,6 +107,9 @@
  * suspect request did not. */
 void report_suspect (proxy_t *self, const suspect_out_t *suspect);
 
+/* Logs and counts a DISPATCH_TARGET_PAUSE or DISPATCH_SERVICE_PAUSE. */
+void report_pause (proxy_t *self, const dispatch_out_t *out);
+
 /* stream.c */
 
 /* Forwards PART of the response body to the caller.  FROM: the target's connection. */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -142,6 +142,10 @@
     case DISPATCH_CLOSE_IDLE:
       pool_close_target (self, out->target);
       break;
+    case DISPATCH_TARGET_PAUSE:
+    case DISPATCH_SERVICE_PAUSE:
+      report_pause (self, out);
+      break;
     }
 }
 
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -60,7 +60,7 @@
 typedef struct
 {
   uint64_t requests, callers_left, attempts, retries, target_connections, bad_requests,
-      stray_responses;
+      stray_responses, target_pauses, service_pauses;
   uint64_t caller_connections; /* gauge: open connections of callers */
   uint64_t queued;             /* gauge: requests queued at this host */
   uint64_t retries_left;       /* gauge: retries left in the budgets of all services */
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -142,6 +142,25 @@
   post_report (self, report);
 }
 
+void
+report_pause (proxy_t *self, const dispatch_out_t *out)
+{
+  bool of_service = out->kind == DISPATCH_SERVICE_PAUSE;
+  const name_t *name = of_service
+                           ? &dispatch_service (&self->dispatch, out->service)->name
+                           : &dispatch_target (&self->dispatch, out->target)->entry.id;
+
+  self->counts.service_pauses += of_service && out->paused;
+  self->counts.target_pauses += !of_service && out->paused;
+  eventlog_write (EVENT_STATE,
+                  "dispatch",
+                  out->paused ? "paused" : "resumed",
+                  out->paused ? "%s=%.*s for_ms=%lld" : "%s=%.*s after_ms=%lld",
+                  of_service ? "service" : "target",
+                  NAME_ARG (*name),
+                  (long long)out->duration);
+}
+
 void
 report_suspect (proxy_t *self, const suspect_out_t *suspect)
 {
--- a/packages/proxy/response.c
+++ b/packages/proxy/response.c
@@ -48,3 +48,22 @@
       exchange->request.load_at_send,
       (long long)(msclock_now (&self->proxy->clock) - exchange->request.sent_at));
 }
+
+void
+response_log_odd_pause (const target_conn_t *self)
+{
+  const pause_statement_t *pause = &self->facts.pause;
+  const dispatch_target_t *target
+      = dispatch_target (&self->proxy->dispatch, self->target);
+
+  if (pause->exception == PAUSE_AS_STATED)
+    return;
+  eventlog_write (EVENT_FAILURE,
+                  "proxy",
+                  "odd_retry_after",
+                  "target=%.*s why=%s status=%u taken_as_ms=%lld",
+                  NAME_ARG (target->entry.id),
+                  pause_exception_name (pause->exception),
+                  self->status,
+                  pause->stated ? (long long)pause->duration : -1LL);
+}
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -250,7 +250,8 @@
                          .status = self->status,
                          .load = self->facts.load,
                          .rate_limited = self->facts.rate_limited,
-                         .rate_limit = self->facts.rate_limit };
+                         .rate_limit = self->facts.rate_limit,
+                         .pause = self->facts.pause };
 
   if (self->facts.content_encoded)
     {
@@ -260,6 +261,7 @@
   if (msg.answer != ANSWER_RUN)
     {
       response_log_refusal (self, msg.answer);
+      response_log_odd_pause (self);
       if (exchange->n_rejected < DISPATCH_ATTEMPTS_MAX)
         exchange->rejected_on[exchange->n_rejected++] = self->serial;
     }
--- a/packages/proxy/target_conn.h
+++ b/packages/proxy/target_conn.h
@@ -53,3 +53,6 @@
 
 /* Logs that the target did not run the request. */
 void response_log_refusal (const target_conn_t *self, dispatch_answer_t answer);
+
+/* Logs that the pause which the target states is not taken literally. */
+void response_log_odd_pause (const target_conn_t *self);
