Process tests of targets that ask for no requests for a time

The stand-in target rejects all requests with the values of Retry-After that a test sets, and records arrivals and rejections.

--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -311,6 +311,11 @@
         self.cut_at, self.cut_resets, self.cut_framing = 0, False, "length"
         self.refused, self.refused_on = set(), {}
         self.limit = None  # requests per second that its responses state as the limit
+        # Values of Retry-After with which it rejects all requests; None: it rejects none.
+        self.retry_after = None
+        self.retry_after_delay_s = 0  # from a request's arrival to that rejection
+        self.arrivals = []  # time.monotonic () of each request, run or not
+        self.rejected_at = []  # of each response with Retry-After
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -407,11 +412,26 @@
                 % (self.name.encode(), request_id.encode())
             )
             return True
+        self.arrivals.append(time.monotonic())
+        values = self.retry_after
+        if values is not None:
+            return self._reject_for_a_time(sock, request_id, values)
         name = path.rsplit("/", 1)[-1]
         return getattr(self, "_handle_" + name.split("?")[0].replace("-", "_"))(
             sock, request_id, body, headers
         )
 
+    def _reject_for_a_time(self, sock, request_id, values):
+        time.sleep(self.retry_after_delay_s)
+        stated = b"".join(b"Retry-After: %s\r\n" % value.encode() for value in values)
+        sock.sendall(
+            self._head(request_id, "503 Busy", Not_Executed=1)
+            + stated
+            + b"Content-Length: 0\r\n\r\n"
+        )
+        self.rejected_at.append(time.monotonic())
+        return True
+
     def _head(self, request_id, status="200 OK", **more):
         lines = [
             "HTTP/1.1 " + status, "Request-Id: " + request_id, "Server-Signature: " + self.name
