The soak's targets ask for no requests for a time, and the soak checks that they get none

On a signal a target rejects everything for 0.5 to 4 s and states the time left as whole or fractional seconds, as an HTTP date, twice, or with a value that can't be read. A thread with its own random numbers sends the signals, now and then to all targets of a service, so that the faults of a seed stay what they were. Checked from what targets log: of one host at most two requests arrive from half a second after the rejection to the end of the time, unless the host was restarted or frozen or a link to targets was disturbed.

--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -397,6 +397,7 @@
             sock.sendall(self._apply_grant_call(path, body))
             return True
         request_id = headers.get("request-id", "")
+        self._note_arrival(request_id)
         if headers.get("target-instance") != self.name:
             sock.sendall(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
@@ -412,8 +413,7 @@
                 % (self.name.encode(), request_id.encode())
             )
             return True
-        self.arrivals.append(time.monotonic())
-        values = self.retry_after
+        values = self._choose_retry_after()
         if values is not None:
             return self._reject_for_a_time(sock, request_id, values)
         name = path.rsplit("/", 1)[-1]
@@ -421,6 +421,12 @@
             sock, request_id, body, headers
         )
 
+    def _note_arrival(self, _request_id):
+        self.arrivals.append(time.monotonic())
+
+    def _choose_retry_after(self):
+        return self.retry_after
+
     def _reject_for_a_time(self, sock, request_id, values):
         time.sleep(self.retry_after_delay_s)
         stated = b"".join(b"Retry-After: %s\r\n" % value.encode() for value in values)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,11 +38,18 @@
 REUSE_IDLE_S = 0.8 * 5
 MANY_ROUTES = 3000  # a configuration of some 300 KB
 LIMIT_WINDOW_MS = 4000
+PAUSE_GRACE_MS = 500  # requests on their way when a target asks for none may still arrive
+PAUSE_LATE_MAX = 2  # from one host, until the target's time is over
 LIMIT_TOLD_MS = 500  # a host counts this long after it passed on the first limit
 # The time limits of some checks hold during these.
 OPERATIONS = ("stop_router", "reload", "add_route", "drain_target", "add_routes_in_series",
               "add_many_routes", "signals_in_series", "limit_target", "slow_store_link")
 
+# A target's wish to get no requests holds all the same during these.
+PAUSE_CHECKED_DURING = ("reload", "add_route", "drain_target", "add_routes_in_series",
+                        "add_many_routes", "limit_target", "slow_store_link",
+                        "disturb_store_link", "inject_store_fault", "reset_connections")
+
 
 def now_ms():
     return time.monotonic() * 1000
@@ -141,9 +148,11 @@
             Router(args.build, proxy.port, "h%d" % i)
             for i, proxy in enumerate(self.store_proxies)
         ]
+        self.pause_rng = random.Random("pauses-%d" % seed)
         self.started_at = [now_ms()] * args.hosts
         self.terminated_at = [None] * args.hosts  # when SIGTERM was sent; None if it wasn't
         self.results, self.violations = [], []
+        self.pauses, self.late_arrivals = 0, 0  # stated to hosts; requests during them
         self.routes_seen = collections.defaultdict(set)  # by host and start: added routes served
         self.stopping = threading.Event()
 
@@ -338,6 +347,22 @@
             target.start()
         return finish, None
 
+    def pause_loop(self, until):
+        """Beside the faults: targets, now and then all of a service, ask for no requests."""
+        while time.monotonic() < until:
+            time.sleep(self.pause_rng.uniform(0.5, 4))
+            chosen = self.pause_rng.choice(self.targets)
+            all_of_service = self.pause_rng.random() < 0.2
+            for target in self.targets:
+                if target is chosen or (all_of_service and target.service == chosen.service):
+                    self.signal_target(target, signal.SIGALRM)
+
+    @staticmethod
+    def signal_target(target, number):
+        process = target.process
+        if process.poll() is None and handles(process.pid, number):
+            process.send_signal(number)
+
     # Callers.
 
     def report(self, rule, what):
@@ -395,6 +420,7 @@
         for caller in callers:
             caller.start()
         until, running, busy = time.monotonic() + self.args.seconds, [], set()
+        threading.Thread(target=self.pause_loop, args=(until,), daemon=True).start()
         while time.monotonic() < until:
             time.sleep(self.rng.uniform(0.2, 2.0))
             action = self.rng.choice(faults if self.rng.random() < 0.5 else operations)
@@ -451,14 +477,15 @@
         self.check_drains(lines)
         self.check_configurations()
         self.check_limits(lines)
+        self.check_pauses(lines)
         late = [r for r in self.results if r[5] > recovered_by and r[1] != "added"]
         served = sum(r[7] == 200 for r in late)
         if not late or served < 0.9 * len(late):
             self.report("RECOVER", "%d of %d served %d ms after the last fault"
                         % (served, len(late), recovered_by - last_fault_end))
-        self.summary = "%d requests, %d served, %d executions" % (
+        self.summary = "%d requests, %d served, %d executions, %d late of %d pauses" % (
             len(self.results), sum(r[7] == 200 for r in self.results),
-            sum(len(r) for r in executions.values()))
+            sum(len(r) for r in executions.values()), self.late_arrivals, self.pauses)
 
     def check_requests(self, executions):
         for request_id, kind, _path, i, _started_at, begun, ended, status, _reused in self.results:
@@ -548,6 +575,33 @@
                         target.name, len(counted), LIMIT_WINDOW_MS, limit))
                     counted = []
 
+    def check_pauses(self, lines):
+        """After a target has asked a host for no requests, at most PAUSE_LATE_MAX of it arrive from
+        PAUSE_GRACE_MS on until the time is over."""
+        hosts = {result[0]: result[3] for result in self.results}
+        arrivals = collections.defaultdict(list)
+        for line in lines:
+            if "arrival" in line and line["arrival"] in hosts:
+                arrivals[line["target"], hosts[line["arrival"]]].append(line["ms"])
+        starts = {target.name: [begin for begin, _end in target.lifetimes]
+                  for target in self.targets}
+        for line in lines:
+            host = hosts.get(line.get("rejected"))
+            if host is None:
+                continue
+            self.pauses += line["pause_ms"] > 0
+            first, last = line["ms"] + PAUSE_GRACE_MS, line["ms"] + line["pause_ms"]
+            last = min([last] + [at for at in starts[line["target"]] if at > line["ms"]])
+            late = [
+                at for at in arrivals[line["target"], host]
+                if first < at < last and self.fault_log.is_quiet(
+                    host, line["ms"], at, PAUSE_CHECKED_DURING)
+            ]
+            self.late_arrivals += len(late)
+            if len(late) > PAUSE_LATE_MAX:
+                self.report("BUDGET", "%s got %d requests from h%d within %d ms for which it wanted"
+                            " none" % (line["target"], len(late), host, line["pause_ms"]))
+
     def check_configurations(self):
         acknowledged = dict(self.added)
         for request_id, kind, path, i, started_at, begun, ended, status, _reused in self.results:
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -5,9 +5,12 @@
 and started request; a request's line has the time (ms of the monotonic clock, which all
 processes share), the request's id, its key and the fence under which the target holds the
 key. On SIGUSR1 the target announces that it is draining; on SIGUSR2 its responses state a limit
-of LIMIT requests per second, or no longer do so.
+of LIMIT requests per second, or no longer do so. On SIGALRM it rejects all requests for some
+seconds and says so; a rejection's line has for how long it wants no requests, and each request's
+arrival has a line too.
 """
 
+import email.utils
 import json
 import os
 import random
@@ -22,6 +25,7 @@
 
 ANNOUNCE_INTERVAL_S = 0.5
 LIMIT = 10
+AWAY_S = (0.5, 4)
 
 
 class RemoteStore:
@@ -40,6 +44,7 @@
         self.log = open(log, "a", encoding="utf-8")  # pylint: disable=consider-using-with
         self.lock = threading.Lock()
         self.accepted_grants = set()
+        self.away_until = 0
         super().__init__(store, name, service, port)
 
     def announce(self, state):
@@ -73,6 +78,44 @@
         with self.lock:
             self._write(limit=self.limit)
 
+    def stay_away(self):
+        self.away_until = time.monotonic() + random.uniform(*AWAY_S)
+
+    def _note_arrival(self, request_id):
+        with self.lock:
+            self._write(arrival=request_id)
+
+    def _choose_retry_after(self):
+        """The time that is left, in one of the forms that the header allows, or an odd value."""
+        left_s = self.away_until - time.monotonic()
+        if left_s <= 0:
+            return None
+        seconds = int(left_s) + 1
+        return random.choice([
+            ["%d" % seconds], ["%.3f" % left_s], ["%.3f" % left_s],
+            [email.utils.formatdate(int(time.time()) + seconds + 1, usegmt=True)],
+            ["%d" % seconds, "%d" % (seconds + 1)], ["-1"], ["soon"], [""], ["1e3"],
+        ])
+
+    @staticmethod
+    def _meaning_ms(values):
+        """What a router has to make of them at least; 0: nothing."""
+        meanings = [0]
+        for value in values:
+            if value.endswith("GMT"):
+                at = email.utils.parsedate_to_datetime(value).timestamp()
+                meanings.append((at - time.time()) * 1000)
+            elif value.replace(".", "").isdigit():
+                meanings.append(float(value) * 1000)
+        return max(meanings)
+
+    def _reject_for_a_time(self, sock, request_id, values):
+        pause_ms = self._meaning_ms(values)
+        super()._reject_for_a_time(sock, request_id, values)
+        with self.lock:
+            self._write(rejected=request_id, pause_ms=pause_ms)
+        return True
+
     def fence_of(self, key):
         now = time.monotonic()
         fences = [
@@ -105,6 +148,7 @@
     signal.signal(signal.SIGUSR1, lambda *args: state.__setitem__(0, "draining"))
     toggles = [0]
     signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
+    signal.signal(signal.SIGALRM, lambda *args: target.stay_away())
     print("ready", flush=True)
     announced = "ready"
     while True:
