Lines about pauses of less than a second are limited per second

Cause: lines of changed states are limited by the buffer alone. A target that rejects each request with a Retry-After of a millisecond would write two of them per request. Change: such lines are of the class of failures, of which a hundred a second are written.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -180,6 +180,8 @@
  * the targets take a few at first. */
 #define DISPATCH_PAUSE_SPREAD_PERCENT 50
 #define DISPATCH_PAUSE_SPREAD_MAX_MS 5000
+/* Shorter pauses have lines of the class that is limited per second. */
+#define PAUSE_STATE_LINE_MS 1000
 /* A target answers by its deadline; the answer may take this long to arrive. */
 #define DISPATCH_ANSWER_TRANSIT_MS 40
 
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -152,7 +152,7 @@
 
   self->counts.service_pauses += of_service && out->paused;
   self->counts.target_pauses += !of_service && out->paused;
-  eventlog_write (EVENT_STATE,
+  eventlog_write (out->duration < PAUSE_STATE_LINE_MS ? EVENT_FAILURE : EVENT_STATE,
                   "dispatch",
                   out->paused ? "paused" : "resumed",
                   out->paused ? "%s=%.*s for_ms=%lld" : "%s=%.*s after_ms=%lld",
