--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -71,9 +71,8 @@
 /*
  * The owner of the request's key if it can take the request now, or -1.  If it only lacks
  * capacity, *REASON is REASON_OVERLOAD, if its rate is limited, REASON_RATE_LIMIT, if it
- * asked for no requests, REASON_PAUSED. *OWNER
- * is the owner if it is usable, with or without capacity, else -1.  Notes the key table's
- * version in REQUEST.
+ * is paused, REASON_PAUSED.  *OWNER is the owner if it is usable, with or without
+ * capacity, else -1.  Notes the key table's version in REQUEST.
  */
 int targets_find_owner (dispatch_t *self,
                         dispatch_request_t *request,
