--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -1,5 +1,6 @@
 #include "targets.h"
 
+#include "admission.h"
 #include "losses.h"
 
 /* A new sample has a weight of 1/8 in the moving averages. */
@@ -101,7 +102,7 @@
       self->reported_at = now;
       update_average (&self->other_load_average, self->other_load * 1000);
     }
-  else if (msg->answer == ANSWER_FULL)
+  else if (msg->answer == ANSWER_FULL && !admission_states_pause (msg))
     assume_full (self, now);
   if (run && msg->status < 500)
     {
@@ -114,8 +115,10 @@
     self->address_reused = true;
   if (msg->answer != ANSWER_WRONG_TARGET)
     rate_limit_state (&self->rate, msg->rate_limited, msg->rate_limit, now);
-  update_average (&self->errors_permille,
-                  (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
+  /* A pause is no failure: the target says when it takes requests again. */
+  if (!admission_states_pause (msg))
+    update_average (&self->errors_permille,
+                    (run && msg->status >= 500) || msg->answer == ANSWER_FULL ? 1000 : 0);
 }
 
 static void
@@ -265,7 +268,8 @@
         losses_confirm (self, target, now, out);
       dispatch_out_t close_idle = { .kind = DISPATCH_CLOSE_IDLE, .target = i };
       g_array_append_val (out, close_idle);
-      target->in_use = target->in_flight > 0;
+      /* The entry may return, and the pause holds then. */
+      target->in_use = target->in_flight > 0 || pause_is_active (&target->pause, now);
     }
 }
 
@@ -388,95 +392,6 @@
     }
 }
 
-/* The array entry of the target may have been reused for another one. */
-void
-targets_leave_rate (const dispatch_t *self, dispatch_request_t *request)
-{
-  if (request->rate_target >= 0)
-    rate_limit_leave (&at (self, (uint32_t)request->rate_target)->rate);
-  if (request->admitted_to >= 0)
-    rate_limit_put_back (&at (self, (uint32_t)request->admitted_to)->rate);
-  request->rate_target = -1;
-  request->admitted_to = -1;
-}
-
-void
-targets_use_rate (const dispatch_t *self, dispatch_request_t *request)
-{
-  if (request->admitted_to >= 0)
-    rate_limit_sent (&at (self, (uint32_t)request->admitted_to)->rate);
-  request->admitted_to = -1;
-}
-
-static void
-note_admitted (dispatch_t *self, dispatch_request_t *request, guint i)
-{
-  if (!at (self, i)->rate.limited)
-    return;
-  request->admitted_to = (int32_t)i;
-  rate_limit_hold (&at (self, i)->rate);
-}
-
-/* Whether a request that waits for the rate limit of target I may be sent now. */
-static bool
-is_admitted_at_last (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
-{
-  rate_limit_t *rate = &at (self, i)->rate;
-
-  if (!rate_limit_take (rate, now))
-    return false;
-  request->rate_target = -1;
-  note_admitted (self, request, i);
-  return true;
-}
-
-/* Whether the rate limit of target I admits the request; asked once per attempt.  A keyed
- * request has no other target, so that it may wait. */
-static bool
-is_admitted (dispatch_t *self, dispatch_request_t *request, guint i, msec_t now)
-{
-  if (request->admitted_to == (int32_t)i)
-    return true;
-  if (request->rate_target == (int32_t)i)
-    return is_admitted_at_last (self, request, i, now);
-  targets_leave_rate (self, request);
-  if ((request->not_admitted & 1ull << i % 64) != 0)
-    return false;
-  if (rate_limit_admit (&at (self, i)->rate, self->bounds.hosts, now))
-    {
-      note_admitted (self, request, i);
-      return true;
-    }
-  request->not_admitted |= 1ull << i % 64;
-  if (request->keyed && rate_limit_wait (&at (self, i)->rate, now))
-    {
-      request->rate_target = (int32_t)i;
-      request->rate_until = now + RATE_WAIT_MS;
-    }
-  return false;
-}
-
-/* Whether this host is below its share of the connections that TARGET accepts from all
- * hosts. */
-static bool
-has_connection_quota (const dispatch_t *self, const dispatch_target_t *target)
-{
-  const dispatch_service_t *service = g_ptr_array_index (self->services, target->service);
-  uint32_t share = service->max_connections / MAX (self->bounds.hosts, 1);
-
-  return service->max_connections == 0 || target->in_flight < MAX (share, 1);
-}
-
-/* Whether the target is expected to end a request that is sent now before the process
- * ends. */
-static bool
-ends_in_time (const dispatch_t *self, const dispatch_target_t *target, msec_t now)
-{
-  return self->work_until == MSEC_NEVER
-         || now + DISPATCH_STOP_FACTOR * target_expected_ms (target, now)
-                <= self->work_until;
-}
-
 static msec_t
 remote_penalty_percent (request_kind_t kind)
 {
@@ -511,7 +426,14 @@
   return expected;
 }
 
-/* The target with the lowest cost whose rate limit has not rejected REQUEST. */
+/* Why no target gets a request, by the last of the results of admission_check. */
+static const dispatch_reason_t admission_reasons[] = {
+  [ADMISSION_PAUSED] = REASON_PAUSED,        [ADMISSION_BACK_OFF] = REASON_NO_OWNER,
+  [ADMISSION_STOPPING] = REASON_STOPPING,    [ADMISSION_RATE_LIMIT] = REASON_RATE_LIMIT,
+  [ADMISSION_NO_CAPACITY] = REASON_OVERLOAD, [ADMISSION_NOW] = REASON_OVERLOAD,
+};
+
+/* The target with the lowest cost that may get REQUEST, its rate limit aside. */
 static int
 select_cheapest (dispatch_t *self,
                  const dispatch_request_t *request,
@@ -521,6 +443,7 @@
   int best = -1;
   msec_t best_cost = MSEC_NEVER;
   uint32_t ties = 0;
+  admission_t last = ADMISSION_PAUSED;
 
   *reason = REASON_NO_TARGET;
   for (guint i = 0; i < self->targets->len; i++)
@@ -528,18 +451,10 @@
       const dispatch_target_t *target = at (self, i);
       if (!is_available (target) || target->service != request->service)
         continue;
-      bool rejected
-          = target->rate.limited && (request->not_admitted & 1ull << i % 64) != 0;
-      if (!ends_in_time (self, target, now))
-        {
-          if (*reason == REASON_NO_TARGET)
-            *reason = REASON_STOPPING;
-          continue;
-        }
-      if (*reason != REASON_OVERLOAD)
-        *reason = rejected ? REASON_RATE_LIMIT : REASON_OVERLOAD;
-      if (rejected || !has_connection_quota (self, target)
-          || !target_has_capacity (target, request->objective, now))
+      admission_t admission = admission_check (self, request, i, now);
+      last = MAX (last, admission);
+      *reason = admission_reasons[last];
+      if (admission != ADMISSION_NOW)
         continue;
       msec_t cost = selection_cost (self, target, request, now);
       if ((int)i == request->last_failed_target)
@@ -554,6 +469,17 @@
   return best;
 }
 
+msec_t
+targets_service_next (const dispatch_t *self, uint32_t service, msec_t now)
+{
+  msec_t next = MSEC_NEVER;
+
+  for (guint i = 0; i < self->targets->len; i++)
+    if (is_available (at (self, i)) && at (self, i)->service == service)
+      next = MIN (next, admission_next (self, i, now));
+  return next == MSEC_NEVER ? now : next;
+}
+
 int
 targets_select (dispatch_t *self,
                 dispatch_request_t *request,
@@ -562,7 +488,7 @@
 {
   int best = select_cheapest (self, request, now, reason);
 
-  while (best >= 0 && !is_admitted (self, request, (guint)best, now))
+  while (best >= 0 && !admission_take (self, request, (guint)best, now))
     best = select_cheapest (self, request, now, reason);
   return best;
 }
@@ -584,6 +510,23 @@
         = now + DISPATCH_OWNER_RETRY_MS;
 }
 
+msec_t
+targets_next (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
+{
+  const dispatch_service_t *service
+      = g_ptr_array_index (self->services, request->service);
+  const key_range_t *range
+      = request->keyed ? key_table_find (&service->keys, request->key) : NULL;
+
+  if (!request->keyed)
+    return targets_service_next (self, request->service, now);
+  int owner
+      = range == NULL
+            ? -1
+            : find_target (self, name_text (&range->target), range->target_started_at);
+  return owner < 0 ? now : admission_next (self, (uint32_t)owner, now);
+}
+
 int
 targets_find_owner (dispatch_t *self,
                     dispatch_request_t *request,
@@ -606,20 +549,16 @@
   int i = find_target (self, name_text (&range->target), range->target_started_at);
   if (i < 0 || !at (self, (uint32_t)i)->listed || at (self, (uint32_t)i)->address_reused)
     return -1;
-  const dispatch_target_t *target = at (self, (uint32_t)i);
-  if (now < target->backoff_until
-      || now > leaving_owner_until (&target->leaving, self->bounds.drain))
+  if (now > leaving_owner_until (&at (self, (uint32_t)i)->leaving, self->bounds.drain))
     return -1;
-  *reason = REASON_STOPPING;
-  if (!ends_in_time (self, target, now))
+  admission_t admission = admission_check (self, request, (guint)i, now);
+  *reason = admission_reasons[admission];
+  if (admission < ADMISSION_RATE_LIMIT)
     return -1;
   *reason = REASON_RATE_LIMIT;
-  if (!is_admitted (self, request, (guint)i, now))
+  if (!admission_take (self, request, (guint)i, now))
     return -1;
   *reason = REASON_OVERLOAD;
   *owner = i;
-  return has_connection_quota (self, target)
-                 && target_has_capacity (target, request->objective, now)
-             ? i
-             : -1;
+  return admission == ADMISSION_NOW ? i : -1;
 }
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -171,6 +171,10 @@
     case DISPATCH_TARGET_LEAVING:
       log_leaving (self, out);
       break;
+    case DISPATCH_TARGET_PAUSE:
+    case DISPATCH_SERVICE_PAUSE:
+      report_pause (self, out);
+      break;
     }
 }
 
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -318,6 +318,11 @@
         self.work_s = 0.6
         self.leaving = False  # whether its responses state that it leaves
         self.leaving_in_commands = True  # also those to grants and releases
+        # Values of Retry-After with which it rejects all requests; None: it rejects none.
+        self.retry_after = None
+        self.retry_after_delay_s = 0  # from a request's arrival to that rejection
+        self.arrivals = []  # time.monotonic () of each request, run or not
+        self.rejected_at = []  # of each response with Retry-After
         self.floods = 0  # responses without end that are being sent
         self.server = socket.create_server(("127.0.0.1", port))
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
@@ -416,6 +421,7 @@
             sock.sendall(self._apply_grant_call(path, body))
             return True
         request_id = headers.get("request-id", "")
+        self._note_arrival(request_id)
         if headers.get("target-instance") != self.name:
             sock.sendall(
                 b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nInstance-Id: %s\r\n"
@@ -431,11 +437,31 @@
                 % (self.name.encode(), request_id.encode(), self._leaving_line())
             )
             return True
+        values = self._choose_retry_after()
+        if values is not None:
+            return self._reject_for_a_time(sock, request_id, values)
         name = path.rsplit("/", 1)[-1]
         return getattr(self, "_handle_" + name.split("?")[0].replace("-", "_"))(
             sock, request_id, body, headers
         )
 
+    def _note_arrival(self, _request_id):
+        self.arrivals.append(time.monotonic())
+
+    def _choose_retry_after(self):
+        return self.retry_after
+
+    def _reject_for_a_time(self, sock, request_id, values):
+        time.sleep(self.retry_after_delay_s)
+        stated = b"".join(b"Retry-After: %s\r\n" % value.encode() for value in values)
+        sock.sendall(
+            self._head(request_id, "503 Busy", Not_Executed=1)
+            + stated
+            + b"Content-Length: 0\r\n\r\n"
+        )
+        self.rejected_at.append(time.monotonic())
+        return True
+
     def _head(self, request_id, status="200 OK", **more):
         lines = [
             "HTTP/1.1 " + status, "Request-Id: " + request_id, "Server-Signature: " + self.name
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -8,9 +8,12 @@
 key. A line with "told" is written after a response that states that the target leaves, to the
 request of that id. On SIGUSR1 the target begins to leave; on SIGUSR2 its responses state a limit
 of LIMIT requests per second, or no longer do so; on SIGRTMIN it begins or ceases to leave some
-grants without an answer and to apply them late.
+grants without an answer and to apply them late. On SIGALRM it rejects all requests for some
+seconds and says so; a rejection's line has for how long it wants no requests, and each request's
+arrival has a line too.
 """
 
+import email.utils
 import json
 import os
 import random
@@ -27,6 +30,7 @@
 LIMIT = 10
 LATE_SHARE = 0.4
 LATE_S = (2, 9)  # the longest grant lasts 10 s
+AWAY_S = (0.5, 4)
 
 
 class RemoteStore:
@@ -46,6 +50,7 @@
         self.lock = threading.Lock()
         self.accepted_grants = set()
         self.delays_grants = False
+        self.away_until = 0
         super().__init__(store, name, service, port)
 
     def announce(self, state):
@@ -93,6 +98,44 @@
         with self.lock:
             self._write(limit=self.limit)
 
+    def stay_away(self):
+        self.away_until = time.monotonic() + random.uniform(*AWAY_S)
+
+    def _note_arrival(self, request_id):
+        with self.lock:
+            self._write(arrival=request_id)
+
+    def _choose_retry_after(self):
+        """The time that is left, in one of the forms that the header allows, or an odd value."""
+        left_s = self.away_until - time.monotonic()
+        if left_s <= 0:
+            return None
+        seconds = int(left_s) + 1
+        return random.choice([
+            ["%d" % seconds], ["%.3f" % left_s], ["%.3f" % left_s],
+            [email.utils.formatdate(int(time.time()) + seconds + 1, usegmt=True)],
+            ["%d" % seconds, "%d" % (seconds + 1)], ["-1"], ["soon"], [""], ["1e3"],
+        ])
+
+    @staticmethod
+    def _meaning_ms(values):
+        """What a router has to make of them at least; 0: nothing."""
+        meanings = [0]
+        for value in values:
+            if value.endswith("GMT"):
+                at = email.utils.parsedate_to_datetime(value).timestamp()
+                meanings.append((at - time.time()) * 1000)
+            elif value.replace(".", "").isdigit():
+                meanings.append(float(value) * 1000)
+        return max(meanings)
+
+    def _reject_for_a_time(self, sock, request_id, values):
+        pause_ms = self._meaning_ms(values)
+        super()._reject_for_a_time(sock, request_id, values)
+        with self.lock:
+            self._write(rejected=request_id, pause_ms=pause_ms)
+        return True
+
     def fence_of(self, key):
         now = time.monotonic()
         fences = [
@@ -135,6 +178,7 @@
         target, "delays_grants", not target.delays_grants))
     toggles = [0]
     signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
+    signal.signal(signal.SIGALRM, lambda *args: target.stay_away())
     print("ready", flush=True)
     announced = "ready"
     while True:
