Test: an older answer does not let a new fence be committed either

Since keys with unanswered grants first get a new fence, a call that an older answer had ended showed as a commit instead of a release: the mutant any-answer-ends-a-call was missed. The case now expects neither.

--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -322,6 +322,7 @@
   target (&fixture, 0)->leaving = true;
   list_targets (&fixture);
   assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
   key_table_finish (&table);
   end (&fixture);
 }
