--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -267,11 +267,7 @@
     }
   self->role.needs_tables = false;
   for (guint i = 0; i < self->keyed_services->len; i++)
-    {
-      const name_t *service = &g_array_index (self->keyed_services, name_t, i);
-      if (keys_lacks_table (&self->keys, service))
-        notify_table (self, service, reply);
-    }
+    notify_table (self, &g_array_index (self->keyed_services, name_t, i), reply);
   self->role.awaits_tables = false;
 }
 
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -288,6 +288,21 @@
   return g_array_index (service->ranges, key_range_state_t, 0).fence;
 }
 
+static void
+test_owners_that_were_read_before_the_role_was_acquired_do_not_count (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, 1, 5);
+  assert_true (keys_lacks_table (&fixture.coordinator.keys, &fixture.service));
+  assert_int_equal (fixture.grants, 0);
+  end (&fixture);
+}
+
 static void
 test_owners_that_were_read_before_a_commit_do_not_replace_it (void **state)
 {
@@ -476,6 +491,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (
+        test_owners_that_were_read_before_the_role_was_acquired_do_not_count),
     cmocka_unit_test (test_owners_that_were_read_before_a_commit_do_not_replace_it),
     cmocka_unit_test (test_a_read_for_an_earlier_write_does_not_start_another_attempt),
     cmocka_unit_test (test_a_row_from_before_the_last_commit_is_not_gone_by),
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -322,6 +322,7 @@
   target (&fixture, 0)->leaving = true;
   list_targets (&fixture);
   assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
   key_table_finish (&table);
   end (&fixture);
 }
@@ -588,6 +589,10 @@
   list_targets (&fixture);
   assert_true (run_until_action (&fixture, KEYS_COMMIT, fixture.now + 2 * KEYS_PLAN_MS));
   assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 0);
+  const key_table_t *table = &find (&fixture, KEYS_COMMIT)->table;
+  for (guint i = 0; i < table->ranges->len; i++)
+    assert_true (name_equal (&g_array_index (table->ranges, key_range_t, i).target,
+                             &whole.target));
   end (&fixture);
 }
 
