A pause does not end a moment early by the rounding of times

The value, the time of the response and the time of the next request are each rounded down to milliseconds, so that up to two of them were missing. Change: two milliseconds are added. Test: unit pauses rounded_times_do_not_end_a_pause_early, failed without; the other tests of pauses expect the end two milliseconds later.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -176,6 +176,8 @@
 /* The longest time for which a target is left alone because it said so; then one request
  * is tried. */
 #define DISPATCH_PAUSE_MAX_MS (60 * 60 * 1000)
+/* Added to the time: it and both of its ends are rounded to milliseconds. */
+#define DISPATCH_PAUSE_MARGIN_MS 2
 /* Of the time until a target takes requests again, added to it at random for each caller:
  * the targets take a few at first. */
 #define DISPATCH_PAUSE_SPREAD_PERCENT 50
--- a/packages/dispatch/pauses.c
+++ b/packages/dispatch/pauses.c
@@ -13,7 +13,8 @@
     return false;
   if (begins)
     *self = (pause_t){ .since = now, .allowed = 1 };
-  self->until = MAX (self->until, now + MIN (duration, DISPATCH_PAUSE_MAX_MS));
+  msec_t bounded = MIN (duration, DISPATCH_PAUSE_MAX_MS);
+  self->until = MAX (self->until, now + bounded + DISPATCH_PAUSE_MARGIN_MS);
   return begins;
 }
 
