A request that got its right while its owner was full is sent later

Cause: in joining admission with the rights to send, a request that had waited for its right and got it, while its owner had no capacity, counted as rejected by the rate limit at each later attempt, and waited until its time was over. Change: a request that a target admitted doesn't count as rejected there.

--- a/packages/dispatch/admission.c
+++ b/packages/dispatch/admission.c
@@ -45,7 +45,8 @@
   if (!ends_in_time (self, candidate, now))
     return ADMISSION_STOPPING;
   if (candidate->rate.limited && was_rejected_by_rate (request, target)
-      && request->rate_target != (int32_t)target)
+      && request->rate_target != (int32_t)target
+      && request->admitted_to != (int32_t)target)
     return ADMISSION_RATE_LIMIT;
   if (!pause_admits (&candidate->pause, now) || !has_connection_quota (self, candidate)
       || !target_has_capacity (candidate, request->objective, now))
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -759,6 +759,45 @@
   end (&fixture);
 }
 
+static dispatch_target_t *
+target_named (fixture_t *self, text_t id)
+{
+  for (guint i = 0; i < self->dispatch.targets->len; i++)
+    {
+      dispatch_target_t *target = g_ptr_array_index (self->dispatch.targets, i);
+      if (text_equal (name_text (&target->entry.id), id))
+        return target;
+    }
+  fail_msg ("no such target");
+  return NULL;
+}
+
+static void
+test_request_that_got_its_right_while_its_owner_was_full_is_sent_later (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request;
+  GArray *reports = g_array_new (FALSE, FALSE, sizeof (rate_report_t));
+
+  (void)state;
+  begin (&fixture);
+  fixture.dispatch.bounds.hosts = 8;
+  dispatch_target_t *owner = target_named (&fixture, TEXT ("k1"));
+  give_rights (&fixture, TEXT ("k1"), 0);
+  arrive (&fixture, &request, TEXT ("/keyed/"));
+  fixture.now += 100;
+  targets_report_rates (&fixture.dispatch, fixture.now, reports);
+  owner->other_load = 100;
+  owner->reported_at = fixture.now;
+  give_rights (&fixture, TEXT ("k1"), 1);
+  assert_int_equal (request.state, REQUEST_WAITING);
+  owner->other_load = 0;
+  fire_timer (&fixture, &request, fixture.now + DISPATCH_POLL_MS);
+  assert_int_equal (request.state, REQUEST_SENT);
+  g_array_unref (reports);
+  end (&fixture);
+}
+
 static void
 test_request_beyond_a_rate_limit_goes_to_another_target (void **state)
 {
@@ -814,6 +853,8 @@
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
     cmocka_unit_test (test_request_waits_for_a_right_of_its_owner),
+    cmocka_unit_test (
+        test_request_that_got_its_right_while_its_owner_was_full_is_sent_later),
   };
 
   return cmocka_run_group_tests_name ("dispatch", tests, NULL, NULL);
