--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -487,6 +487,74 @@
   end (&fixture);
 }
 
+/* Advances until the host renews the role, and returns that write. */
+static call_t
+next_write (fixture_t *self)
+{
+  self->coordinator.role.next_check = 0; /* of the time before the role was held */
+  for (int i = 0; i < 100 && count_commits (self) == 0; i++)
+    pass_time (self, 50);
+  return take_call (self, true, STORE_ROLE);
+}
+
+/* Answers CALL with the store's clock as of AT on the host's. */
+static void
+answer_late (const call_t *call, store_outcome_t outcome, uint64_t version, msec_t at)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
+  store_reply_t reply = { .outcome = outcome,
+                          .rows = rows,
+                          .version = version,
+                          .clock = at + STORE_CLOCK_AHEAD_MS,
+                          .reason = "test" };
+
+  call->done (call->owner, &reply);
+  g_array_unref (rows);
+}
+
+static void
+test_a_late_reply_does_not_set_the_store_clock_back (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t slow = next_write (&fixture);
+  msec_t performed = now (&fixture);
+  pass_time (&fixture, STORE_CALL_MS + 50);
+  take_call (&fixture, false, STORE_ROLE);
+  pass_time (&fixture, 100);
+  answer_late (&slow, STORE_DONE, 3, performed);
+  call_t next = next_write (&fixture);
+  assert_true (next.row.until >= now (&fixture) + STORE_CLOCK_AHEAD_MS + ROLE_LEASE_MS);
+  end (&fixture);
+}
+
+static void
+test_a_lease_is_not_longer_than_the_row_that_was_written (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  role_row_t before = fixture.coordinator.role.row;
+  call_t first = next_write (&fixture);
+  pass_time (&fixture, STORE_CALL_MS + 50);
+  call_t read = take_call (&fixture, false, STORE_ROLE);
+  answer (&fixture, &read, 2, key_rows_encode_role (&before));
+  call_t second = take_call (&fixture, true, STORE_ROLE);
+  assert_true (second.row.sequence > first.row.sequence);
+  answer_late (&second, STORE_CONFLICT, 3, now (&fixture));
+  read = take_call (&fixture, false, STORE_ROLE);
+  answer (&fixture, &read, 3, key_rows_encode_role (&first.row));
+  assert_int_equal (fixture.coordinator.role.state, ROLE_HELD);
+  assert_true (fixture.coordinator.role.lease_end
+               < first.row.until - STORE_CLOCK_AHEAD_MS);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -502,6 +570,8 @@
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
+    cmocka_unit_test (test_a_late_reply_does_not_set_the_store_clock_back),
+    cmocka_unit_test (test_a_lease_is_not_longer_than_the_row_that_was_written),
   };
 
   return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
