A write of the role that could not be sent does not count as written

Cause: with all attempts to write the role still unanswered, a write waits for a free one and the row is read meanwhile. It had no sequence yet, and any row of this host's counted as its own: a table would have been taken for committed that no call carried, and its new owners been granted keys that the store records for others (OWNER).

--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -531,6 +531,26 @@
   end (&fixture);
 }
 
+static void
+test_a_write_that_could_not_be_sent_is_not_taken_for_written (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  role_t *role = &fixture.coordinator.role;
+  role->next_check = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (role->attempts); i++)
+    role->attempts[i].in_flight = true;
+  while (!role->write.reading_back)
+    pass_time (&fixture, 50);
+  call_t read = take_call (&fixture, false, STORE_ROLE);
+  answer (&fixture, &read, 2, key_rows_encode_role (&role->row));
+  assert_true (role->write.in_progress);
+  end (&fixture);
+}
+
 static void
 test_a_lease_is_not_longer_than_the_row_that_was_written (void **state)
 {
@@ -571,6 +591,7 @@
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
     cmocka_unit_test (test_a_late_reply_does_not_set_the_store_clock_back),
+    cmocka_unit_test (test_a_write_that_could_not_be_sent_is_not_taken_for_written),
     cmocka_unit_test (test_a_lease_is_not_longer_than_the_row_that_was_written),
   };
 
