--- a/tests/grants/grants.c
+++ b/tests/grants/grants.c
@@ -127,7 +127,9 @@
   if (scenario->count > 0)
     {
       search.scenario = (scenario_t)CLAMP (scenario->ival[0], 0, SCENARIO_COUNT - 1);
-      return replay_run (&search, points->ival, points->count);
+      bool failed = replay_run (&search, points->ival, points->count);
+      arg_freetable (table, G_N_ELEMENTS (table));
+      return failed;
     }
   for (search.scenario = 0; search.scenario < SCENARIO_COUNT; search.scenario++)
     explore (&search,
