Uploads are a kind of request of their own, and an unknown kind rejects only its routes

Change: KIND_UPLOAD, which runs once at most like KIND_MUTATING and avoids other data centres like a download; one function says which kinds may be repeated. A kind that this version doesn't know rejects the requests of its routes with 503 (not run), since what it requires is unknown, and serves the others; the line configuration/applied and the metric routes_unsupported count such routes. Refusing the version was ruled out: the store accepts valid configurations only, so that an unknown kind is one of a later platform.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -123,6 +123,7 @@
   currency_t configuration_currency, targets_currency;
   bool outdated; /* the proxy was told to reject requests */
   uint64_t directory_version;
+  uint32_t unsupported_routes; /* in that configuration */
   bool has_directory;
   /* The newest row of the configuration, applied or rejected, and the one before. */
   configuration_row_t configuration_row, previous_row;
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -122,17 +122,20 @@
       g_free (directory);
       return;
     }
-  eventlog_write (EVENT_STATE,
-                  "configuration",
-                  "applied",
-                  "version=%llx previous=%llx routes=%u services=%u row_version=%llu",
-                  (unsigned long long)directory->version,
-                  (unsigned long long)self->directory_version,
-                  directory->routes->len,
-                  directory->services->len,
-                  (unsigned long long)row->version);
+  eventlog_write (
+      EVENT_STATE,
+      "configuration",
+      "applied",
+      "version=%llx previous=%llx routes=%u unsupported=%u services=%u row_version=%llu",
+      (unsigned long long)directory->version,
+      (unsigned long long)self->directory_version,
+      directory->routes->len,
+      directory_count_unsupported (directory),
+      directory->services->len,
+      (unsigned long long)row->version);
   self->has_directory = true;
   self->directory_version = directory->version;
+  self->unsupported_routes = directory_count_unsupported (directory);
   update_keyed_services (self, directory);
   proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
   msg->kind = PROXY_DIRECTORY;
--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -106,6 +106,7 @@
   msec_t now = msclock_now (&self->clock);
 
   add_number (page, "configuration_version", self->directory_version);
+  add_number (page, "routes_unsupported", self->unsupported_routes);
   add_number (page, "configuration_age_ms", (uint64_t)feed_age (&self->configuration));
   add_number (page, "outdated", self->outdated);
   add_number (page, "targets_age_ms", (uint64_t)feed_age (&self->targets));
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -203,8 +203,9 @@
 #define DISPATCH_LOSS_MAX_AGE_MS 8000
 
 /* A target in another data centre is used if it is faster by this much, by kind of
- * request: large answers load the links between data centres most. */
+ * request: large bodies load the links between data centres most. */
 #define DISPATCH_REMOTE_PERCENT_DOWNLOAD 200
+#define DISPATCH_REMOTE_PERCENT_UPLOAD 200
 #define DISPATCH_REMOTE_PERCENT_MUTATING 30
 #define DISPATCH_REMOTE_PERCENT_IDEMPOTENT 5
 
--- a/packages/directory/directory.c
+++ b/packages/directory/directory.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+bool
+request_kind_may_repeat (request_kind_t kind)
+{
+  return kind == KIND_IDEMPOTENT || kind == KIND_DOWNLOAD;
+}
+
 void
 directory_init (directory_t *self)
 {
@@ -38,6 +44,16 @@
   return -1;
 }
 
+uint32_t
+directory_count_unsupported (const directory_t *self)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < self->routes->len; i++)
+    n += g_array_index (self->routes, route_entry_t, i).kind == KIND_UNSUPPORTED;
+  return n;
+}
+
 static int
 compare_hosts (text_t a, text_t b)
 {
--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -19,8 +19,15 @@
   KIND_IDEMPOTENT, /* may be executed more than once */
   KIND_MUTATING,   /* executed at most once per request id */
   KIND_DOWNLOAD,   /* large response; otherwise as KIND_IDEMPOTENT */
+  KIND_UPLOAD,     /* large body; otherwise as KIND_MUTATING */
+  /* A kind that this version doesn't know.  What it requires is unknown too, so that its
+   * requests are rejected before any of them is sent. */
+  KIND_UNSUPPORTED,
 } request_kind_t;
 
+/* Whether a request of KIND may be executed more than once. */
+bool request_kind_may_repeat (request_kind_t kind);
+
 typedef struct
 {
   uint32_t service; /* index in the directory's services */
@@ -74,6 +81,9 @@
 /* Copies TEXT into memory that the directory owns. */
 text_t directory_copy_text (directory_t *self, text_t text);
 
+/* The number of routes whose kind isn't supported. */
+uint32_t directory_count_unsupported (const directory_t *self);
+
 /* Returns the index of the service NAME, or -1. */
 int directory_find_service (const directory_t *self, text_t name);
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -254,6 +254,11 @@
     }
   const route_entry_t *route
       = &g_array_index (self->directory->routes, route_entry_t, (guint)i);
+  if (route->kind == KIND_UNSUPPORTED)
+    {
+      end (self, request, REASON_UNSUPPORTED, now, out);
+      return;
+    }
   msec_t wait = msg->timeout >= 0 ? MIN (msg->timeout, route->timeout) : route->timeout;
   request->service = services_select (self, route);
   dispatch_service_t *service = service_at (self, request->service);
@@ -283,7 +288,7 @@
 {
   bool may_run_again
       = (!request->caller_left && !request->no_retry && request->executions == 0)
-        || (request->kind != KIND_MUTATING && !request->no_retry
+        || (request_kind_may_repeat (request->kind) && !request->no_retry
             && request->executions < request->executions_max);
 
   request->last_failed_target = request->target;
@@ -409,7 +414,7 @@
 
   if (request->state == REQUEST_ENDED)
     return;
-  if (sent && request->kind == KIND_MUTATING && !request->streaming)
+  if (sent && !request_kind_may_repeat (request->kind) && !request->streaming)
     {
       request->caller_left = true;
       return;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -16,9 +16,9 @@
  * key's owner, queues requests until a target has capacity, retries them where that
  * is allowed, and ends those that cannot be served.
  *
- * At most once: a mutating request is retried only if the target reported that it
- * did not run it, or if no byte of it was sent.  A request ends as "not run" only if
- * none of its attempts can have run.
+ * At most once: a mutating request or an upload is retried only if the target reported
+ * that it did not run it, or if no byte of it was sent.  A request ends as "not run" only
+ * if none of its attempts can have run.
  */
 
 typedef struct dispatch_request dispatch_request_t;
@@ -134,6 +134,7 @@
   REASON_NO_CONFIGURATION,
   REASON_OUTDATED, /* the configuration or the list of targets may be too old */
   REASON_NO_ROUTE,
+  REASON_UNSUPPORTED,  /* this version doesn't support the route's kind */
   REASON_NO_TARGET,    /* no usable target is listed or reachable */
   REASON_NO_OWNER,     /* the key has no owner at present, or the owner is unreachable */
   REASON_OVERLOAD,     /* no target has capacity in time */
--- a/packages/dispatch/retries.c
+++ b/packages/dispatch/retries.c
@@ -10,7 +10,7 @@
 {
   dispatch_service_t *service = service_at (self, request->service);
 
-  return request->kind != KIND_MUTATING && !request->keyed && !request->no_retry
+  return request_kind_may_repeat (request->kind) && !request->keyed && !request->no_retry
          && request->executions < request->executions_max
          && request->attempts < DISPATCH_ATTEMPTS_MAX
          && now + service->service_time_ms < request->deadline
@@ -34,7 +34,7 @@
   dispatch_reason_t reason;
   dispatch_request_t second_attempt = *request;
 
-  if (self->draining || request->kind == KIND_MUTATING || request->keyed
+  if (self->draining || !request_kind_may_repeat (request->kind) || request->keyed
       || request->no_retry || request->executions >= request->executions_max
       || now < waits_overdue_at (self, request, now))
     return false;
--- a/packages/dispatch/services.c
+++ b/packages/dispatch/services.c
@@ -91,6 +91,7 @@
     [REASON_NO_CONFIGURATION] = "no-configuration",
     [REASON_OUTDATED] = "outdated",
     [REASON_NO_ROUTE] = "no-route",
+    [REASON_UNSUPPORTED] = "unsupported-kind",
     [REASON_NO_TARGET] = "no-target",
     [REASON_NO_OWNER] = "no-owner",
     [REASON_OVERLOAD] = "overload",
@@ -116,8 +117,8 @@
                                   : directory_match_route (self->directory, host, path);
 
   return i >= 0
-         && g_array_index (self->directory->routes, route_entry_t, (guint)i).kind
-                != KIND_MUTATING;
+         && request_kind_may_repeat (
+             g_array_index (self->directory->routes, route_entry_t, (guint)i).kind);
 }
 
 const dispatch_target_t *
--- a/packages/dispatch/tests/dispatch_fixture.c
+++ b/packages/dispatch/tests/dispatch_fixture.c
@@ -27,6 +27,12 @@
   route.prefix = TEXT ("/order/");
   route.kind = KIND_MUTATING;
   g_array_append_val (directory->routes, route);
+  route.prefix = TEXT ("/upload/");
+  route.kind = KIND_UPLOAD;
+  g_array_append_val (directory->routes, route);
+  route.prefix = TEXT ("/unsupported/");
+  route.kind = KIND_UNSUPPORTED;
+  g_array_append_val (directory->routes, route);
   route.prefix = TEXT ("/split/");
   route.kind = KIND_DOWNLOAD;
   route.first_share = 2;
--- a/packages/dispatch/waits.c
+++ b/packages/dispatch/waits.c
@@ -49,7 +49,7 @@
 msec_t
 waits_next_check (const dispatch_t *self, const dispatch_request_t *request, msec_t now)
 {
-  if (request->kind == KIND_MUTATING || request->keyed
+  if (!request_kind_may_repeat (request->kind) || request->keyed
       || request->executions >= request->executions_max)
     return waits_answer_deadline (request);
   return MIN (MAX (waits_overdue_at (self, request, now), now + DISPATCH_POLL_MS),
--- a/packages/proxy/pool.c
+++ b/packages/proxy/pool.c
@@ -102,7 +102,7 @@
   while (conn != NULL && was_rejected_on (exchange, conn))
     conn = TAILQ_NEXT (conn, link);
   if (conn == NULL
-      || (exchange->request.kind == KIND_MUTATING
+      || (!request_kind_may_repeat (exchange->request.kind)
           && conn->idle_until - now < conn->idle_timeout / 2))
     return NULL;
   TAILQ_REMOVE (idle_list (proxy, target), conn, link);
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -302,7 +302,7 @@
   else
     prepare_response (self, exchange);
   if (msg.answer == ANSWER_RUN && proxy->dialect->guarantees_not_run (self->status)
-      && exchange->request.kind == KIND_MUTATING)
+      && !request_kind_may_repeat (exchange->request.kind))
     {
       /* The status would guarantee to the caller that the request did not run, which the
        * target did not report. */
@@ -492,7 +492,7 @@
     g_string_append_printf (head,
                             "Content-Length: %llu\r\n",
                             (unsigned long long)exchange->content_length);
-  else if (body > 0 || exchange->request.kind == KIND_MUTATING)
+  else if (body > 0 || !request_kind_may_repeat (exchange->request.kind))
     g_string_append_printf (head, "Content-Length: %zu\r\n", body);
   g_string_append (head, "\r\n");
   conn->exchange = exchange;
--- /dev/null
+++ b/tests/process/platform_cases.py
@@ -0,0 +1,94 @@
+"""Cases on router processes against an emulated platform, and how a test file runs them."""
+
+import os
+import sys
+import time
+
+from platform_fixture import ROUTES, Caller, Router, Store, StoreAccess, Target, configuration
+
+
+class Fixture:
+    def __init__(self, build, routers=1):
+        self.store = Store()
+        self.accesses = [StoreAccess(self.store) for i in range(routers)]
+        self.port = self.accesses[0].port
+        self.build = build
+        self.store.put("op", "config", configuration(1, ROUTES))
+        self.targets = {
+            name: Target(self.store, name, service)
+            for name, service in
+            [("k1", "keyed"), ("k2", "keyed"), ("p1", "plain"), ("p2", "plain")]
+        }
+        self.routers = [
+            Router(build, access.port, "h%d" % i) for i, access in enumerate(self.accesses)
+        ]
+        for router in self.routers:
+            router.wait_ready()
+        for router in self.routers:
+            router.wait_hosts(routers)
+        self.count = 0
+
+    def new_id(self):
+        self.count += 1
+        return "id-%d" % self.count
+
+    def request(self, path, router=0, caller=None, **more):
+        own_connection = caller is None
+        caller = caller or Caller(self.routers[router])
+        request_id = self.new_id()
+        caller.send(path, request_id, **more)
+        response = caller.receive()
+        if own_connection:
+            caller.close()
+        return response, self.executions(request_id)
+
+    def executions(self, request_id):
+        return sum(target.executed.count(request_id) for target in self.targets.values())
+
+    def stop(self):
+        for router in self.routers:
+            router.kill()
+
+
+def check(condition, *what):
+    if not condition:
+        raise AssertionError(" ".join(str(w) for w in what))
+
+
+def wait_until(condition, seconds=5):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+def run_cases(cases):
+    """The names of cases to run are arguments, else all are; --except=CASE leaves one out.  The
+    environment variable BUILD is the build directory."""
+    build = os.environ.get("BUILD", "build")
+    wanted = [name for name in sys.argv[1:] if not name.startswith("--except=")]
+    skipped = [name[len("--except="):] for name in sys.argv[1:] if name not in wanted]
+    failed = 0
+    ran = 0
+    for case in cases:
+        if case.__name__ in skipped or (wanted and case.__name__ not in wanted):
+            continue
+        fixture = Fixture(build, routers=getattr(case, "routers", 2))
+        ran += 1
+        try:
+            case(fixture)
+            exit_codes = [router.process.poll() for router in fixture.routers]
+            check(all(code in (None, 0) for code in exit_codes), "routers exited:", exit_codes)
+            print("ok", case.__name__)
+        except (AssertionError, AttributeError) as error:  # None has no attributes
+            failed += 1
+            time.sleep(1)  # the log is flushed twice a second
+            print("FAILED", case.__name__, error)
+            for router in fixture.routers:
+                print(router.read_log()[-9000:])
+        finally:
+            fixture.stop()
+    print("%d passed, %d failed" % (ran - failed, failed))
+    return 1 if failed else 0
