A caller whose body waits for a slow target is not blamed for it, and gets its answer

Cause: reading from a caller pauses while its target doesn't take the body. And a response that ended such a request closed the connection with reading still paused: unread bytes made the kernel reset it, and the caller lost the answer. Change: the time doesn't run while reading is paused; closing resumes reading, to discard what comes.

--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -21,6 +21,7 @@
   if (self->closing)
     return;
   self->closing = true;
+  bufferevent_enable (self->bev, EV_READ); /* may be paused within a body */
   if (evbuffer_get_length (bufferevent_get_output (self->bev)) == 0)
     shutdown (bufferevent_getfd (self->bev), SHUT_WR);
   set_timer (self, PROXY_LINGER_MS);
@@ -299,6 +300,12 @@
       caller_free (self);
       return;
     }
+  if ((bufferevent_get_enabled (self->bev) & EV_READ) == 0)
+    {
+      /* Paused: the target is slow, not the caller. */
+      set_timer (self, self->proxy->limits.head_timeout_ms);
+      return;
+    }
   if (self->receiving != NULL || self->reader.in_message)
     {
       reject_request (self, 408, TEXT ("The request took too long to arrive."));
