A response that a target sent before it closed is read although the request can't be written any more

Cause: a target that answers before it has read a body and closes makes the next write fail. The attempt ended with that error, and the response that had arrived was dropped: 502 for an upload that had run. Change: after a failed write the connection is read to its end.

--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -398,14 +398,20 @@
       pool_close (self);
       return;
     }
-  if ((what & BEV_EVENT_EOF) && http_reader_eof (&self->reader) == HTTP_COMPLETE
-      && !self->mismatched)
+  if ((what & BEV_EVENT_ERROR) && (what & BEV_EVENT_WRITING) && self->connected)
+    {
+      self->write_failed = true;
+      self->not_reusable = true;
+      return;
+    }
+  if ((what & BEV_EVENT_EOF) && !self->write_failed
+      && http_reader_eof (&self->reader) == HTTP_COMPLETE && !self->mismatched)
     {
       self->keep_alive = false;
       finish_attempt (self);
       return;
     }
-  if (what & BEV_EVENT_EOF)
+  if ((what & BEV_EVENT_EOF) && !self->write_failed)
     fail (self, "closed");
   else if (self->connected)
     fail_with (self,
--- a/packages/proxy/target_conn.h
+++ b/packages/proxy/target_conn.h
@@ -18,9 +18,12 @@
   bool mismatched;      /* the response being read belongs to another request */
   uint64_t stray_bytes; /* of bodies of such responses, since the request was sent */
   uint32_t skipped_responses; /* interim or to other requests, since it was sent */
-  bool not_reusable;          /* the connection is closed after this response */
-  size_t request_bytes;       /* bytes of the request queued for writing */
-  response_facts_t facts;     /* its texts point into the reader's head */
+  /* The target closed or reset the connection while the request was being sent.  What it
+   * had sent before that is still read. */
+  bool write_failed;
+  bool not_reusable;      /* the connection is closed after this response */
+  size_t request_bytes;   /* bytes of the request queued for writing */
+  response_facts_t facts; /* its texts point into the reader's head */
   unsigned status;
   bool keep_alive;  /* the target keeps the connection open after the response */
   bool used_before; /* a complete response was received on it before */
