Buffers of messages share a quarter of the process's memory

Change: slice buffers. A message may hold a 32nd of what is left of a quarter of the memory (setting memory_mb), and 16 KiB in any case; beyond that it is forwarded as it arrives, and its sender is paused. Few messages keep the large buffers that let a request be repeated and a broken response be noticed. Metrics buffered_bytes and buffered_peak_bytes. Ruled out: rejecting uploads beyond a number, which would reject callers for which there is room.

--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -65,6 +65,8 @@
   add_number (page, "service_pauses_total", counts->service_pauses);
   add_number (page, "caller_connections", counts->caller_connections);
   add_number (page, "requests_waiting", counts->queued);
+  add_number (page, "buffered_bytes", counts->buffered);
+  add_number (page, "buffered_peak_bytes", counts->buffered_peak);
   for (int i = 0; i < SERVICE_MAX; i++)
     {
       const service_counts_t *service = &counts->services[i];
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -223,8 +223,14 @@
 #define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024)   /* until a configuration sets it */
 #define PROXY_BODY_BUFFER_BYTES (256 * 1024)      /* larger request bodies are streamed */
 #define PROXY_RESPONSE_BUFFER_BYTES (1024 * 1024) /* larger responses are streamed */
-#define PROXY_PROGRESS_MS 5000         /* the longest pause within a streamed response */
-#define PROXY_SKIPPED_RESPONSES_MAX 16 /* interim or to earlier requests, before ours */
+/* Of a process's memory: what the messages that are being forwarded may occupy.  The rest
+ * is for connections, tables, and what the kernel holds for them. */
+#define BUFFERS_MEMORY_PERCENT 25
+/* Of what is left of that: the part of one message. */
+#define BUFFERS_PARTS 32
+#define BUFFERS_LEAST_BYTES (16 * 1024) /* what one read from a socket takes */
+#define PROXY_PROGRESS_MS 5000          /* the longest pause within a streamed response */
+#define PROXY_SKIPPED_RESPONSES_MAX 16  /* interim or to earlier requests, before ours */
 #define PROXY_HEAD_MAX_BYTES (64 * 1024) /* until a configuration sets it */
 #define PROXY_IDLE_MS 15000     /* without a request, until a configuration sets it */
 #define PROXY_LINGER_MS 1000    /* time to read the rest of a closed connection */
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -176,15 +176,15 @@
   exchange->body_received += bytes.len;
   if (is_too_large (exchange))
     return; /* read_requests rejects it */
+  size_t part = buffers_part (&self->proxy->buffers, PROXY_BODY_BUFFER_BYTES);
   evbuffer_add (exchange->body, bytes.at, bytes.len);
-  if (evbuffer_get_length (exchange->body) > PROXY_BODY_BUFFER_BYTES
-      && !exchange->dispatched)
+  if (evbuffer_get_length (exchange->body) > part && !exchange->dispatched)
     exchange->request_streaming = true;
   if (!exchange->request_streaming)
     return;
   if (exchange->connection != NULL)
     target_conn_write_body (exchange->connection);
-  else if (evbuffer_get_length (exchange->body) > 2 * PROXY_BODY_BUFFER_BYTES)
+  else if (evbuffer_get_length (exchange->body) > 2 * part)
     bufferevent_disable (self->bev, EV_READ); /* until the request is sent */
 }
 
@@ -323,6 +323,7 @@
   socket_set_options (fd, PROXY_TCP_USER_TIMEOUT_MS * 4);
   self->proxy = proxy;
   self->bev = bufferevent_socket_new (proxy->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  buffers_watch_output (&proxy->buffers, self->bev);
   TAILQ_INIT (&self->pipeline);
   http_reader_init (&self->reader, HTTP_REQUESTS, head_max, &reader_ops, self);
   self->timer = evtimer_new (proxy->base, on_timer, self);
@@ -347,6 +348,7 @@
     }
   event_free (self->timer);
   http_reader_finish (&self->reader);
+  buffers_forget_output (&self->proxy->buffers, self->bev);
   bufferevent_free (self->bev);
   g_free (self);
 }
--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -91,7 +91,7 @@
   if (!name_set (&self->id, self->facts.id))
     self->id.len = 0;
   self->head = forwarded_head (proxy, head, &self->head_fingerprint);
-  self->body = evbuffer_new ();
+  self->body = buffers_new (&proxy->buffers);
   self->timer = evtimer_new (proxy->base, on_timer, self);
   return self;
 }
@@ -101,9 +101,8 @@
 {
   g_assert (self->connection == NULL);
   event_free (self->timer);
-  evbuffer_free (self->body);
-  if (self->response != NULL)
-    evbuffer_free (self->response);
+  buffers_free (&self->proxy->buffers, self->body);
+  buffers_free (&self->proxy->buffers, self->response);
   g_string_free (self->head, TRUE);
   g_free (self->host);
   g_free (self->path);
@@ -179,9 +178,8 @@
   g_string_append_printf (head,
                           "Content-Type: text/plain\r\nContent-Length: %zu\r\n",
                           reason.len);
-  if (self->response != NULL)
-    evbuffer_free (self->response);
-  self->response = evbuffer_new ();
+  buffers_free (&self->proxy->buffers, self->response);
+  self->response = buffers_new (&self->proxy->buffers);
   evbuffer_add (self->response, head->str, head->len);
   if (self->close)
     evbuffer_add_printf (self->response, "Connection: close\r\n");
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -2,6 +2,7 @@
 
 #include "proxy.h"
 
+#include "../buffers/buffers_watch.h"
 #include "../http/sockets.h"
 
 #include <event2/bufferevent.h>
--- a/packages/proxy/pool.c
+++ b/packages/proxy/pool.c
@@ -17,7 +17,8 @@
 {
   event_free (self->timer);
   http_reader_finish (&self->reader);
-  evbuffer_free (self->body);
+  buffers_free (&self->proxy->buffers, self->body);
+  buffers_forget_output (&self->proxy->buffers, self->bev);
   bufferevent_free (self->bev);
   g_free (self);
 }
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -52,7 +52,7 @@
     {
       /* The response head, already sent, has a status that is no longer correct. */
       if (self->response == NULL)
-        self->response = evbuffer_new ();
+        self->response = buffers_new (&self->proxy->buffers);
       if (self->caller != NULL)
         caller_abort (self->caller);
       return;
@@ -111,11 +111,11 @@
       /* Adds Connection: close, so that the caller reconnects to another host.  The
        * response was prepared without it. */
       struct evbuffer_ptr at = evbuffer_search (self->response, "\r\n", 2, NULL);
-      struct evbuffer *with_close = evbuffer_new ();
+      struct evbuffer *with_close = buffers_new (&self->proxy->buffers);
       evbuffer_remove_buffer (self->response, with_close, (size_t)at.pos + 2);
       evbuffer_add_printf (with_close, "Connection: close\r\n");
       evbuffer_add_buffer (with_close, self->response);
-      evbuffer_free (self->response);
+      buffers_free (&self->proxy->buffers, self->response);
       self->response = with_close;
       self->close = true;
       caller->no_more_requests = true;
@@ -555,6 +555,7 @@
   dispatch_init (&self->dispatch,
                  name_text (&settings->data_centre),
                  text_hash (name_text (&settings->host)));
+  buffers_init (&self->buffers, (uint64_t)settings->memory_mb * 1024 * 1024);
   update_bounds (self);
   if (!mailbox_init (&self->inbox,
                      self->base,
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../buffers/buffers.h"
 #include "../core/mailbox.h"
 #include "../core/metrics.h"
 #include "../settings/router_settings.h"
@@ -69,7 +70,8 @@
   uint64_t caller_connections; /* gauge: open connections of callers */
   uint64_t queued;             /* gauge: requests queued at this host */
   uint64_t retries_left;       /* gauge: retries left in the budgets of all services */
-  msec_t late_ms;              /* gauge: how late the proxy's last tick was */
+  uint64_t buffered, buffered_peak; /* gauges: bytes of messages being forwarded */
+  msec_t late_ms;                   /* gauge: how late the proxy's last tick was */
   service_counts_t services[SERVICE_MAX];
 } proxy_counts_t;
 
@@ -117,6 +119,7 @@
   dispatch_t dispatch;
   GArray *actions; /* dispatch_out_t that are still to be performed */
   caller_limits_t limits;
+  buffers_t buffers; /* of bodies of requests and responses */
   struct caller_list callers;
   uint32_t caller_count;
   uint64_t connections_opened; /* to targets */
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -113,6 +113,8 @@
   msec_t now = msclock_now (&self->clock);
 
   self->counts.caller_connections = self->caller_count;
+  self->counts.buffered = self->buffers.held;
+  self->counts.buffered_peak = self->buffers.peak;
   self->counts.queued = 0;
   self->counts.retries_left = 0;
   for (guint i = 0; i < self->dispatch.services->len; i++)
--- a/packages/proxy/stream.c
+++ b/packages/proxy/stream.c
@@ -24,14 +24,16 @@
     evbuffer_add (out, "\r\n", 2);
 }
 
-/* Stops reading FROM if more than STREAM_HIGH_BYTES are queued for writing to TO.  TO's
- * write callback, called at STREAM_LOW_BYTES, resumes it. */
+/* Stops reading FROM if more than a part of the memory is queued for writing to TO.  TO's
+ * write callback, called at a quarter of that, resumes it. */
 static void
-pause_if_full (struct bufferevent *from, struct bufferevent *to)
+pause_if_full (const exchange_t *self, struct bufferevent *from, struct bufferevent *to)
 {
-  if (evbuffer_get_length (bufferevent_get_output (to)) <= STREAM_HIGH_BYTES)
+  size_t high = buffers_part (&self->proxy->buffers, STREAM_HIGH_BYTES);
+
+  if (evbuffer_get_length (bufferevent_get_output (to)) <= high)
     return;
-  bufferevent_setwatermark (to, EV_WRITE, STREAM_LOW_BYTES, 0);
+  bufferevent_setwatermark (to, EV_WRITE, high / 4, 0);
   bufferevent_disable (from, EV_READ);
 }
 
@@ -41,7 +43,7 @@
   struct bufferevent *to = self->caller->bev;
 
   write_part (bufferevent_get_output (to), part, self->response_chunked);
-  pause_if_full (from, to);
+  pause_if_full (self, from, to);
 }
 
 void
@@ -58,5 +60,5 @@
   if (self->request_complete && self->request_chunked)
     bufferevent_write (to, "0\r\n\r\n", 5);
   if (self->caller != NULL && !self->request_complete)
-    pause_if_full (self->caller->bev, to);
+    pause_if_full (self, self->caller->bev, to);
 }
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -153,9 +153,8 @@
 static struct evbuffer *
 new_response_buffer (exchange_t *exchange)
 {
-  if (exchange->response != NULL)
-    evbuffer_free (exchange->response);
-  exchange->response = evbuffer_new ();
+  buffers_free (&exchange->proxy->buffers, exchange->response);
+  exchange->response = buffers_new (&exchange->proxy->buffers);
   return exchange->response;
 }
 
@@ -239,10 +238,11 @@
 
   if (!exchange->response_streaming)
     {
-      if (evbuffer_get_length (self->body) <= PROXY_RESPONSE_BUFFER_BYTES)
+      size_t len = evbuffer_get_length (self->body);
+      if (len <= buffers_part (&self->proxy->buffers, PROXY_RESPONSE_BUFFER_BYTES))
         return true;
       if (!may_stream (self))
-        return false;
+        return len <= PROXY_RESPONSE_BUFFER_BYTES;
       if (!is_next_response (exchange))
         {
           bufferevent_disable (self->bev, EV_READ);
@@ -452,7 +452,8 @@
   self->serial = ++proxy->connections_opened;
   self->target = target;
   self->bev = bufferevent_socket_new (proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
-  self->body = evbuffer_new ();
+  buffers_watch_output (&proxy->buffers, self->bev);
+  self->body = buffers_new (&proxy->buffers);
   self->timer = evtimer_new (proxy->base, on_timer, self);
   http_reader_init (&self->reader,
                     HTTP_RESPONSES,
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -18,6 +18,8 @@
   FIELD ("peers", FORM_NAME, peers, true, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("metrics", FORM_NAME, metrics, false, 0, 0, ENDPOINT_EXPECTED),
   FIELD ("link_mbps", FORM_REAL, link_mbps, false, 1, 1000000, "megabits/s, 1 or more"),
+  FIELD (
+      "memory_mb", FORM_UINT, memory_mb, false, 16, 1048576, "MiB, from 16 to 1048576"),
 };
 
 static const form_field_t store_fields[] = {
@@ -86,6 +88,7 @@
 
 static const double default_link_mbps
     = 100; /* the slowest link that hosts usually have */
+static const uint32_t default_memory_mb = 160; /* the smallest hosts */
 
 status_t
 router_settings_load (router_settings_t *self,
@@ -95,7 +98,9 @@
 {
   toml_doc_t doc;
 
-  *self = (router_settings_t){ .bounds = default_bounds, .link_mbps = default_link_mbps };
+  *self = (router_settings_t){ .bounds = default_bounds,
+                               .link_mbps = default_link_mbps,
+                               .memory_mb = default_memory_mb };
   form_init (form, file);
   status_t status = toml_doc_init (&doc, file, fault);
   if (status == STATUS_OK)
--- a/packages/settings/router_settings.h
+++ b/packages/settings/router_settings.h
@@ -28,12 +28,13 @@
 {
   name_t host;
   name_t data_centre;
-  name_t callers;   /* address:port */
-  name_t ready;     /* address:port */
-  name_t peers;     /* address:port, for other hosts */
-  name_t metrics;   /* address:port; empty: metrics aren't served */
-  name_t store;     /* address:port */
-  double link_mbps; /* capacity of the host's network link, megabits/s */
+  name_t callers;     /* address:port */
+  name_t ready;       /* address:port */
+  name_t peers;       /* address:port, for other hosts */
+  name_t metrics;     /* address:port; empty: metrics aren't served */
+  name_t store;       /* address:port */
+  double link_mbps;   /* capacity of the host's network link, megabits/s */
+  uint32_t memory_mb; /* that the process may use, MiB */
   struct sockaddr_in callers_address;
   struct sockaddr_in ready_address;
   struct sockaddr_in peers_address;
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -850,7 +850,7 @@
 class Router:
     """A router process; its log goes to the file `log_path`."""
 
-    def __init__(self, build, store_port, name, blocked_log=False):
+    def __init__(self, build, store_port, name, blocked_log=False, memory_mb=160):
         self.caller_port, self.ready_port, self.peer_port = free_port(), free_port(), free_port()
         self.metrics_port = free_port()
         self.directory = tempfile.mkdtemp(prefix="router-")
@@ -860,10 +860,10 @@
             file.write(
                 '[host]\nname = "%s"\ndata_centre = "z1"\ncallers = "127.0.0.1:%d"\n'
                 'ready = "127.0.0.1:%d"\npeers = "127.0.0.1:%d"\nunknown = 1\n'
-                'metrics = "127.0.0.1:%d"\n'
+                'metrics = "127.0.0.1:%d"\nmemory_mb = %d\n'
                 '[store]\naddress = "127.0.0.1:%d"\n[bounds]\ngrace_s = 6\n'
                 % (name, self.caller_port, self.ready_port, self.peer_port, self.metrics_port,
-                   store_port)
+                   memory_mb, store_port)
             )
         command = [os.path.join(build, "chicorywood"), "route", "--settings", self.settings_path]
         with open(self.log_path, "wb") as log:
