--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -542,7 +542,8 @@
   if (role->state == ROLE_NOT_HELD)
     {
       if (!role->checking && now >= role->next_check && discovery_is_complete (self)
-          && self->keyed_services->len > 0 && !self->stopping)
+          && discovery_store_is_back (self) && self->keyed_services->len > 0
+          && !self->stopping)
         check_holder (self, now);
       return;
     }
