Hosts are patient with the store at their start only

Record: hosts that read the store later after an outage lack more when the next granter begins, and get it from that granter; on a host of 0.1 cores whole key tables for 195 hosts keep its coordinator late by 2 s (event=late by_ms=1989), it can't renew its role within 2.5 s, and the next one meets the same: ten granters in 25 s. Change: feeds, owners and the role ask as before. What stays: a host that has just read the store and heard no granter yet doesn't watch it until its knowledge is old; 195 hosts then make 390 calls less at a start. Ruled out: the backoff alone as the cause, since reading owners later did the same without it.

--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -47,9 +47,6 @@
 /* Whether this host's last attempt to read the configuration failed. */
 bool discovery_store_unreachable (const coordinator_t *self);
 
-/* False while the store itself turns this host's calls away. */
-bool discovery_store_is_back (const coordinator_t *self);
-
 /* Whether the configuration, the targets and the owners have been read. */
 bool discovery_is_complete (const coordinator_t *self);
 
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -19,12 +19,6 @@
   return self->ops->max_age != NULL ? self->ops->max_age (self->owner) : STORE_WATCH_MS;
 }
 
-static uint32_t
-count_hosts (const feed_t *self)
-{
-  return self->ops->count_hosts != NULL ? self->ops->count_hosts (self->owner) : 1;
-}
-
 static void
 start_call (feed_t *self)
 {
@@ -110,9 +104,7 @@
                     reply->reason != NULL ? reply->reason : "none",
                     (unsigned long long)self->version);
   outage_note_failure (self->outage, call->started, msclock_now (self->clock));
-  self->turned_away = reply->turned_away;
-  self->retry_delay
-      = patience_delay (self->retry_delay, reply->turned_away, count_hosts (self));
+  self->retry_delay = CLAMP (self->retry_delay * 2, STORE_RETRY_MS, STORE_RETRY_MAX_MS);
   schedule_call (self,
                  self->retry_delay / 2
                      + (msec_t)rng_below (&self->rng, self->retry_delay));
@@ -122,7 +114,6 @@
 handle_success (feed_t *self, const store_reply_t *reply)
 {
   outage_note_answer (self->outage, msclock_now (self->clock));
-  self->turned_away = false;
   if (self->retry_delay == 0)
     return;
   self->retry_delay = 0;
@@ -297,14 +288,6 @@
              : msclock_now (self->clock) - self->confirmed_at;
 }
 
-patience_feed_t
-feed_patience (const feed_t *self)
-{
-  /* A suspended feed asks nothing, so what it was last told may be over. */
-  return (patience_feed_t){ self->turned_away && !self->suspended,
-                            feed_call_duration (self) };
-}
-
 msec_t
 feed_call_duration (const feed_t *self)
 {
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -3,7 +3,6 @@
 #include "../core/rng.h"
 #include "../store/store.h"
 #include "outage.h"
-#include "patience.h"
 
 /*
  * FEED: keeps a subscriber up to date with one table of the store.
@@ -32,8 +31,6 @@
   /* The age that the feed may reach while the store answers; each watch ends by then.
    * NULL: STORE_WATCH_MS. */
   msec_t (*max_age) (void *owner);
-  /* The number of hosts that use the store.  NULL: 1. */
-  uint32_t (*count_hosts) (void *owner);
 } feed_ops_t;
 
 typedef struct
@@ -58,7 +55,6 @@
   msec_t confirm_after; /* calls don't wait for changes until one confirms a later time */
   GString *last_key;    /* last key of the previous page */
   msec_t retry_delay;   /* backoff; 0: the last call succeeded */
-  bool turned_away;     /* the store rejected the last call that ended */
   msec_t read_started;  /* start of the full read in progress, or of the last one */
   msec_t confirmed_at;  /* all changes up to then were delivered; MSEC_NEVER: unknown */
 } feed_t;
@@ -108,9 +104,6 @@
  * never read. */
 msec_t feed_age (const feed_t *self);
 
-/* For the host's other feeds. */
-patience_feed_t feed_patience (const feed_t *self);
-
 /* The time in ms since the call in flight was started; -1: there is none. */
 msec_t feed_call_duration (const feed_t *self);
 
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -542,8 +542,7 @@
   if (role->state == ROLE_NOT_HELD)
     {
       if (!role->checking && now >= role->next_check && discovery_is_complete (self)
-          && discovery_store_is_back (self) && self->keyed_services->len > 0
-          && !self->stopping)
+          && self->keyed_services->len > 0 && !self->stopping)
         check_holder (self, now);
       return;
     }
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -332,15 +332,6 @@
 /* The store's recovery is noticed well within the time that a configuration may take. */
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MAX_MS 600
-/* A store that turns calls away, and the hosts of a large fleet. */
-#define PATIENCE_FLEET_CALLS_PER_S 130 /* of one feed of each host */
-/* With the jitter, hosts notice the store's return within 2.3 s; rules with a time bound
- * hold again 3 s after it. */
-#define PATIENCE_MAX_MS 1500
-#define PATIENCE_ANSWER_MS 200 /* a call that takes longer may hang */
-/* Hosts read owners of keys from the store if the granter's word ended this long ago:
- * another granter has begun by then, and tells them. */
-#define OWNERS_PATIENCE_MS 4000
 /* Entries that expired in an outage are renewed within this time after it. */
 #define STORE_ENTRY_RENEWAL_MS 2000
 #define STORE_RECOVERY_MS 3000          /* all calls recover from an outage within this */
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -48,7 +48,6 @@
   uint64_t version;   /* the store's latest version at the time of the answer */
   msec_t clock;       /* the store's monotonic clock; comparable between hosts */
   const char *reason; /* reason of a failure, for the log */
-  bool turned_away;   /* a failure that the store itself answered with */
 } store_reply_t;
 
 typedef void (*store_done_t) (void *owner, const store_reply_t *reply);
