The granter assigns keys by the service times that all hosts measure

Cause: the granter weighed targets by the times of its own callers alone. On 8 hosts it sees an eighth of the requests; on 195 it sees each of 319 targets once in half a minute, so that keys were even by requests, not by work. Change: each host reports the times that it measured since its last report, with their number, to the granter, which averages over all. The time is what the target worked: its queue, as it reports its load, is left out, since a host of a large fleet knows of one request there, its own. A quarter of the wait counts where keys are assigned: a slow target can be full at a load that is within random variation of the mean. Tests: unit key-moves plays 319 targets of unlike speeds at 0.8 of their capacity: under 5 in 100 callers late, over 10 in 100 without the times; unit dispatch-load fails before; link.

--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -160,6 +160,9 @@
   char *host = text_dup_c (name_text (&report->host));
   keys_msg_t msg
       = { .kind = KEYS_LOADS, .service = report->service, .loads = report->loads };
+  const keys_msg_t service_times = { .kind = KEYS_SERVICE_TIMES,
+                                     .service = report->service,
+                                     .service_times = report->service_times };
   const key_table_t *table = owners_find (self, &report->service);
   GArray *grants;
   reporter_t *reporter;
@@ -177,6 +180,7 @@
     }
   *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
+  grants_handle (self, &service_times);
   grants_handle (self, &msg);
   grants = g_array_new (FALSE, FALSE, sizeof (rate_grant_t));
   rate_fleet_report (&self->rates,
@@ -403,7 +407,8 @@
                            .loads = from->key_loads,
                            .rates = from->rates,
                            .rates_at = from->rates_at,
-                           .leaving = from->leaving };
+                           .leaving = from->leaving,
+                           .service_times = from->service_times };
   peers_send (self, &self->granter, link_encode_report (&report));
 }
 
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -175,7 +175,8 @@
 /* Times the expected time: a target seldom needs longer, so that a request which is sent
  * while the process stops is answered before its end. */
 #define DISPATCH_STOP_FACTOR 2
-#define DISPATCH_RETRY_AFTER_MIN_MS 100 /* the targets' load doesn't change sooner */
+#define DISPATCH_PLANNED_WAIT_PERCENT 25 /* of the wait in a target's queue */
+#define DISPATCH_RETRY_AFTER_MIN_MS 100  /* the targets' load doesn't change sooner */
 /* The longest time for which a target is left alone because it said so; then one request
  * is tried. */
 #define DISPATCH_PAUSE_MAX_MS (60 * 60 * 1000)
@@ -278,6 +279,9 @@
 
 /* Rebalancing of keys by load. */
 #define KEYS_PLAN_MS 500 /* between plans */
+/* Of the moving average of a target's time per request: some 3 s of requests where
+ * each target gets five a second. */
+#define KEYS_TIME_SAMPLES 16
 #define KEYS_LOAD_RETENTION 0.85 /* share of a load kept per plan: about 3 s count */
 #define KEYS_MOVE_SAMPLES 100    /* fewer requests are not significant */
 /* Of the mean utilization: keys are moved away from a target that is above the first, if
--- a/packages/directory/directory.h
+++ b/packages/directory/directory.h
@@ -126,9 +126,10 @@
   uint32_t count;
 } key_load_t;
 
-/* Measured time that a target takes for one request. */
+/* The mean time that a target took for each of SAMPLES requests of one host. */
 typedef struct
 {
   name_t target;
   uint32_t service_time_ms;
+  uint32_t samples;
 } target_service_time_t;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -232,6 +232,8 @@
   uint32_t other_load_average; /* moving average of other_load, in thousandths */
   msec_t reported_at;          /* when other_load was reported or assumed */
   uint32_t service_time_ms;    /* moving average of its service time for one request */
+  uint32_t samples;            /* such times since they were last reported */
+  uint64_t samples_ms;         /* and their sum */
   uint32_t failures;           /* consecutive failed attempts */
   msec_t backoff_until;        /* until then an owner gets no requests, others fewer */
   bool address_reused;         /* another target has its address; it gets no requests */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -85,6 +85,30 @@
   self->reported_at = now;
 }
 
+/* The time for which the target worked on the request: of the time until its answer, the
+ * rest was spent in its queue.  How many requests it has is seen from this host's own and
+ * from its report, which counts those of all hosts: a host of a large fleet has one. */
+static msec_t
+service_time_sample (const dispatch_request_t *request,
+                     const dispatch_msg_t *msg,
+                     uint32_t slots,
+                     msec_t now)
+{
+  uint32_t reported = msg->load.reported ? msg->load.running + msg->load.waiting : 0;
+  uint32_t concurrency = MAX (MAX (request->load_at_send, reported), slots);
+
+  return MAX ((now - request->sent_at) * slots / concurrency, 1);
+}
+
+/* What counts as the time per request where keys are assigned.  A part of the wait makes
+ * a target with a growing queue give keys away although its load is near the mean: it may
+ * be all that it can do. */
+static msec_t
+planned_time (msec_t work, msec_t elapsed)
+{
+  return work + MAX (elapsed - work, 0) * DISPATCH_PLANNED_WAIT_PERCENT / 100;
+}
+
 void
 target_answered (dispatch_target_t *self,
                  const dispatch_request_t *request,
@@ -106,10 +130,10 @@
     assume_full (self, now);
   if (run && msg->status < 500)
     {
-      msec_t elapsed = now - request->sent_at;
-      uint32_t concurrency = MAX (request->load_at_send, slots);
-      update_average (&self->service_time_ms,
-                      (uint32_t)MAX (elapsed * slots / concurrency, 1));
+      msec_t sample = service_time_sample (request, msg, slots, now);
+      update_average (&self->service_time_ms, (uint32_t)sample);
+      self->samples++;
+      self->samples_ms += (uint64_t)planned_time (sample, now - request->sent_at);
     }
   if (msg->answer == ANSWER_WRONG_TARGET)
     self->address_reused = true;
@@ -371,6 +395,25 @@
   g_hash_table_unref (by_id);
 }
 
+void
+targets_report_service_times (dispatch_t *self, uint32_t service, GArray *reports)
+{
+  for (guint i = 0; i < self->targets->len; i++)
+    {
+      dispatch_target_t *target = at (self, i);
+      if (!target->in_use || target->service != service || target->samples == 0)
+        continue;
+      const target_service_time_t report
+          = { .target = target->entry.id,
+              .service_time_ms = (uint32_t)(target->samples_ms / target->samples),
+              .samples = target->samples };
+      target->samples = 0;
+      target->samples_ms = 0;
+      if (target->listed)
+        g_array_append_val (reports, report);
+    }
+}
+
 bool
 targets_are_limited (const dispatch_t *self)
 {
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -55,6 +55,10 @@
                          msec_t reported_at,
                          msec_t now);
 
+/* Appends the service times of the targets of SERVICE that were measured since the last
+ * call (target_service_time_t) to REPORTS. */
+void targets_report_service_times (dispatch_t *self, uint32_t service, GArray *reports);
+
 /* Whether any target limits its rate. */
 bool targets_are_limited (const dispatch_t *self);
 
--- a/packages/dispatch/tests/test_dispatch_load.c
+++ b/packages/dispatch/tests/test_dispatch_load.c
@@ -1,3 +1,4 @@
+#include "../targets.h"
 #include "dispatch_fixture.h"
 
 /* Behaviour under load: retry budgets, weights, target selection and queues. */
@@ -83,6 +84,42 @@
   end (&fixture);
 }
 
+/* Load: a target with 3 slots and 9 requests of other hosts, of which this one has sent
+ * one.  The wait in its queue is not its work; where keys are assigned, a quarter counts.
+ */
+static void
+test_time_per_request_leaves_out_the_targets_queue (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request;
+  dispatch_msg_t msg = { .kind = DISPATCH_ANSWERED,
+                         .request = &request,
+                         .answer = ANSWER_RUN,
+                         .status = 200,
+                         .load = { .reported = true, .running = 3, .waiting = 6 } };
+  GArray *reports = g_array_new (FALSE, TRUE, sizeof (target_service_time_t));
+
+  (void)state;
+  begin (&fixture);
+  arrive (&fixture, &request, TEXT ("/keyed/"));
+  fixture.now += 900;
+  handle_msg (&fixture, &msg);
+  targets_report_service_times (&fixture.dispatch, 0, reports);
+  assert_int_equal (reports->len, 1);
+  const target_service_time_t *report
+      = &g_array_index (reports, target_service_time_t, 0);
+  assert_true (text_equal (name_text (&report->target), TEXT ("k1")));
+  assert_int_equal (report->service_time_ms, 300 + 600 / 4);
+  assert_in_range (dispatch_target (&fixture.dispatch, 0)->service_time_ms, 1, 300);
+  assert_int_equal (report->samples, 1);
+  /* What was reported is not reported again. */
+  g_array_set_size (reports, 0);
+  targets_report_service_times (&fixture.dispatch, 0, reports);
+  assert_int_equal (reports->len, 0);
+  g_array_unref (reports);
+  end (&fixture);
+}
+
 static void
 test_concurrent_requests_are_spread_over_targets (void **state)
 {
@@ -270,6 +307,7 @@
     cmocka_unit_test (test_retry_budget_limits_retries),
     cmocka_unit_test (test_route_weights_hold_for_each_100_requests),
     cmocka_unit_test (test_slow_target_gets_fewer_requests),
+    cmocka_unit_test (test_time_per_request_leaves_out_the_targets_queue),
     cmocka_unit_test (test_concurrent_requests_are_spread_over_targets),
     cmocka_unit_test (test_target_with_high_average_load_gets_fewer_requests),
     cmocka_unit_test (test_excess_requests_are_queued_and_rejected_at_objective),
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -3,6 +3,8 @@
 #include "key_commits.h"
 #include "key_plan.h"
 
+#include <math.h>
+
 static key_service_t *
 service_at (const keys_t *self, guint i)
 {
@@ -250,6 +252,16 @@
     }
 }
 
+static gboolean
+is_unlisted (gpointer id, gpointer service_time, gpointer keys)
+{
+  name_t name;
+
+  (void)service_time;
+  return !name_set (&name, text_from_c (id))
+         || key_plan_find_target (keys, &name) == NULL;
+}
+
 static void
 update_targets (keys_t *self, const GArray *targets, msec_t now)
 {
@@ -263,6 +275,8 @@
   g_array_set_size (self->targets, 0);
   g_array_append_vals (self->targets, targets->data, targets->len);
   key_plan_sort_targets (self->targets);
+  for (guint i = 0; i < self->services->len; i++)
+    g_hash_table_foreach_remove (service_at (self, i)->service_times, is_unlisted, self);
 }
 
 static void
@@ -374,6 +388,7 @@
     }
 }
 
+/* Each sample counts as much as in a moving average over all hosts' samples. */
 static void
 update_service_times (key_service_t *service, const GArray *times)
 {
@@ -381,9 +396,12 @@
     {
       const target_service_time_t *entry
           = &g_array_index (times, target_service_time_t, i);
-      g_hash_table_insert (service->service_times,
-                           text_dup_c (name_text (&entry->target)),
-                           GUINT_TO_POINTER (MAX (entry->service_time_ms, 1)));
+      char *id = text_dup_c (name_text (&entry->target));
+      gpointer known = g_hash_table_lookup (service->service_times, id);
+      double before = known != NULL ? GPOINTER_TO_UINT (known) : entry->service_time_ms;
+      double kept = pow (1 - 1.0 / KEYS_TIME_SAMPLES, entry->samples);
+      uint32_t ms = (uint32_t)(before * kept + entry->service_time_ms * (1 - kept) + 0.5);
+      g_hash_table_insert (service->service_times, id, GUINT_TO_POINTER (MAX (ms, 1)));
     }
 }
 
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -139,7 +139,7 @@
   uint32_t recent_requests[KEY_BUCKETS]; /* since the last plan */
   uint64_t recent_total;                 /* sum of recent_requests */
   double request_sums[KEY_BUCKETS + 1];  /* prefix sums of loads, as of the last plan */
-  GHashTable *service_times;             /* target id to ms per request */
+  GHashTable *service_times;             /* target id to ms per request, of all hosts */
 } key_service_t;
 
 typedef struct
--- a/packages/keys/tests/test_key_moves.c
+++ b/packages/keys/tests/test_key_moves.c
@@ -196,7 +196,7 @@
   for (guint i = 0; i < 6; i++)
     g_array_append_val (
         service_times,
-        ((target_service_time_t){ target (&fixture, i)->id, i == 4 ? 60 : 140 }));
+        ((target_service_time_t){ target (&fixture, i)->id, i == 4 ? 60 : 140, 100 }));
   handle_msg (&fixture,
               (keys_msg_t){ .kind = KEYS_SERVICE_TIMES, .service_times = service_times });
   for (uint32_t key = 0; key < KEY_BUCKETS; key += KEY_BUCKETS / 200)
@@ -226,6 +226,138 @@
   end (&fixture);
 }
 
+/* Load: the large deployment, 319 targets of 3 slots at 2,200 requests a second
+ * of 350 ms on average, where a target takes half to one and a half times that.  Its
+ * callers want an answer within 1.5 s. */
+#define FLEET_TARGETS 319
+#define FLEET_REQUESTS 1100 /* per plan */
+#define FLEET_WORK_MS 350
+#define FLEET_AIM_MS 1500
+
+typedef struct
+{
+  fixture_t fixture;
+  rng_t rng;
+  double work[FLEET_TARGETS];    /* ms per request */
+  double backlog[FLEET_TARGETS]; /* ms of work that waits or runs */
+  uint32_t arrived[FLEET_TARGETS];
+  uint32_t requests, late;
+} fleet_t;
+
+static guint
+owner_index (const fleet_t *self, uint32_t key)
+{
+  const key_service_t *service = g_ptr_array_index (self->fixture.keys.services, 0);
+  guint low = 0, high = service->ranges->len - 1;
+
+  while (low < high)
+    {
+      guint middle = (low + high + 1) / 2;
+      if (g_array_index (service->ranges, key_range_state_t, middle).first <= key)
+        low = middle;
+      else
+        high = middle - 1;
+    }
+  const name_t *owner = &g_array_index (service->ranges, key_range_state_t, low).owner;
+  return (guint)g_ascii_strtoull (owner->at + 1, NULL, 10);
+}
+
+/* The requests of one plan: a quarter for 2,000 neighbouring keys.  Each target works at
+ * its speed on what it has; a request is late if its queue is too long for it. */
+static void
+play_requests (fleet_t *self, GArray *loads)
+{
+  memset (self->arrived, 0, sizeof self->arrived);
+  for (guint i = 0; i < FLEET_REQUESTS; i++)
+    {
+      bool hot = rng_below (&self->rng, 4) == 0;
+      uint32_t key = (uint32_t)rng_below (&self->rng, hot ? 2000 : KEY_BUCKETS);
+      guint owner = owner_index (self, key);
+      g_array_append_val (loads, ((key_load_t){ (uint16_t)key, 1 }));
+      self->backlog[owner] += self->work[owner];
+      self->arrived[owner]++;
+      self->requests++;
+      self->late += self->work[owner] + self->backlog[owner] / 3 > FLEET_AIM_MS;
+    }
+  for (guint i = 0; i < FLEET_TARGETS; i++)
+    self->backlog[i] = MAX (self->backlog[i] - 3 * KEYS_PLAN_MS, 0);
+}
+
+/* Plays SECONDS.  MEASURED: the hosts report how long requests took. */
+static void
+play_fleet (fleet_t *self, guint seconds, bool measured)
+{
+  fixture_t *fixture = &self->fixture;
+
+  self->requests = self->late = 0;
+  for (guint plan = 0; plan < seconds * 1000 / KEYS_PLAN_MS; plan++)
+    {
+      GArray *loads = g_array_new (FALSE, TRUE, sizeof (key_load_t));
+      GArray *times = g_array_new (FALSE, TRUE, sizeof (target_service_time_t));
+      play_requests (self, loads);
+      for (guint i = 0; i < FLEET_TARGETS && measured; i++)
+        {
+          double noise = 0.7 + (double)rng_below (&self->rng, 600) / 1000;
+          double wait = self->backlog[i] / 3 * DISPATCH_PLANNED_WAIT_PERCENT / 100;
+          target_service_time_t time = { target (fixture, i)->id,
+                                         (uint32_t)(self->work[i] * noise + wait),
+                                         self->arrived[i] };
+          if (self->arrived[i] > 0)
+            g_array_append_val (times, time);
+        }
+      fixture->now += KEYS_PLAN_MS;
+      renew_role (fixture);
+      complete_all (fixture);
+      handle_msg (fixture,
+                  (keys_msg_t){ .kind = KEYS_SERVICE_TIMES, .service_times = times });
+      handle_msg (fixture, (keys_msg_t){ .kind = KEYS_LOADS, .loads = loads });
+      tick (fixture, fixture->now);
+      complete_all (fixture);
+      g_array_unref (loads);
+      g_array_unref (times);
+    }
+}
+
+static void
+begin_fleet (fleet_t *self)
+{
+  *self = (fleet_t){ 0 };
+  rng_init (&self->rng, 11);
+  begin (&self->fixture, FLEET_TARGETS);
+  for (guint i = 0; i < FLEET_TARGETS; i++)
+    self->work[i] = FLEET_WORK_MS * (0.5 + (double)rng_below (&self->rng, 1000) / 1000);
+  assign_all_keys (&self->fixture);
+}
+
+/* Slow targets get fewer keys, so that hardly any caller waits beyond the aim although
+ * 0.8 of all slots are at work. */
+static void
+test_slow_targets_of_a_large_fleet_get_fewer_keys (void **state)
+{
+  fleet_t fleet;
+
+  (void)state;
+  begin_fleet (&fleet);
+  play_fleet (&fleet, 10, true);
+  play_fleet (&fleet, 20, true);
+  assert_true (fleet.late < fleet.requests / 20);
+  end (&fleet.fixture);
+}
+
+/* The load is one that needs it: without the times a tenth and more are late. */
+static void
+test_keys_that_are_even_by_requests_alone_leave_callers_late (void **state)
+{
+  fleet_t fleet;
+
+  (void)state;
+  begin_fleet (&fleet);
+  play_fleet (&fleet, 10, false);
+  play_fleet (&fleet, 20, false);
+  assert_true (fleet.late > fleet.requests / 10);
+  end (&fleet.fixture);
+}
+
 /* Four targets of which two take 15 requests per second each, of 100 in all. */
 static void
 test_keys_leave_targets_that_limit_their_rate (void **state)
@@ -241,7 +373,7 @@
   for (guint i = 0; i < 4; i++)
     {
       const name_t id = target (&fixture, i)->id;
-      g_array_append_val (service_times, ((target_service_time_t){ id, 50 }));
+      g_array_append_val (service_times, ((target_service_time_t){ id, 50, 100 }));
       if (i < 2)
         g_array_append_val (shares, ((rate_share_t){ .target = id, .limit = 15 }));
     }
@@ -423,6 +555,8 @@
     cmocka_unit_test (test_hot_keys_reach_many_targets_at_once),
     cmocka_unit_test (test_random_variation_causes_few_moves),
     cmocka_unit_test (test_the_hottest_key_goes_to_a_fast_target),
+    cmocka_unit_test (test_slow_targets_of_a_large_fleet_get_fewer_keys),
+    cmocka_unit_test (test_keys_that_are_even_by_requests_alone_leave_callers_late),
     cmocka_unit_test (test_keys_leave_targets_that_limit_their_rate),
     cmocka_unit_test (test_no_rebalancing_while_the_store_is_unreachable),
     cmocka_unit_test (test_a_rejected_commit_returns_released_keys),
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -17,6 +17,7 @@
 #define RATES_MAX 8192
 #define RIGHTS_MAX (1000 * 1000)
 #define LEAVING_MAX 1024
+#define SERVICE_TIMES_MAX 4096
 
 /* Limits and shares are sent in thousandths, limits up to a million. */
 #define THOUSANDTHS 1000
@@ -114,6 +115,22 @@
     }
 }
 
+static void
+pack_service_times (msgpack_packer *packer, const GArray *times)
+{
+  guint n = times != NULL ? MIN (times->len, SERVICE_TIMES_MAX) : 0;
+
+  msgpack_pack_uint32 (packer, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const target_service_time_t *time
+          = &g_array_index (times, target_service_time_t, i);
+      pack_name (packer, &time->target);
+      msgpack_pack_uint32 (packer, time->service_time_ms);
+      msgpack_pack_uint32 (packer, time->samples);
+    }
+}
+
 GByteArray *
 link_encode_report (const link_report_t *report)
 {
@@ -141,6 +158,7 @@
   msgpack_pack_uint64 (&packer, (uint64_t)report->rates_at);
   pack_rates (&packer, report->rates);
   pack_leaving (&packer, report->leaving);
+  pack_service_times (&packer, report->service_times);
   return bytes;
 }
 
@@ -373,6 +391,20 @@
     }
 }
 
+static void
+read_service_times (reader_t *self, link_report_t *report)
+{
+  report->service_times = g_array_new (FALSE, FALSE, sizeof (target_service_time_t));
+  for (uint64_t n = read_uint (self, SERVICE_TIMES_MAX); n > 0 && self->ok; n--)
+    {
+      target_service_time_t time = { 0 };
+      read_name (self, &time.target);
+      time.service_time_ms = (uint32_t)read_uint (self, UINT32_MAX);
+      time.samples = (uint32_t)read_uint (self, UINT32_MAX);
+      g_array_append_val (report->service_times, time);
+    }
+}
+
 static void
 read_shares (reader_t *self, link_shares_t *shares)
 {
@@ -413,6 +445,7 @@
   report->rates_at = (msec_t)read_uint (self, INT64_MAX);
   read_rates (self, report);
   read_leaving (self, report);
+  read_service_times (self, report);
 }
 
 static void
@@ -557,6 +590,8 @@
     g_array_unref (self->report.rates);
   if (self->report.leaving != NULL)
     g_array_unref (self->report.leaving);
+  if (self->report.service_times != NULL)
+    g_array_unref (self->report.service_times);
   if (self->shares.shares != NULL)
     g_array_unref (self->shares.shares);
   if (self->rows.rows != NULL)
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -31,6 +31,7 @@
   GArray *rates;               /* rate_report_t */
   msec_t rates_at; /* when RATES was made, on a clock of the host; the reply returns it */
   GArray *leaving; /* target_incarnation_t: targets that stated that they leave */
+  GArray *service_times; /* target_service_time_t since the last report; NULL: none */
 } link_report_t;
 
 /* The granter's list of all targets whose rate is limited. */
--- a/packages/link/tests/test_link.c
+++ b/packages/link/tests/test_link.c
@@ -39,6 +39,10 @@
   target_incarnation_t leaving = { .started_at = 1700000000123 };
   name_set (&leaving.id, TEXT ("t"));
   g_array_append_val (report.leaving, leaving);
+  report.service_times = g_array_new (FALSE, TRUE, sizeof (target_service_time_t));
+  target_service_time_t time = { .service_time_ms = 350, .samples = 3 };
+  name_set (&time.target, TEXT ("t"));
+  g_array_append_val (report.service_times, time);
   g_array_append_vals (report.loads, loads, G_N_ELEMENTS (loads));
   return report;
 }
@@ -115,6 +119,10 @@
   assert_memory_equal (msg.report.leaving->data,
                        report.leaving->data,
                        sizeof (target_incarnation_t));
+  assert_int_equal (msg.report.service_times->len, 1);
+  assert_memory_equal (msg.report.service_times->data,
+                       report.service_times->data,
+                       sizeof (target_service_time_t));
   assert_int_equal (msg.report.table_version, 9);
   assert_int_equal (msg.report.targets_version, 12);
   assert_int_equal (msg.report.link_mbps, 200);
@@ -127,6 +135,7 @@
   g_array_unref (report.loads);
   g_array_unref (report.rates);
   g_array_unref (report.leaving);
+  g_array_unref (report.service_times);
 }
 
 static void
--- a/packages/proxy/report.c
+++ b/packages/proxy/report.c
@@ -50,17 +50,11 @@
 }
 
 static GArray *
-list_service_times (const proxy_t *self, uint32_t service)
+take_service_times (proxy_t *self, uint32_t service)
 {
   GArray *service_times = g_array_new (FALSE, FALSE, sizeof (target_service_time_t));
 
-  for (guint i = 0; i < self->dispatch.targets->len; i++)
-    {
-      const dispatch_target_t *target = dispatch_target (&self->dispatch, i);
-      target_service_time_t service_time = { target->entry.id, target->service_time_ms };
-      if (target->in_use && target->listed && target->service == service)
-        g_array_append_val (service_times, service_time);
-    }
+  targets_report_service_times (&self->dispatch, service, service_times);
   return service_times;
 }
 
@@ -141,7 +135,7 @@
       report->counts = self->counts;
       report->service = service->name;
       report->key_loads = take_key_loads (service);
-      report->service_times = list_service_times (self, i);
+      report->service_times = take_service_times (self, i);
       if (!posted)
         {
           add_rates (self, report);
