--- a/packages/keys/tests/test_key_moves.c
+++ b/packages/keys/tests/test_key_moves.c
@@ -226,6 +226,49 @@
   end (&fixture);
 }
 
+static void
+report_time (fixture_t *self, guint i, uint32_t ms, uint32_t samples)
+{
+  GArray *times = g_array_new (FALSE, TRUE, sizeof (target_service_time_t));
+  const target_service_time_t time = { target (self, i)->id, ms, samples };
+
+  g_array_append_val (times, time);
+  handle_msg (self, (keys_msg_t){ .kind = KEYS_SERVICE_TIMES, .service_times = times });
+  g_array_unref (times);
+}
+
+static guint
+known_time (const fixture_t *self, const char *id)
+{
+  const key_service_t *service = g_ptr_array_index (self->keys.services, 0);
+
+  return GPOINTER_TO_UINT (g_hash_table_lookup (service->service_times, id));
+}
+
+/* Reports of single requests from many hosts add up to one average. */
+static void
+test_times_of_all_hosts_are_averaged (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  report_time (&fixture, 0, 200, 100);
+  assert_int_equal (known_time (&fixture, "t0"), 200);
+  report_time (&fixture, 0, 1000, 1);
+  assert_int_equal (known_time (&fixture, "t0"), 200 + 800 / KEYS_TIME_SAMPLES);
+  report_time (&fixture, 0, 1000, 10 * KEYS_TIME_SAMPLES);
+  assert_in_range (known_time (&fixture, "t0"), 990, 1000);
+  assert_int_equal (known_time (&fixture, "t1"), 0);
+  /* Targets that have left are forgotten. */
+  report_time (&fixture, 1, 300, 1);
+  g_array_remove_index (fixture.targets, 0);
+  list_targets (&fixture);
+  assert_int_equal (known_time (&fixture, "t0"), 0);
+  assert_int_equal (known_time (&fixture, "t1"), 300);
+  end (&fixture);
+}
+
 /* Load: the large deployment, 319 targets of 3 slots at 2,200 requests a second
  * of 350 ms on average, where a target takes half to one and a half times that.  Its
  * callers want an answer within 1.5 s. */
@@ -555,6 +598,7 @@
     cmocka_unit_test (test_hot_keys_reach_many_targets_at_once),
     cmocka_unit_test (test_random_variation_causes_few_moves),
     cmocka_unit_test (test_the_hottest_key_goes_to_a_fast_target),
+    cmocka_unit_test (test_times_of_all_hosts_are_averaged),
     cmocka_unit_test (test_slow_targets_of_a_large_fleet_get_fewer_keys),
     cmocka_unit_test (test_keys_that_are_even_by_requests_alone_leave_callers_late),
     cmocka_unit_test (test_keys_leave_targets_that_limit_their_rate),
