--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -399,14 +399,11 @@
 }
 
 /* The store isn't watched while a live granter relays the changes from its own feeds,
- * unless its word is too old: the store may not answer it.  A host that has just started,
- * and read the store, has time to hear of the granter. */
+ * unless its word is too old: the store may not answer it. */
 static bool
 should_watch (const coordinator_t *self, const feed_t *feed)
 {
-  bool lost_granter = self->granter_update_expires != 0 && !peers_granter_is_live (self);
-
-  return self->role.state == ROLE_HELD || lost_granter
+  return self->role.state == ROLE_HELD || !peers_granter_is_live (self)
          || feed_age (feed) >= self->relay_max_age;
 }
 
