A host with a slow link leaves a vacant role to the others at first

Cause: hosts with slow links acquire the granter's role later than others, counted from the end of its lease. A host that reads the row for the first time after that end acquired it at once: when all hosts restart, get the store back, or the granter resigns, that is mostly one of the many small ones. Change: it leaves the role to the others once for each version of the row, for 0.3 s and its handicap. A host that waited by the lease's end doesn't wait again; hosts with 60 Mbit/s and more don't either, so that the take-over fits into a hold as before. Test: unit role, hosts_with_slow_links_leave_a_vacant_role_to_others_at_first (fails before).

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -77,6 +77,8 @@
   msec_t lease_end; /* no grant is sent from then on; this host's clock */
   msec_t next_write;
   msec_t next_check;
+  bool check_failed;            /* the last check: the store did not answer it */
+  uint64_t gave_way_at_version; /* of the row at which the role was left to others */
   bool checking;
   msec_t store_clock;              /* the store's clock in its last reply */
   msec_t store_clock_requested_at; /* when the call for that reply was started */
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -471,6 +471,29 @@
     }
 }
 
+/*
+ * Whether to leave a vacant role to hosts with faster links, once for each version of its
+ * row.  SINCE: it has been vacant for; 0: its holder resigned.  A host that checks by a
+ * lease's end has waited for its handicap; one that has just started, has just got the
+ * store back, or meets a resignation has not.  Load: after all hosts have restarted, each
+ * of hundreds asks the granter for what it lacks, more than a slow link carries while it
+ * renews grants and role.
+ */
+static bool
+gives_way (coordinator_t *self, msec_t since, msec_t now)
+{
+  role_t *role = &self->role;
+  msec_t handicap = check_handicap (self);
+  bool waited = !role->check_failed && since >= ROLE_CHECK_JITTER_MS + handicap;
+
+  if (role->version == 0 || handicap < ROLE_GIVE_WAY_MS || waited
+      || role->gave_way_at_version == role->version)
+    return false;
+  role->gave_way_at_version = role->version;
+  role->next_check = now + ROLE_CHECK_JITTER_MS + handicap;
+  return true;
+}
+
 /* Checks who holds the role, and tries to acquire it if nobody does. */
 static void
 on_holder_read (void *owner, const store_reply_t *reply)
@@ -489,11 +512,13 @@
        * configuration may take to arrive. */
       role->next_check
           = now + STORE_RETRY_MS + (msec_t)rng_below (&self->rng, STORE_RETRY_MAX_MS);
+      role->check_failed = true;
       return;
     }
   parse_role_row (role, reply);
   if (role->version != 0 && reply->clock <= role->row.until)
     {
+      role->check_failed = false;
       self->granter = role->row.address;
       role->next_check = MIN (role->next_check,
                               now + role->row.until - reply->clock + ROLE_CHECK_JITTER_MS
@@ -511,6 +536,10 @@
   /* A holder that resigned (UNTIL is 0) sent grants of the longest hold right before it
    * wrote the row.  Without a row nothing is known, but there may be owners. */
   msec_t since = role->row.until == 0 ? 0 : MAX (reply->clock - role->row.until, 0);
+  bool gave_way = gives_way (self, since, now);
+  role->check_failed = false;
+  if (gave_way)
+    return;
   role->predecessor_grants_end = now + keys_predecessor_hold (&self->keys, since);
   role->state = ROLE_ACQUIRING;
   write_role (self, now);
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -512,6 +512,52 @@
   g_array_unref (rows);
 }
 
+/* A host with a link of MBPS reads that the role ended AGO before; 0: its holder
+ * resigned. Returns how long after that it begins to acquire it. */
+static msec_t
+time_to_acquire (double mbps, msec_t ago, bool after_outage)
+{
+  fixture_t fixture;
+  role_row_t row = { .next_fence = 7 };
+  msec_t began;
+
+  begin (&fixture);
+  coordinator_t *host = &fixture.coordinator;
+  fixture.settings.link_mbps = mbps;
+  host->role.check_failed = after_outage;
+  name_set (&row.host, TEXT ("other"));
+  name_set (&row.address, TEXT ("127.0.0.1:3"));
+  began = now (&fixture);
+  if (ago > 0)
+    row.until = began + STORE_CLOCK_AHEAD_MS - ago;
+  host->role.next_check = 0;
+  while (host->role.state == ROLE_NOT_HELD)
+    {
+      pass_time (&fixture, 10);
+      if (!host->role.checking)
+        continue;
+      call_t read = take_call (&fixture, false, STORE_ROLE);
+      answer (&fixture, &read, 2, key_rows_encode_role (&row));
+    }
+  msec_t took = now (&fixture) - began;
+  end (&fixture);
+  return took;
+}
+
+/* Load: all hosts of a fleet start at the same moment, or get the store back. */
+static void
+test_hosts_with_slow_links_leave_a_vacant_role_to_others_at_first (void **state)
+{
+  (void)state;
+  assert_in_range (time_to_acquire (200, 50, false), 0, 50);
+  assert_in_range (time_to_acquire (200, 9000, true), 0, 50);
+  assert_in_range (time_to_acquire (20, 50, false), 400, 600);
+  assert_in_range (time_to_acquire (20, 9000, true), 400, 600);
+  assert_in_range (time_to_acquire (20, 0, false), 400, 600);
+  /* One that waited by the lease's end doesn't wait again. */
+  assert_in_range (time_to_acquire (20, 500, false), 0, 50);
+}
+
 static void
 test_a_late_reply_does_not_set_the_store_clock_back (void **state)
 {
@@ -590,6 +636,7 @@
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
+    cmocka_unit_test (test_hosts_with_slow_links_leave_a_vacant_role_to_others_at_first),
     cmocka_unit_test (test_a_late_reply_does_not_set_the_store_clock_back),
     cmocka_unit_test (test_a_write_that_could_not_be_sent_is_not_taken_for_written),
     cmocka_unit_test (test_a_lease_is_not_longer_than_the_row_that_was_written),
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -324,6 +324,8 @@
  * they may start at slightly different times. */
 #define ROLE_HANDICAP_MS 300
 #define ROLE_HANDICAP_MBPS 10
+/* A host with at least this handicap leaves a vacant role to the others at first. */
+#define ROLE_GIVE_WAY_MS 50
 #define ROLE_START_HANDICAPS 5
 #define ROLE_ATTEMPTS_MAX 8 /* writes of the role without an answer yet */
 #define ROLE_MARGIN_MS 100  /* from the check to the grant's last byte */
