A time that another host reports is bounded when it is read

Cause: found on reading the diff: a report may state any time up to 2^32 ms, and the granter's average of two such times doesn't fit its type.

--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -18,6 +18,7 @@
 #define RIGHTS_MAX (1000 * 1000)
 #define LEAVING_MAX 1024
 #define SERVICE_TIMES_MAX 4096
+#define SERVICE_TIME_MAX_MS (60 * 60 * 1000)
 
 /* Limits and shares are sent in thousandths, limits up to a million. */
 #define THOUSANDTHS 1000
@@ -126,7 +127,7 @@
       const target_service_time_t *time
           = &g_array_index (times, target_service_time_t, i);
       pack_name (packer, &time->target);
-      msgpack_pack_uint32 (packer, time->service_time_ms);
+      msgpack_pack_uint32 (packer, MIN (time->service_time_ms, SERVICE_TIME_MAX_MS));
       msgpack_pack_uint32 (packer, time->samples);
     }
 }
@@ -399,7 +400,7 @@
     {
       target_service_time_t time = { 0 };
       read_name (self, &time.target);
-      time.service_time_ms = (uint32_t)read_uint (self, UINT32_MAX);
+      time.service_time_ms = (uint32_t)read_uint (self, SERVICE_TIME_MAX_MS);
       time.samples = (uint32_t)read_uint (self, UINT32_MAX);
       g_array_append_val (report->service_times, time);
     }
