--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,7 +32,12 @@
     ["keyed", "t.example", "/keyed/", "idempotent", 1500, 500, 1, None, 2, "keyed"],
     ["read", "t.example", "/read/", "idempotent", 1500, 500, 1, None, 2, "plain"],
     ["order", "t.example", "/order/", "mutating", 1500, 500, 0, None, 2, "plain"],
+    ["upload", "t.example", "/upload/", "upload", 1500, 500, 0, None, 2, "plain"],
 ]
+# What callers send, by kind: an order, and bodies that routers buffer whole or forward as they
+# arrive.
+BODIES = {"order": [b"order"], "upload": [b"u" * 100_000, b"U" * 400_000]}
+ONCE_KINDS = tuple(BODIES)  # requests that may run once at most
 N_CALLERS = 10
 # Of the configuration's idle time-out: callers don't use a connection that was idle for longer.
 REUSE_IDLE_S = 0.8 * 5
@@ -400,7 +405,7 @@
     def call(self, rng, n, count, connections):
         i = rng.randrange(len(self.routers))
         request_id = "c%d-%d" % (n, count)
-        kind = rng.choice(["keyed", "keyed", "read", "order"])
+        kind = rng.choice(["keyed", "keyed", "keyed", "read", "order", "order", "upload"])
         path = "/%s/work" % kind
         if rng.random() < 0.05 and self.added:
             kind, path = "added", rng.choice(self.added)[0] + "work"
@@ -412,8 +417,8 @@
         status, body, reused = None, b"", caller is not None
         try:
             caller = caller or Caller(self.routers[i])
-            caller.send(path, request_id, "POST" if kind == "order" else "GET",
-                        b"order" if kind == "order" else None, key=rng.choice(KEYS))
+            caller.send(path, request_id, "POST" if kind in ONCE_KINDS else "GET",
+                        rng.choice(BODIES.get(kind, [None])), key=rng.choice(KEYS))
             response = caller.receive()
             if response is not None:
                 status, body = response.status, response.body
@@ -521,9 +526,9 @@
     def check_requests(self, executions):
         for request_id, kind, _path, i, _started_at, begun, ended, status, _reused in self.results:
             ran = len(executions[request_id])
-            if kind == "order" and ran > 1:
+            if kind in ONCE_KINDS and ran > 1:
                 self.report("TWICE", "%s ran %d times" % (request_id, ran))
-            if kind == "order" and status in (429, 503, 408, 421) and ran:
+            if kind in ONCE_KINDS and status in (429, 503, 408, 421) and ran:
                 self.report("REFUSED", "%s got %d and ran" % (request_id, status))
             terminated = self.terminated_at[i]
             if (status is None and ran and terminated and begun - 1000 <= terminated <= ended
