--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -8,6 +8,7 @@
   coordinator_t *coordinator;
   keys_out_t action;
   target_incarnation_t target;
+  uint64_t tenure; /* the role's acquired_version when it was sent */
   msec_t started;
 } pending_command_t;
 
@@ -54,13 +55,16 @@
   eventlog_write (class,
                   "keys",
                   event,
-                  "service=%.*s target=%.*s first=%u last=%u fence=%llu hold_ms=%lld "
-                  "release=%d after_ms=%lld",
+                  "service=%.*s target=%.*s address=%.*s born=%llu first=%u last=%u "
+                  "fence=%llu tenure=%llu hold_ms=%lld release=%d after_ms=%lld",
                   NAME_ARG (action->service),
                   NAME_ARG (action->target),
+                  NAME_ARG (action->address),
+                  (unsigned long long)action->started_at,
                   action->first,
                   action->last,
                   (unsigned long long)action->fence,
+                  (unsigned long long)command->tenure,
                   (long long)action->hold,
                   action->kind == KEYS_RELEASE,
                   (long long)(now - command->started));
@@ -140,6 +144,7 @@
   *command = (pending_command_t){ self,
                                   *action,
                                   discovery_find_target (self, &action->target),
+                                  self->role.acquired_version,
                                   now };
   /* The role may have ended since the decision; no grant may be sent after that. */
   if (!call.release && now >= self->role.lease_end)
@@ -160,10 +165,12 @@
   eventlog_write (EVENT_STATE,
                   "keys",
                   freed ? "freed" : "grant_in_flight",
-                  "service=%.*s target=%.*s first=%u last=%u fence=%llu why=%s "
-                  "remaining_ms=%lld",
+                  "service=%.*s target=%.*s address=%.*s born=%llu first=%u last=%u "
+                  "fence=%llu why=%s remaining_ms=%lld",
                   NAME_ARG (out->service),
                   NAME_ARG (out->target),
+                  NAME_ARG (out->address),
+                  (unsigned long long)out->started_at,
                   out->first,
                   out->last,
                   (unsigned long long)out->fence,
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -78,6 +78,7 @@
   name_t service;
   name_t target;
   name_t address;
+  uint64_t started_at; /* of the target's process that got the range */
   uint32_t first, last;
   uint64_t fence;
   uint64_t call;       /* GRANT, RELEASE: identifies the call; never 0 */
