A target that has ended gets no keys while its entry is still listed

Callers: requests for the keys of a crashed target were rejected until its entry lapsed. When another process answers at a target's address (421), its keys are free at once, but the target is still listed and, having lost its keys, the least loaded one, so that it got them again: commit, grant, 421, commit, up to a hundred times a second. And an answer from an address that isn't the listed one of the same process was taken for the owner's end. Evidence: both new tests of key-holds failed without the change. Change: the process counts as unlisted until its entry shows another one; an answer from a wrong address has the listed address called instead.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -265,18 +265,54 @@
          || key_plan_find_target (keys, &name) == NULL;
 }
 
+static bool
+is_ended (const keys_t *self, const target_entry_t *target)
+{
+  for (guint i = 0; i < self->ended->len; i++)
+    {
+      const target_incarnation_t *ended
+          = &g_array_index (self->ended, target_incarnation_t, i);
+      if (name_equal (&ended->id, &target->id) && ended->started_at == target->started_at)
+        return true;
+    }
+  return false;
+}
+
+/* Forgets ended processes that TARGETS no longer lists. */
+static void
+forget_unlisted (keys_t *self, const GArray *targets)
+{
+  GArray *kept = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t));
+
+  for (guint i = 0; self->ended->len > 0 && i < targets->len; i++)
+    {
+      const target_entry_t *target = &g_array_index (targets, target_entry_t, i);
+      target_incarnation_t listed = { target->id, target->started_at };
+      if (is_ended (self, target))
+        g_array_append_val (kept, listed);
+    }
+  g_array_unref (self->ended);
+  self->ended = kept;
+}
+
 static void
 update_targets (keys_t *self, const GArray *targets, msec_t now)
 {
+  GArray *running = g_array_new (FALSE, TRUE, sizeof (target_entry_t));
+
+  forget_unlisted (self, targets);
   for (guint i = 0; i < targets->len; i++)
     {
       const target_entry_t *target = &g_array_index (targets, target_entry_t, i);
       key_service_t *service = find_service (self, &target->service);
+      if (is_ended (self, target))
+        continue;
       if (service != NULL && key_plan_find_target (self, &target->id) == NULL)
         service->last_join_at = now;
+      g_array_append_vals (running, target, 1);
     }
-  g_array_set_size (self->targets, 0);
-  g_array_append_vals (self->targets, targets->data, targets->len);
+  g_array_unref (self->targets);
+  self->targets = running;
   key_plan_sort_targets (self->targets);
   for (guint i = 0; i < self->services->len; i++)
     g_hash_table_foreach_remove (service_at (self, i)->service_times, is_unlisted, self);
@@ -315,6 +351,34 @@
     }
 }
 
+/*
+ * Another process has the address that was called for the owner of RANGE, so that the
+ * owner's has ended, and gets no keys until its entry shows another one.  If the entry
+ * has the same process at another address, the call went astray and proves nothing.
+ */
+static void
+handle_owner_gone (keys_t *self, key_range_state_t *range, msec_t now)
+{
+  const target_entry_t *owner = find_owner (self, range);
+
+  if (owner != NULL && !name_equal (&owner->address, &range->address))
+    {
+      range->address = owner->address;
+      range->next_call_at = now;
+      return;
+    }
+  if (owner != NULL)
+    {
+      target_incarnation_t ended = { owner->id, owner->started_at };
+      g_array_append_val (self->ended, ended);
+      g_array_remove_index (
+          self->targets,
+          (guint)(owner - (target_entry_t *)(void *)self->targets->data));
+    }
+  key_plan_revoke (range, NULL);
+  range->owner_gone = true;
+}
+
 static void
 finish_call (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out)
 {
@@ -358,10 +422,7 @@
           range->next_call_at = now + KEYS_RETRY_MS;
         }
       else if (msg->kind == KEYS_OWNER_GONE)
-        {
-          key_plan_revoke (range, NULL);
-          range->owner_gone = true;
-        }
+        handle_owner_gone (self, range, now);
       else if (msg->kind == KEYS_CALL_FAILED && !msg->release)
         {
           range->next_call_at = MIN (range->next_call_at, now + KEYS_RETRY_MS);
@@ -499,7 +560,8 @@
                     .next_fence = 1,
                     .services = g_ptr_array_new_with_free_func (free_service),
                     .rate_limits = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
-                    .targets = g_array_new (FALSE, TRUE, sizeof (target_entry_t)) };
+                    .targets = g_array_new (FALSE, TRUE, sizeof (target_entry_t)),
+                    .ended = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t)) };
 }
 
 void
@@ -507,6 +569,7 @@
 {
   g_ptr_array_unref (self->services);
   g_array_unref (self->targets);
+  g_array_unref (self->ended);
   g_array_unref (self->rate_limits);
 }
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -245,6 +245,60 @@
   end (&fixture);
 }
 
+static void
+test_a_target_that_has_ended_gets_no_keys_while_it_is_listed (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_OWNER_GONE, true);
+  for (int i = 0; i < 20; i++)
+    {
+      for (guint j = 0; j < fixture.out->len; j++)
+        assert_false (name_equal (&g_array_index (fixture.out, keys_out_t, j).target,
+                                  &target (&fixture, 0)->id)
+                      && g_array_index (fixture.out, keys_out_t, j).kind == KEYS_GRANT);
+      if (count_actions (&fixture, KEYS_COMMIT) > 0)
+        handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+      accept_grants (&fixture);
+      fixture.now += 50;
+      list_targets (&fixture);
+    }
+  accept_grants (&fixture);
+  target (&fixture, 0)->started_at++;
+  list_targets (&fixture);
+  accept_grants (&fixture);
+  assert_true (run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_PLAN_MS));
+  end (&fixture);
+}
+
+/* The stored table has T0 at the address of T1. */
+static void
+test_an_answer_from_a_wrong_address_does_not_end_the_owner (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  key_range_t *first = &g_array_index (table.ranges, key_range_t, 0);
+  first->address = target (&fixture, 1)->address;
+  renew_role (&fixture);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_TABLE, .table = &table });
+  keys_out_t grant = call_to_first (&fixture, KEYS_GRANT);
+  assert_true (name_equal (&grant.address, &target (&fixture, 1)->address));
+  reply (&fixture, &grant, KEYS_OWNER_GONE, true);
+  assert_int_equal (count_actions (&fixture, KEYS_FREED), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  grant = next_grant (&fixture);
+  assert_true (name_equal (&grant.address, &target (&fixture, 0)->address));
+  key_table_finish (&table);
+  end (&fixture);
+}
+
 static void
 test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table (
     void **state)
@@ -645,6 +699,8 @@
     cmocka_unit_test (test_an_owner_whose_address_another_target_has_holds_nothing),
     cmocka_unit_test (
         test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table),
+    cmocka_unit_test (test_a_target_that_has_ended_gets_no_keys_while_it_is_listed),
+    cmocka_unit_test (test_an_answer_from_a_wrong_address_does_not_end_the_owner),
     cmocka_unit_test (test_a_rejected_commit_leaves_the_owner_that_the_store_records),
     cmocka_unit_test (
         test_a_table_names_no_owner_at_the_address_of_another_after_a_rejected_commit),
