--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -142,6 +142,11 @@
     }
   if (sim->now < host->store_series_until)
     option = host->store_series;
+  else if (sim->now < host->store_busy_until
+           && rng_below (&sim->rng, 10) < host->store_busy_share)
+    option = STORE_CALL_REFUSED;
+  else if (sim->now < host->store_lossy_until && rng_below (&sim->rng, 2) == 0)
+    option = rng_below (&sim->rng, 2) == 0 ? STORE_RESPONSE_LOST : STORE_DELAYED;
   sim_event_t *call = sim_schedule (EVENT_STORE_CALL, host->index, DELAY_MS);
 
   *has_response = option == 0 || option == STORE_STALE || option == STORE_SLOW;
