--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -197,6 +197,7 @@
   /* Of a random run: some of its calls to the store are refused, or get no answer. */
   msec_t store_busy_until, store_lossy_until;
   uint64_t store_busy_share; /* calls refused in 10 */
+  guint commits_left;        /* it is killed after so many tables; 0: it isn't */
 } host_t;
 
 typedef struct
--- a/tests/grants/sim_random.c
+++ b/tests/grants/sim_random.c
@@ -11,6 +11,7 @@
 #define DOWN_MAX_MS 2000   /* of a target that starts again */
 #define CUT_MAX_MS 6000    /* of a link between a host and a target */
 #define OUTAGE_MAX_MS 5000 /* of the store, for one host */
+#define COMMITS_MAX 4
 
 typedef enum
 {
@@ -31,6 +32,7 @@
   FAULT_STORE_LOSSY, /* it doesn't answer some calls of a host */
   FAULT_HOT_KEYS,
   FAULT_KILL,
+  FAULT_KILL_AFTER_COMMIT, /* a host, when it has written some tables */
   FAULT_COUNT,
 } fault_kind_t;
 
@@ -169,6 +171,9 @@
     case FAULT_KILL:
       sim_kill_host (&sim->hosts[host], draw (8 * RESTART_MS));
       break;
+    case FAULT_KILL_AFTER_COMMIT:
+      sim->hosts[host].commits_left = 1 + (guint)draw (COMMITS_MAX);
+      break;
     case FAULT_COUNT:
       break;
     }
--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -106,6 +106,10 @@
   put (&sim->role, call->role);
   put (&sim->keys, call->keys);
   take_snapshot ();
+  host_t *host = &sim->hosts[call->host];
+  if (call->keys != NULL && sim->now < RANDOM_TO_MS && host->commits_left > 0
+      && --host->commits_left == 0)
+    sim_kill_host (host, RESTART_MS);
 }
 
 void
