A successor goes by the longest hold that the role's row states

Cause: a host that took over the granter's role assumed that its predecessors' grants last at most the longest hold that its own process had known from its settings. After a change that shortens hold_max_ms a host that starts later has never known the longer one, while grants of a predecessor that knew it may still last.

Change: the role's row has longest_hold, the longest of the grants that may still last. It is at least the holder's own longest hold, and at least what the row stated before until all grants of earlier holders have expired; then the holder states less. A successor assumes the larger of the row's and its own. A raised hold_max_ms is granted only once the row states it, and a write that states less limits grants from when it is sent. The line on a vacant role has longest_hold_ms.

A host of an earlier version that holds the role in between writes a row without the field: what was stated before is then lost.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -141,6 +141,16 @@
   return NULL;
 }
 
+/* The longest of the grants that a successor has to reckon with. */
+static msec_t
+longest_hold (const coordinator_t *self, msec_t now)
+{
+  const keys_t *keys = &self->keys;
+  bool expired = now >= self->role.predecessor_grants_end;
+
+  return expired ? keys->longest_hold : MAX (keys->longest_hold, keys->inherited_hold);
+}
+
 /* Writes the role row, and in the same commit the pending write's table if it has one.
  * Sequences are never reused, so that a row shows which attempt wrote it. */
 static void
@@ -166,7 +176,10 @@
     .sequence = role->last_sequence,
     .next_fence = MAX (self->keys.next_fence, role->row.next_fence),
     .until = self->stopping ? 0 : store_clock_now (role, now) + ROLE_LEASE_MS,
+    .longest_hold = longest_hold (self, now),
   };
+  /* From now on the row may state this, though its answer may be lost. */
+  keys_state_hold (&self->keys, MIN (self->keys.stated_hold, write->row.longest_hold));
   if (write->first_sequence == 0)
     write->first_sequence = write->row.sequence;
   GString *row = key_rows_encode_role (&write->row);
@@ -314,6 +327,7 @@
   role->write = (role_write_t){ 0 };
   role->version = version;
   role->row = row;
+  keys_state_hold (&self->keys, row.longest_hold);
   role->next_write = lease_end + ROLE_MARGIN_MS - ROLE_LEASE_MS + ROLE_RENEW_MS;
   if (row.until != 0)
     {
@@ -528,11 +542,13 @@
   eventlog_write (EVENT_STATE,
                   "role",
                   "vacant",
-                  "holder=%.*s until=%lld store_clock=%lld row_version=%llu",
+                  "holder=%.*s until=%lld store_clock=%lld row_version=%llu "
+                  "longest_hold_ms=%lld",
                   NAME_ARG (role->row.host),
                   (long long)role->row.until,
                   (long long)reply->clock,
-                  (unsigned long long)role->version);
+                  (unsigned long long)role->version,
+                  (long long)role->row.longest_hold);
   /* A holder that resigned (UNTIL is 0) sent grants of the longest hold right before it
    * wrote the row.  Without a row nothing is known, but there may be owners. */
   msec_t since = role->row.until == 0 ? 0 : MAX (reply->clock - role->row.until, 0);
@@ -540,6 +556,7 @@
   role->check_failed = false;
   if (gave_way)
     return;
+  keys_inherit_hold (&self->keys, role->row.longest_hold);
   role->predecessor_grants_end = now + keys_predecessor_hold (&self->keys, since);
   role->state = ROLE_ACQUIRING;
   write_role (self, now);
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -6,6 +6,8 @@
 
 #define START_MS 20000
 #define STORE_CLOCK_AHEAD_MS 5000 /* of the store's clock, on the host's */
+#define HOLD_MAX_MS 10000         /* of the host's settings */
+#define LONG_HOLD_MS 60000
 
 /* A call to the store that the test has not answered yet. */
 typedef struct
@@ -27,6 +29,7 @@
   name_t service;
   bool slow;       /* the lease ends while a command is sent */
   unsigned grants; /* sent so far */
+  msec_t longest;  /* hold of these */
 } fixture_t;
 
 static void
@@ -71,6 +74,7 @@
   (void)target;
   (void)now;
   current->grants += !command->release;
+  current->longest = MAX (current->longest, command->hold);
   if (current->slow)
     msclock_set (&current->coordinator.clock, current->coordinator.role.lease_end);
   current->slow = false;
@@ -130,7 +134,7 @@
                          .key_actions = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
   msclock_init_settable (&host->clock, START_MS);
   rng_init (&host->rng, 1);
-  keys_init (&host->keys, 10000);
+  keys_init (&host->keys, HOLD_MAX_MS);
   rate_fleet_init (&host->rates);
   discovery_init (host);
   g_queue_init (&host->role.pending_tables);
@@ -621,6 +625,120 @@
   end (&fixture);
 }
 
+/* A host acquires the role after a holder whose row states LONG_HOLD_MS, although its own
+ * settings have HOLD_MAX_MS.  Returns the write that acquired it. */
+static role_row_t
+acquire_after_a_longer_hold (fixture_t *self)
+{
+  role_row_t row = { .incarnation = 1, .next_fence = 6, .longest_hold = LONG_HOLD_MS };
+
+  begin (self);
+  name_set (&row.host, TEXT ("g"));
+  name_set (&row.address, TEXT ("127.0.0.1:3"));
+  row.until = START_MS + STORE_CLOCK_AHEAD_MS - 1;
+  acquire (self, 2, &row);
+  return self->coordinator.role.row;
+}
+
+static void
+test_a_successor_assumes_the_longest_hold_of_the_row (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  acquire_after_a_longer_hold (&fixture);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, 2, 5);
+  const key_service_t *service = g_ptr_array_index (fixture.coordinator.keys.services, 0);
+  const key_holds_t *holds = &g_array_index (service->ranges, key_range_state_t, 0).holds;
+  assert_true (holds->inherited_until
+               >= START_MS + key_holds_worst_case (LONG_HOLD_MS) + COMMAND_CALL_MS - 1);
+  end (&fixture);
+}
+
+static void
+test_the_row_states_a_longer_hold_until_such_grants_have_expired (void **state)
+{
+  fixture_t fixture;
+  uint64_t version = 2;
+
+  (void)state;
+  role_row_t row = acquire_after_a_longer_hold (&fixture);
+  assert_int_equal (row.longest_hold, LONG_HOLD_MS);
+  msec_t expired = START_MS + key_holds_worst_case (LONG_HOLD_MS) + COMMAND_CALL_MS - 1;
+  while (now (&fixture) < expired)
+    {
+      call_t write = next_write (&fixture);
+      if (now (&fixture) < expired)
+        assert_int_equal (write.row.longest_hold, LONG_HOLD_MS);
+      answer (&fixture, &write, ++version, NULL);
+    }
+  pass_time (&fixture, 1000);
+  call_t write = next_write (&fixture);
+  assert_int_equal (write.row.longest_hold, HOLD_MAX_MS);
+  end (&fixture);
+}
+
+/* Sends the grants that are due right before the lease ends. */
+static void
+send_final_grants (fixture_t *self)
+{
+  keys_msg_t tick = { .kind = KEYS_TICK };
+
+  msclock_set (&self->coordinator.clock,
+               self->coordinator.role.lease_end - KEYS_FINAL_RENEWAL_MS / 2);
+  self->longest = 0;
+  grants_handle (&self->coordinator, &tick);
+}
+
+static void
+test_a_longer_hold_is_not_granted_before_the_row_states_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, 2, 5);
+  keys_set_hold_max (&fixture.coordinator.keys, LONG_HOLD_MS);
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  assert_int_equal (write.row.longest_hold, HOLD_MAX_MS);
+  answer (&fixture, &write, 3, NULL);
+  send_final_grants (&fixture);
+  assert_int_equal (fixture.longest, HOLD_MAX_MS);
+  write = next_write (&fixture);
+  assert_int_equal (write.row.longest_hold, LONG_HOLD_MS);
+  answer (&fixture, &write, 4, NULL);
+  send_final_grants (&fixture);
+  assert_int_equal (fixture.longest, LONG_HOLD_MS);
+  end (&fixture);
+}
+
+static void
+test_a_write_that_states_less_limits_grants_before_its_answer (void **state)
+{
+  fixture_t fixture;
+  uint64_t version = 2;
+
+  (void)state;
+  acquire_after_a_longer_hold (&fixture);
+  msec_t expired = fixture.coordinator.role.predecessor_grants_end;
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, version, 5);
+  call_t write = next_write (&fixture);
+  while (write.row.longest_hold == LONG_HOLD_MS)
+    {
+      answer (&fixture, &write, ++version, NULL);
+      write = next_write (&fixture);
+    }
+  assert_true (now (&fixture) >= expired);
+  keys_set_hold_max (&fixture.coordinator.keys, LONG_HOLD_MS);
+  send_final_grants (&fixture);
+  assert_int_equal (fixture.longest, HOLD_MAX_MS);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -640,6 +758,10 @@
     cmocka_unit_test (test_a_late_reply_does_not_set_the_store_clock_back),
     cmocka_unit_test (test_a_write_that_could_not_be_sent_is_not_taken_for_written),
     cmocka_unit_test (test_a_lease_is_not_longer_than_the_row_that_was_written),
+    cmocka_unit_test (test_a_successor_assumes_the_longest_hold_of_the_row),
+    cmocka_unit_test (test_the_row_states_a_longer_hold_until_such_grants_have_expired),
+    cmocka_unit_test (test_a_longer_hold_is_not_granted_before_the_row_states_it),
+    cmocka_unit_test (test_a_write_that_states_less_limits_grants_before_its_answer),
   };
 
   return cmocka_run_group_tests_name ("role", tests, NULL, NULL);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -261,6 +261,7 @@
 /* Usual length of a grant.  Keys of a crashed owner are unavailable for this long; the
  * failure of a granter and its successor's start have to fit in. */
 #define KEYS_HOLD_MS 4000
+#define KEYS_HOLD_LIMIT_MS 600000 /* the longest grant that settings may allow */
 #define KEYS_RENEW_MS 1000        /* three renewals may be lost before a grant expires */
 #define KEYS_SLOW_CLOCK_PERCENT 2 /* the most that a target's clock may run slow */
 #define KEYS_MARGIN_MS 100        /* transmission of a grant */
--- a/packages/keys/key_rows.c
+++ b/packages/keys/key_rows.c
@@ -129,7 +129,7 @@
 GString *
 key_rows_encode_role (const role_row_t *role)
 {
-  return encode_json (json_pack ("{s:o,s:o,s:I,s:I,s:I,s:I}",
+  return encode_json (json_pack ("{s:o,s:o,s:I,s:I,s:I,s:I,s:I}",
                                  "host",
                                  json_from_name (&role->host),
                                  "address",
@@ -141,7 +141,9 @@
                                  "next_fence",
                                  (json_int_t)role->next_fence,
                                  "until",
-                                 (json_int_t)role->until));
+                                 (json_int_t)role->until,
+                                 "longest_hold",
+                                 (json_int_t)role->longest_hold));
 }
 
 status_t
@@ -158,6 +160,8 @@
             && json_get_u64 (root, "until", INT64_MAX, &until);
 
   role->until = (msec_t)until;
+  role->longest_hold
+      = (msec_t)MIN (json_number (root, "longest_hold"), KEYS_HOLD_LIMIT_MS);
   json_decref (root);
   return ok ? STATUS_OK
             : fault_raise (fault, STATUS_DECODE, "granter role row is malformed");
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -99,7 +99,8 @@
 {
   const target_entry_t *target = find_owner (self, range);
   bool final_renewal = self->resigning || self->role_until - now < KEYS_FINAL_RENEWAL_MS;
-  msec_t hold = final_renewal ? self->hold_max : MIN (KEYS_HOLD_MS, self->hold_max);
+  msec_t longest = MIN (self->hold_max, self->stated_hold);
+  msec_t hold = final_renewal ? longest : MIN (KEYS_HOLD_MS, longest);
   bool due = now >= range->next_call_at || (final_renewal && range->last_hold < hold);
 
   if (target == NULL || target->leaving)
@@ -495,6 +496,7 @@
 keys_init (keys_t *self, msec_t hold_max)
 {
   *self = (keys_t){ .hold_max = hold_max,
+                    .stated_hold = hold_max,
                     .longest_hold = hold_max,
                     .next_fence = 1,
                     .services = g_ptr_array_new_with_free_func (free_service),
@@ -517,6 +519,18 @@
   self->longest_hold = MAX (self->longest_hold, hold_max);
 }
 
+void
+keys_state_hold (keys_t *self, msec_t hold)
+{
+  self->stated_hold = hold;
+}
+
+void
+keys_inherit_hold (keys_t *self, msec_t hold)
+{
+  self->inherited_hold = hold;
+}
+
 bool
 keys_lacks_table (const keys_t *self, const name_t *name)
 {
@@ -536,5 +550,7 @@
 {
   /* The predecessor's last call may have been in flight for the longest time of a call.
    */
-  return MAX (key_holds_worst_case (self->longest_hold) + COMMAND_CALL_MS - since, 0);
+  msec_t hold = MAX (self->longest_hold, self->inherited_hold);
+
+  return MAX (key_holds_worst_case (hold) + COMMAND_CALL_MS - since, 0);
 }
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -147,8 +147,10 @@
 {
   msec_t role_until; /* 0: not held */
   bool store_reachable;
-  msec_t hold_max;     /* longest duration of a grant */
-  msec_t longest_hold; /* that any granter may have given, as far as is known */
+  msec_t hold_max;       /* longest duration of a grant, by the settings */
+  msec_t stated_hold;    /* by the role's row, if this host holds the role */
+  msec_t longest_hold;   /* by the settings that this process has known */
+  msec_t inherited_hold; /* by the role's row when this host last acquired the role */
   bool resigning;
   uint64_t next_fence;
   uint64_t last_call;  /* the calls so far are numbered from 1 */
@@ -160,10 +162,18 @@
 /* HOLD_MAX: longest duration of a grant. */
 void keys_init (keys_t *self, msec_t hold_max);
 
-/* Changes the longest duration of a grant; predecessors may have given the earlier one.
- */
+/* Changes the longest duration of a grant; predecessors may have given the earlier one. A
+ * longer one is granted from when the role's row states it. */
 void keys_set_hold_max (keys_t *self, msec_t hold_max);
 
+/* The role's row, as this host has written or is writing it, states that its grants last
+ * for HOLD ms at most: it gives none that is longer. */
+void keys_state_hold (keys_t *self, msec_t hold);
+
+/* The role's row states that grants of predecessors last for HOLD ms at most; 0: it
+ * doesn't state that. */
+void keys_inherit_hold (keys_t *self, msec_t hold);
+
 /* Handles MSG at time NOW and appends actions (keys_out_t) to OUT. */
 void keys_handle (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out);
 
@@ -178,6 +188,7 @@
 
 /*
  * How long grants of a predecessor may still last (ms) if its role ended SINCE ms ago.
- * Assumes a grant of the longest duration right before that end.
+ * Assumes a grant of the longest duration right before that end: the one that the role's
+ * row stated, or that this process has known if that is longer.
  */
 msec_t keys_predecessor_hold (const keys_t *self, msec_t since);
--- a/packages/keys/tests/test_key_moves.c
+++ b/packages/keys/tests/test_key_moves.c
@@ -493,7 +493,11 @@
 {
   fixture_t fixture;
   key_table_t table, decoded_table;
-  role_row_t role = { .incarnation = 7, .sequence = 9, .next_fence = 11, .until = 13 },
+  role_row_t role = { .incarnation = 7,
+                      .sequence = 9,
+                      .next_fence = 11,
+                      .until = 13,
+                      .longest_hold = 15 },
              decoded;
   fault_t fault;
 
@@ -521,6 +525,7 @@
       key_rows_decode_role (&decoded, (text_t){ bytes->str, bytes->len }, &fault),
       STATUS_OK);
   assert_int_equal (decoded.until, 13);
+  assert_int_equal (decoded.longest_hold, 15);
   assert_true (name_equal (&decoded.address, &role.address));
   for (size_t len = 0; len < bytes->len; len++)
     assert_int_equal (
@@ -532,6 +537,35 @@
   end (&fixture);
 }
 
+static msec_t
+decoded_longest_hold (const char *field)
+{
+  role_row_t role = { .longest_hold = 15 };
+  fault_t fault;
+  GString *bytes = g_string_new ("{\"host\":\"h\",\"address\":\"10.0.0.1:2\",\"life\":7,"
+                                 "\"beat\":9,\"next_fence\":11,\"until\":13");
+
+  g_string_append (bytes, field);
+  g_string_append_c (bytes, '}');
+  assert_int_equal (
+      key_rows_decode_role (&role, (text_t){ bytes->str, bytes->len }, &fault),
+      STATUS_OK);
+  g_string_free (bytes, TRUE);
+  return role.longest_hold;
+}
+
+static void
+test_a_role_row_may_lack_the_longest_hold (void **state)
+{
+  (void)state;
+  assert_int_equal (decoded_longest_hold (""), 0);
+  assert_int_equal (decoded_longest_hold (",\"longest_hold\":-1"), 0);
+  assert_int_equal (decoded_longest_hold (",\"longest_hold\":\"60000\""), 0);
+  assert_int_equal (decoded_longest_hold (",\"longest_hold\":60000"), 60000);
+  assert_int_equal (decoded_longest_hold (",\"longest_hold\":9223372036854775807"),
+                    KEYS_HOLD_LIMIT_MS);
+}
+
 /* Rows of the largest deployments have to fit into the store's limit of 64 KiB. */
 static void
 test_stored_ranges_of_an_owner_keep_their_own_addresses (void **state)
@@ -631,6 +665,7 @@
     cmocka_unit_test (test_no_rebalancing_while_the_store_is_unreachable),
     cmocka_unit_test (test_a_rejected_commit_returns_released_keys),
     cmocka_unit_test (test_rows_round_trip),
+    cmocka_unit_test (test_a_role_row_may_lack_the_longest_hold),
     cmocka_unit_test (test_stored_ranges_of_an_owner_keep_their_own_addresses),
     cmocka_unit_test (test_a_table_of_many_ranges_fits_a_row),
     cmocka_unit_test (test_a_malformed_table_is_rejected),
--- a/packages/settings/router_settings.c
+++ b/packages/settings/router_settings.c
@@ -1,5 +1,7 @@
 #include "router_settings.h"
 
+#include "../core/limits.h"
+
 #include <arpa/inet.h>
 
 #define FIELD(key, kind, member, required, lo, hi, expected)                             \
@@ -31,7 +33,13 @@
   FIELD (
       "config_apply_ms", FORM_UINT, bounds.apply_ms, false, 1, TIME_MAX, TIME_EXPECTED),
   FIELD ("grace_s", FORM_REAL, bounds.grace_s, false, 1, 600, "seconds, from 1 to 600"),
-  FIELD ("hold_max_ms", FORM_UINT, bounds.hold_max_ms, false, 1, TIME_MAX, TIME_EXPECTED),
+  FIELD ("hold_max_ms",
+         FORM_UINT,
+         bounds.hold_max_ms,
+         false,
+         1,
+         KEYS_HOLD_LIMIT_MS,
+         TIME_EXPECTED),
   FIELD ("retry_ratio", FORM_REAL, bounds.retry_ratio, false, 0, 10, "from 0 to 10"),
   FIELD ("budget_window_s",
          FORM_UINT,
