Grants that show a new fence are not longer than the longest hold

Cause: a granter that takes keys back from an owner first sends it a grant of 200 ms under the new fence. If hold_max_ms is less, the target rejects it (400), so that the call counts as failed and is repeated; and a target whose settings allow it would hold the keys for longer than a successor assumes.

Evidence: new test in unit key-holds, with a longest hold of 100 ms: the grant had 200.

Change: the longest hold limits this grant too.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -90,6 +90,13 @@
   return now < self->role_until - ROLE_MARGIN_MS;
 }
 
+/* The longest grant: targets accept none that is longer, and a successor assumes none. */
+static msec_t
+longest_grant (const keys_t *self)
+{
+  return MIN (self->hold_max, self->stated_hold);
+}
+
 static void
 renew_grant (keys_t *self,
              const key_service_t *service,
@@ -99,7 +106,7 @@
 {
   const target_entry_t *target = find_owner (self, range);
   bool final_renewal = self->resigning || self->role_until - now < KEYS_FINAL_RENEWAL_MS;
-  msec_t longest = MIN (self->hold_max, self->stated_hold);
+  msec_t longest = longest_grant (self);
   msec_t hold = final_renewal ? longest : MIN (KEYS_HOLD_MS, longest);
   bool due = now >= range->next_call_at || (final_renewal && range->last_hold < hold);
 
@@ -122,9 +129,11 @@
              msec_t now,
              GArray *out)
 {
+  msec_t hold = MIN (KEYS_FENCE_HOLD_MS, longest_grant (self));
+
   range->next_call_at = now + KEYS_RETRY_MS;
-  key_holds_sent (&range->holds, KEYS_FENCE_HOLD_MS, now);
-  append_call (self, KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
+  key_holds_sent (&range->holds, hold, now);
+  append_call (self, KEYS_GRANT, service, range, hold, out);
 }
 
 /* Whether the owner has to be fenced, and can be: it is listed, may still apply a
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -443,6 +443,20 @@
   end (&fixture);
 }
 
+static void
+test_a_grant_that_shows_a_fence_is_not_longer_than_others (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  keys_set_hold_max (&fixture.keys, KEYS_FENCE_HOLD_MS / 2);
+  target (&fixture, 0)->leaving = true;
+  list_targets (&fixture);
+  assert_int_equal (call_to_first (&fixture, KEYS_GRANT).hold, KEYS_FENCE_HOLD_MS / 2);
+  end (&fixture);
+}
+
 static void
 test_an_owner_may_have_restarted_if_a_release_got_no_answer (void **state)
 {
@@ -655,6 +669,7 @@
     cmocka_unit_test (
         test_the_next_life_of_an_owner_has_not_seen_the_fence_of_the_one_before),
     cmocka_unit_test (test_an_owner_may_have_restarted_since_it_accepted_a_new_fence),
+    cmocka_unit_test (test_a_grant_that_shows_a_fence_is_not_longer_than_others),
     cmocka_unit_test (test_an_owner_may_have_restarted_if_a_release_got_no_answer),
     cmocka_unit_test (test_an_unlisted_owner_that_answered_all_calls_knows_its_fence),
     cmocka_unit_test (test_an_unlisted_owner_may_have_restarted_since_a_call_failed),
