--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -90,6 +90,13 @@
   return now < self->role_until - ROLE_MARGIN_MS;
 }
 
+/* The longest grant: targets accept none that is longer, and a successor assumes none. */
+static msec_t
+longest_grant (const keys_t *self)
+{
+  return MIN (self->hold_max, self->stated_hold);
+}
+
 static void
 renew_grant (keys_t *self,
              const key_service_t *service,
@@ -99,7 +106,8 @@
 {
   const target_entry_t *target = find_owner (self, range);
   bool final_renewal = self->resigning || self->role_until - now < KEYS_FINAL_RENEWAL_MS;
-  msec_t hold = final_renewal ? self->hold_max : MIN (KEYS_HOLD_MS, self->hold_max);
+  msec_t longest = longest_grant (self);
+  msec_t hold = final_renewal ? longest : MIN (KEYS_HOLD_MS, longest);
   bool due = now >= range->next_call_at || (final_renewal && range->last_hold < hold);
 
   if (target == NULL || target->leaving)
@@ -121,9 +129,11 @@
              msec_t now,
              GArray *out)
 {
+  msec_t hold = MIN (KEYS_FENCE_HOLD_MS, longest_grant (self));
+
   range->next_call_at = now + KEYS_RETRY_MS;
-  key_holds_sent (&range->holds, KEYS_FENCE_HOLD_MS, now);
-  append_call (self, KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
+  key_holds_sent (&range->holds, hold, now);
+  append_call (self, KEYS_GRANT, service, range, hold, out);
 }
 
 /* Whether the owner has to be fenced, and can be: it is listed, may still apply a
@@ -556,6 +566,7 @@
 keys_init (keys_t *self, msec_t hold_max)
 {
   *self = (keys_t){ .hold_max = hold_max,
+                    .stated_hold = hold_max,
                     .longest_hold = hold_max,
                     .next_fence = 1,
                     .services = g_ptr_array_new_with_free_func (free_service),
@@ -580,6 +591,18 @@
   self->longest_hold = MAX (self->longest_hold, hold_max);
 }
 
+void
+keys_state_hold (keys_t *self, msec_t hold)
+{
+  self->stated_hold = hold;
+}
+
+void
+keys_inherit_hold (keys_t *self, msec_t hold)
+{
+  self->inherited_hold = hold;
+}
+
 bool
 keys_lacks_table (const keys_t *self, const name_t *name)
 {
@@ -599,5 +622,7 @@
 {
   /* The predecessor's last call may have been in flight for the longest time of a call.
    */
-  return MAX (key_holds_worst_case (self->longest_hold) + COMMAND_CALL_MS - since, 0);
+  msec_t hold = MAX (self->longest_hold, self->inherited_hold);
+
+  return MAX (key_holds_worst_case (hold) + COMMAND_CALL_MS - since, 0);
 }
