Test: a successor frees no keys of a running owner after a rejected commit

The incident's sequence in two granters: an owner leaves, the commit for the range that it released is rejected, the next one, of new fences, is stored, and a successor goes by it.

--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -381,6 +381,98 @@
   end (&fixture);
 }
 
+/* The last message's call of KIND for the range from FIRST on. */
+static keys_out_t
+call_for (const fixture_t *self, keys_out_kind_t kind, uint32_t first)
+{
+  for (guint i = 0; i < self->out->len; i++)
+    {
+      keys_out_t call = g_array_index (self->out, keys_out_t, i);
+      if (call.kind == kind && call.first == first)
+        return call;
+    }
+  fail_msg ("no call of kind %d for the range from %u on", kind, first);
+  return (keys_out_t){ 0 };
+}
+
+/* T0, which has the first and the last range, leaves.  It releases the first, whose
+ * commit is rejected; a grant of the last gets no answer.  TABLE is what is stored then.
+ */
+static void
+store_new_fences_after_a_rejected_commit (fixture_t *self, key_table_t *table)
+{
+  fault_t fault;
+
+  begin (self, 2);
+  key_table_t before = stored_table (self, 2);
+  key_range_t last = g_array_index (before.ranges, key_range_t, 0);
+  last.first = KEY_LAST - 99;
+  last.last = KEY_LAST;
+  last.fence = 30;
+  g_array_index (before.ranges, key_range_t, 1).last = last.first - 1;
+  g_array_append_val (before.ranges, last);
+  renew_role (self);
+  handle_msg (self, (keys_msg_t){ .kind = KEYS_TABLE, .table = &before });
+  keys_out_t unanswered = call_for (self, KEYS_GRANT, last.first);
+  keys_out_t accepted = call_for (self, KEYS_GRANT, 0);
+  reply (self, &accepted, KEYS_GRANTED, true);
+  target (self, 0)->leaving = true;
+  list_targets (self);
+  keys_out_t release = call_for (self, KEYS_RELEASE, 0);
+  reply (self, &release, KEYS_RELEASED, true);
+  if (count_actions (self, KEYS_COMMIT) == 0)
+    tick (self, self->now);
+  assert_int_equal (count_actions (self, KEYS_COMMIT), 1);
+  reply (self, &unanswered, KEYS_CALL_FAILED, true);
+  handle_msg (self, (keys_msg_t){ .kind = KEYS_COMMIT_REJECTED });
+  const keys_out_t *commit = find (self, KEYS_COMMIT);
+  assert_non_null (commit);
+  GString *bytes = key_rows_encode_table (&commit->table);
+  key_table_init (table, TEXT ("s"));
+  assert_int_equal (
+      key_rows_decode_table (table, (text_t){ bytes->str, bytes->len }, &fault),
+      STATUS_OK);
+  g_string_free (bytes, TRUE);
+  key_table_finish (&before);
+}
+
+static void
+test_a_successor_frees_no_keys_of_a_running_owner_after_a_rejected_commit (void **state)
+{
+  fixture_t first, second;
+  key_table_t table;
+
+  (void)state;
+  store_new_fences_after_a_rejected_commit (&first, &table);
+  begin (&second, 2);
+  target (&second, 0)->leaving = true;
+  list_targets (&second);
+  renew_role (&second);
+  handle_msg (&second,
+              (keys_msg_t){ .kind = KEYS_TABLE,
+                            .table = &table,
+                            .predecessor_hold = HOLD_MAX_MS });
+  handle_msg (&second, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  for (int step = 0; step < 20; step++)
+    {
+      for (guint i = 0; i < second.out->len; i++)
+        {
+          keys_out_t call = g_array_index (second.out, keys_out_t, i);
+          if (call.call == 0 || !name_equal (&call.target, &target (&second, 0)->id)
+              || name_equal (&call.address, &target (&second, 0)->address))
+            continue;
+          reply (&second, &call, KEYS_OWNER_GONE, true);
+          break;
+        }
+      assert_int_equal (count_actions (&second, KEYS_FREED), 0);
+      second.now += 50;
+      renew_role (&second);
+    }
+  key_table_finish (&table);
+  end (&second);
+  end (&first);
+}
+
 /* Stored ranges of T0 and T1 whose owners may hold PREDECESSOR_HOLD ms more. */
 static void
 take_over (fixture_t *self, key_table_t *table, msec_t predecessor_hold)
@@ -716,6 +808,8 @@
     cmocka_unit_test (test_a_target_that_has_ended_gets_no_keys_while_it_is_listed),
     cmocka_unit_test (test_an_answer_from_a_wrong_address_does_not_end_the_owner),
     cmocka_unit_test (test_a_rejected_commit_leaves_the_owner_that_the_store_records),
+    cmocka_unit_test (
+        test_a_successor_frees_no_keys_of_a_running_owner_after_a_rejected_commit),
     cmocka_unit_test (
         test_a_table_names_no_owner_at_the_address_of_another_after_a_rejected_commit),
     cmocka_unit_test (
