An owner that has started again doesn't count as rejecting what the process before rejected

Cause: callers could get a key from two targets by a late grant. After a take-over the short grant under a new fence proves that the owner's process rejects the predecessor's grants. The proof was kept for the range, not for the process: an answer of the process before (a renewal under way when the next process is listed), or a renewal accepted long before, counted for the next one, which knows no fence. Its keys were then released and given away without the fence's having been shown to it, and a grant of the predecessor that is applied late there gives it the keys beside their new owner. Evidence: both new tests of key-holds failed on (a release instead of the short grant; a commit before predecessors' grants have expired). Change: a range notes which listed process was called and which one accepted the fence; if another one is listed before the release, the fence counts as not shown.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -77,7 +77,9 @@
                       .call = ++self->last_call,
                       .hold = hold,
                       .handover = range->handover };
+  const target_entry_t *listed = key_plan_find_target (self, &range->owner);
 
+  range->called = listed != NULL ? listed->started_at : 0;
   range->call = call.call;
   range->last_hold = hold;
   g_array_append_val (out, call);
@@ -169,10 +171,16 @@
 {
   const target_entry_t *listed = key_plan_find_target (self, &range->owner);
   bool ended = owner_ended (range, listed);
-  msec_t reassignable_at = key_holds_end (&range->holds, range->released);
 
   if (range->call != 0)
     return;
+  if (!range->released && listed != NULL && listed->started_at != range->fenced)
+    {
+      /* The process that accepted the fence isn't the one that may run now. */
+      key_holds_not_fenced_off (&range->holds);
+      range->fence_confirmed = false;
+    }
+  msec_t reassignable_at = key_holds_end (&range->holds, range->released);
   if (ended || now >= reassignable_at)
     {
       append_note (KEYS_FREED,
@@ -403,6 +411,7 @@
           if (!service->needs_new_fences && range->pending_fence == 0)
             {
               key_holds_fenced_off (&range->holds);
+              range->fenced = range->called;
               range->fence_confirmed = range->phase == RANGE_REVOKING;
             }
           if (range->fence_confirmed)
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -119,6 +119,8 @@
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
   bool needs_new_fence;   /* against grants without an answer */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
+  uint64_t called;        /* start time of the listed process when it was last called */
+  uint64_t fenced;        /* the same of the process that accepted the fence */
   bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
   bool released;          /* the owner released it */
   bool superseded;        /* the owner has seen a higher fence */
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -481,6 +481,26 @@
   end (&fixture);
 }
 
+/* T0 has been listed with its next start when the one before answers a grant. */
+static void
+test_an_answer_of_an_earlier_life_does_not_show_the_fence_to_the_next (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  keys_out_t earlier = next_grant (&fixture);
+  target (&fixture, 0)->started_at++;
+  list_targets (&fixture);
+  reply (&fixture, &earlier, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  end (&fixture);
+}
+
 static void
 test_an_owner_may_have_restarted_since_it_accepted_a_new_fence (void **state)
 {
@@ -541,6 +561,25 @@
   end (&fixture);
 }
 
+/* T0 has started again, and is removed from the list before it can be called. */
+static void
+test_an_unlisted_owner_has_not_seen_the_fence_of_the_life_before (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  take_over_and_fence (&fixture);
+  tick (&fixture, START_MS + ROLE_MS - ROLE_MARGIN_MS - 1);
+  accept_grants (&fixture);
+  tick (&fixture, START_MS + ROLE_MS - ROLE_MARGIN_MS);
+  target (&fixture, 0)->started_at++;
+  list_targets (&fixture);
+  assert_int_equal (fixture.out->len, 0);
+  release_unlisted_owner (&fixture);
+  assert_moved_after (&fixture, START_MS + HOLD_MAX_MS);
+  end (&fixture);
+}
+
 static void
 test_an_unlisted_owner_may_have_restarted_since_a_call_failed (void **state)
 {
@@ -710,6 +749,9 @@
         test_an_unanswered_grant_under_the_old_fence_counts_after_new_fences),
     cmocka_unit_test (
         test_the_next_life_of_an_owner_has_not_seen_the_fence_of_the_one_before),
+    cmocka_unit_test (
+        test_an_answer_of_an_earlier_life_does_not_show_the_fence_to_the_next),
+    cmocka_unit_test (test_an_unlisted_owner_has_not_seen_the_fence_of_the_life_before),
     cmocka_unit_test (test_an_owner_may_have_restarted_since_it_accepted_a_new_fence),
     cmocka_unit_test (test_an_owner_may_have_restarted_if_a_release_got_no_answer),
     cmocka_unit_test (test_an_unlisted_owner_that_answered_all_calls_knows_its_fence),
