A target that was called at a wrong address gets keys when its entry shows another one

Cause: a process counts as ended when another one has its listed address. If the entry was wrong, and is put right by the target itself, the process is the same, and got no keys until it restarted. Evidence: the new test fails if the address isn't compared (1 of 30). Change: an ended process is known by id, start time and address.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -288,9 +288,9 @@
 {
   for (guint i = 0; i < self->ended->len; i++)
     {
-      const target_incarnation_t *ended
-          = &g_array_index (self->ended, target_incarnation_t, i);
-      if (name_equal (&ended->id, &target->id) && ended->started_at == target->started_at)
+      const target_entry_t *ended = &g_array_index (self->ended, target_entry_t, i);
+      if (name_equal (&ended->id, &target->id) && ended->started_at == target->started_at
+          && name_equal (&ended->address, &target->address))
         return true;
     }
   return false;
@@ -300,14 +300,13 @@
 static void
 forget_unlisted (keys_t *self, const GArray *targets)
 {
-  GArray *kept = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t));
+  GArray *kept = g_array_new (FALSE, FALSE, sizeof (target_entry_t));
 
   for (guint i = 0; self->ended->len > 0 && i < targets->len; i++)
     {
       const target_entry_t *target = &g_array_index (targets, target_entry_t, i);
-      target_incarnation_t listed = { target->id, target->started_at };
       if (is_ended (self, target))
-        g_array_append_val (kept, listed);
+        g_array_append_vals (kept, target, 1);
     }
   g_array_unref (self->ended);
   self->ended = kept;
@@ -387,8 +386,7 @@
     }
   if (owner != NULL)
     {
-      target_incarnation_t ended = { owner->id, owner->started_at };
-      g_array_append_val (self->ended, ended);
+      g_array_append_vals (self->ended, owner, 1);
       g_array_remove_index (
           self->targets,
           (guint)(owner - (target_entry_t *)(void *)self->targets->data));
@@ -581,7 +579,7 @@
                     .services = g_ptr_array_new_with_free_func (free_service),
                     .rate_limits = g_array_new (FALSE, FALSE, sizeof (rate_share_t)),
                     .targets = g_array_new (FALSE, TRUE, sizeof (target_entry_t)),
-                    .ended = g_array_new (FALSE, FALSE, sizeof (target_incarnation_t)) };
+                    .ended = g_array_new (FALSE, FALSE, sizeof (target_entry_t)) };
 }
 
 void
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -158,7 +158,7 @@
   uint64_t last_call;  /* the calls so far are numbered from 1 */
   GPtrArray *services; /* key_service_t */
   GArray *targets;     /* target_entry_t: the listed ones that may run */
-  GArray *ended;       /* target_incarnation_t: listed, but have ended */
+  GArray *ended;       /* target_entry_t: listed, but have ended */
   GArray *rate_limits; /* rate_share_t: the targets whose rate is limited */
 } keys_t;
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -275,6 +275,26 @@
   end (&fixture);
 }
 
+/* T0's entry had an address that isn't its own. */
+static void
+test_a_target_gets_keys_again_when_its_entry_shows_another_address (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_OWNER_GONE, true);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  accept_grants (&fixture);
+  name_set (&target (&fixture, 0)->address, TEXT ("10.0.0.99:1"));
+  list_targets (&fixture);
+  accept_grants (&fixture);
+  assert_true (run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_PLAN_MS));
+  end (&fixture);
+}
+
 /* The stored table has T0 at the address of T1. */
 static void
 test_an_answer_from_a_wrong_address_does_not_end_the_owner (void **state)
@@ -845,6 +865,7 @@
     cmocka_unit_test (
         test_a_target_that_joins_does_not_end_the_wait_for_owners_of_an_unreadable_table),
     cmocka_unit_test (test_a_target_that_has_ended_gets_no_keys_while_it_is_listed),
+    cmocka_unit_test (test_a_target_gets_keys_again_when_its_entry_shows_another_address),
     cmocka_unit_test (test_an_answer_from_a_wrong_address_does_not_end_the_owner),
     cmocka_unit_test (test_a_rejected_commit_leaves_the_owner_that_the_store_records),
     cmocka_unit_test (
