Keys are freed only by answers that can belong to no other call

Callers: keys held by two targets. Calls to targets share connections and carry no id. A target that repeats an answer where the next one is expected ends the next call with it: a release that never arrived counted as done, a new fence as accepted, and a 421 or 409 for another range or target as this owner's. Surplus bytes on an idle connection made libevent reset it already; those that came in one read with the response, and those that came after the next call was sent, counted. Evidence: each new test was run with its rule undone and failed: a pooled call after a response and its copy in one read (httpc: not done), a call on a connection whose server repeats its response once the next call is sent (reused, and answered by the copy), a call of 20 kB that the server hasn't read when the copy arrives (done instead of failed), idle connections before a release (not reset); in key-holds a shared answer to a release (no second release), to the grant that shows a fence (moved at once) and a shared 421 or 409 to a renewal (a commit at once). Change: the decision part marks a call as a proof: releases, grants that have to show a fence (grants of predecessors may last and the owner isn't known to reject them), and the renewal after a refusal that may have been another call's. A proof is called on a new connection, which is closed after it. The result says whether the answer was shared. A shared release, 409 or 421 counts as no answer; a shared 200 as a renewal only. Before a release the idle connections to the target are reset. Usual renewals stay on pooled connections; a response on a reused connection counts only if the target's host has acknowledged the whole call (SIOCOUTQ), so that a renewal has arrived when it counts as answered, and its hold, which runs from its arrival, is known. Ruled out: COMMAND_CALL_MS more for every renewal on a reused connection: keys of each crashed owner would wait 1.2 s longer, for what the acknowledgement shows without a wait. Open: a target that has received a renewal, answers an earlier call twice and applies the renewal after the release. A first grant whose answer is a copy loses its handover. Both need a copy on the very connection.

--- a/packages/coordinator/deployment.h
+++ b/packages/coordinator/deployment.h
@@ -21,6 +21,7 @@
 typedef struct
 {
   bool release;
+  bool proof; /* only an answer that can belong to no other call counts */
   name_t target;
   uint32_t first, last;
   uint64_t fence;
@@ -32,6 +33,7 @@
 {
   command_outcome_t outcome;
   bool sent;       /* at least one byte may have been sent */
+  bool shared;     /* the answer may be one to an earlier call, repeated by the target */
   bool leaving;    /* the target states that it leaves */
   text_t handover; /* of a release; may be empty */
 } command_result_t;
--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -93,7 +93,8 @@
   keys_msg_t msg = { .service = command->action.service,
                      .call = command->action.call,
                      .release = release,
-                     .sent = result->sent };
+                     .sent = result->sent,
+                     .shared = result->shared };
 
   switch (outcome)
     {
@@ -132,7 +133,9 @@
 {
   pending_command_t *command = g_new (pending_command_t, 1);
   msec_t now = msclock_now (&self->clock);
+  httpc_pool_t *pool = target_pool (self, &action->address);
   key_command_t call = { .release = action->kind == KEYS_RELEASE,
+                         .proof = action->proof,
                          .target = action->target,
                          .first = action->first,
                          .last = action->last,
@@ -148,13 +151,18 @@
                                   now };
   /* The role may have ended since the decision; no grant may be sent after that. */
   if (!call.release && now >= self->role.lease_end)
-    on_command_done (command, &not_sent);
-  else
-    self->deployment->send_command (target_pool (self, &action->address),
-                                    &call,
-                                    on_command_done,
-                                    command,
-                                    g_get_monotonic_time () / 1000);
+    {
+      on_command_done (command, &not_sent);
+      return;
+    }
+  /* A grant that was taken for answered must not arrive after the release. */
+  if (call.release)
+    httpc_pool_reset_idle (pool);
+  self->deployment->send_command (pool,
+                                  &call,
+                                  on_command_done,
+                                  command,
+                                  g_get_monotonic_time () / 1000);
 }
 
 static void
--- a/packages/http/sockets.c
+++ b/packages/http/sockets.c
@@ -1,7 +1,9 @@
 #include "sockets.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 void
@@ -25,3 +27,11 @@
   if (fd >= 0)
     setsockopt (fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
+
+int
+socket_unacknowledged (evutil_socket_t fd)
+{
+  int bytes = 0;
+
+  return fd >= 0 && ioctl (fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
--- a/packages/http/sockets.h
+++ b/packages/http/sockets.h
@@ -19,3 +19,7 @@
  * after a network fault.  A negative FD is ignored.
  */
 void socket_set_reset_on_close (evutil_socket_t fd, bool reset);
+
+/* Bytes that were written to FD and that the peer's host has not acknowledged; 0 if FD is
+ * negative. */
+int socket_unacknowledged (evutil_socket_t fd);
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -15,6 +15,8 @@
   void *owner;
   msec_t last_used;
   uint64_t bytes_sent; /* bytes drained from the output buffer since the call started */
+  bool alone;          /* closed after its call */
+  bool reused;
   bool head_received;
   bool streaming;
   bool timed_out;
@@ -30,6 +32,7 @@
 {
   event_free (self->connect_timer);
   event_free (self->end_timer);
+  evhttp_connection_set_closecb (self->evcon, NULL, NULL);
   evhttp_connection_free (self->evcon);
   g_free (self);
 }
@@ -71,6 +74,17 @@
   close_and_free_later (conn);
 }
 
+/* An idle connection ended, or bytes arrived on it that belong to no call. */
+static void
+on_closed (struct evhttp_connection *evcon, void *arg)
+{
+  httpc_conn_t *self = arg;
+
+  (void)evcon;
+  if (g_queue_remove (&self->pool->idle, self))
+    close_and_free_later (self);
+}
+
 static void
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *arg)
 {
@@ -170,13 +184,37 @@
   return length >= 0 && received == (uint64_t)length;
 }
 
+/* Whether the call has arrived at the server's host entirely.  If not, the response is a
+ * repeated one. */
+static bool
+is_acknowledged (const httpc_conn_t *self)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
+
+  return evbuffer_get_length (bufferevent_get_output (bev)) == 0
+         && socket_unacknowledged (bufferevent_getfd (bev)) == 0;
+}
+
+static bool
+has_surplus_input (const httpc_conn_t *self)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
+
+  return evbuffer_get_length (bufferevent_get_input (bev)) > 0;
+}
+
 static void
 keep_or_close (httpc_conn_t *self, struct evhttp_request *response)
 {
   const char *value
       = evhttp_find_header (evhttp_request_get_input_headers (response), "Connection");
 
-  if (value != NULL && g_ascii_strcasecmp (value, "close") == 0)
+  if (has_surplus_input (self))
+    {
+      close_and_free_later (self);
+      return;
+    }
+  if (self->alone || (value != NULL && g_ascii_strcasecmp (value, "close") == 0))
     {
       close_gracefully (self);
       return;
@@ -210,6 +248,11 @@
       fail (self, HTTPC_TRUNCATED);
       return;
     }
+  if (self->reused && !is_acknowledged (self))
+    {
+      fail (self, HTTPC_CONNECTION_LOST);
+      return;
+    }
   keep_or_close (self, response);
   ops->done (owner, response);
 }
@@ -271,6 +314,7 @@
   self->timeout = pool->timeout;
   struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
   evbuffer_add_cb (bufferevent_get_output (bev), on_output, self);
+  evhttp_connection_set_closecb (self->evcon, on_closed, self);
   g_hash_table_add (pool->open, self);
   return self;
 }
@@ -283,7 +327,10 @@
   httpc_conn_t *conn = g_queue_peek_head (&pool->idle);
 
   if (conn != NULL && now - conn->last_used < CONNECTION_IDLE_MS)
-    return g_queue_pop_head (&pool->idle);
+    {
+      conn->reused = true;
+      return g_queue_pop_head (&pool->idle);
+    }
   httpc_pool_close_idle (pool);
   return NULL;
 }
@@ -307,6 +354,24 @@
   evtimer_add (self->connect_timer, &connect_tv);
 }
 
+static httpc_conn_t *
+send_request (httpc_conn_t *self,
+              struct evhttp_request *request,
+              enum evhttp_cmd_type method,
+              const char *uri,
+              const httpc_ops_t *ops,
+              void *owner)
+{
+  start_call (self, ops, owner);
+  request->cb_arg = self;
+  evhttp_request_set_header_cb (request, on_head);
+  evhttp_request_set_error_cb (request, on_error);
+  if (evhttp_make_request (self->evcon, request, method, uri) == 0)
+    return self;
+  close_and_free_later (self);
+  return NULL;
+}
+
 void
 httpc_pool_init (httpc_pool_t *self,
                  struct event_base *base,
@@ -362,6 +427,15 @@
     close_gracefully (conn);
 }
 
+void
+httpc_pool_reset_idle (httpc_pool_t *self)
+{
+  httpc_conn_t *conn;
+
+  while ((conn = g_queue_pop_head (&self->idle)) != NULL)
+    close_and_free_later (conn);
+}
+
 struct evhttp_request *
 httpc_request_new (void)
 {
@@ -381,14 +455,27 @@
 
   if (conn == NULL)
     conn = open_conn (self);
-  start_call (conn, ops, owner);
-  request->cb_arg = conn;
-  evhttp_request_set_header_cb (request, on_head);
-  evhttp_request_set_error_cb (request, on_error);
-  if (evhttp_make_request (conn->evcon, request, method, uri) == 0)
-    return conn;
-  close_and_free_later (conn);
-  return NULL;
+  return send_request (conn, request, method, uri, ops, owner);
+}
+
+httpc_conn_t *
+httpc_call_alone (httpc_pool_t *self,
+                  struct evhttp_request *request,
+                  enum evhttp_cmd_type method,
+                  const char *uri,
+                  const httpc_ops_t *ops,
+                  void *owner)
+{
+  httpc_conn_t *conn = open_conn (self);
+
+  conn->alone = true;
+  return send_request (conn, request, method, uri, ops, owner);
+}
+
+bool
+httpc_is_reused (const httpc_conn_t *conn)
+{
+  return conn->reused;
 }
 
 bool
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -18,6 +18,12 @@
  * delivered.  A response is complete if its Content-Length was reached or its last chunk
  * was received.  A failed call reports whether any byte of it may have left this process.
  *
+ * A server may repeat a response, also late, where the next one is expected; it can't be
+ * told from the response to the next call on that connection.  Bytes beyond a response,
+ * and a response to a call that the server's host has not acknowledged entirely, are
+ * reasons to reset the connection.  What must not be taken from a repeated response is to
+ * be asked by httpc_call_alone.
+ *
  * A response that is not streamed has to be complete within HTTPC_PROGRESS_FACTOR times
  * the time without progress that is allowed, and its head and its body are limited to
  * HTTPC_HEAD_MAX_BYTES and HTTPC_BODY_MAX_BYTES.
@@ -82,6 +88,9 @@
 /* Closes idle connections. */
 void httpc_pool_close_idle (httpc_pool_t *self);
 
+/* The same with a reset, so that no byte that was written to them is delivered later. */
+void httpc_pool_reset_idle (httpc_pool_t *self);
+
 /* A new request, for the caller to add headers and a body and pass to httpc_call. */
 struct evhttp_request *httpc_request_new (void);
 
@@ -99,6 +108,19 @@
                           void *owner,
                           msec_t now);
 
+/* The same on a new connection, which is closed after the call: its response belongs to
+ * no other call. */
+httpc_conn_t *httpc_call_alone (httpc_pool_t *self,
+                                struct evhttp_request *request,
+                                enum evhttp_cmd_type method,
+                                const char *uri,
+                                const httpc_ops_t *ops,
+                                void *owner);
+
+/* Whether CONN carried a call before the latest one, so that the response to this one may
+ * be a repeated one. */
+bool httpc_is_reused (const httpc_conn_t *conn);
+
 /* Whether the response to the call on CONN has begun to arrive: its head is complete. */
 bool httpc_is_receiving (const httpc_conn_t *conn);
 
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <cmocka.h>
@@ -32,11 +33,14 @@
   struct event_base *base;
   httpc_pool_t pool;
   bool done, failed, sent;
+  bool reused; /* the connection of the last call */
   httpc_failure_t failure;
   bool streams;
   size_t body;
-  msec_t timeout; /* of the call; 0: the pool's */
-  msec_t limit;   /* on the whole call; 0: the usual one */
+  bool alone;          /* calls by httpc_call_alone */
+  size_t request_body; /* bytes that are sent with a call */
+  msec_t timeout;      /* of the call; 0: the pool's */
+  msec_t limit;        /* on the whole call; 0: the usual one */
 } client_t;
 
 static void *
@@ -159,14 +163,22 @@
   self->done = self->failed = false;
   self->body = 0;
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host", "test");
-  httpc_conn_t *conn = httpc_call (&self->pool,
-                                   request,
-                                   EVHTTP_REQ_GET,
-                                   "/x",
-                                   &ops,
-                                   self,
-                                   g_get_monotonic_time () / 1000);
+  char *body = g_strnfill (self->request_body, 'x');
+  evbuffer_add (evhttp_request_get_output_buffer (request), body, self->request_body);
+  g_free (body);
+  const enum evhttp_cmd_type method
+      = self->request_body > 0 ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+  httpc_conn_t *conn
+      = self->alone ? httpc_call_alone (&self->pool, request, method, "/x", &ops, self)
+                    : httpc_call (&self->pool,
+                                  request,
+                                  method,
+                                  "/x",
+                                  &ops,
+                                  self,
+                                  g_get_monotonic_time () / 1000);
   assert_non_null (conn);
+  self->reused = httpc_is_reused (conn);
   if (self->timeout > 0)
     httpc_set_timeout (conn, self->timeout);
   event_base_dispatch (self->base);
@@ -491,6 +503,153 @@
   assert_true (client.done);
 }
 
+#define FIRST SIZED "first"
+#define LATER "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nlater.."
+
+/* Repeats its answer to the first call, at once or as soon as another call is sent on
+ * that connection, and reads no other call there.  On other connections it answers. */
+typedef struct
+{
+  int listener;
+  bool at_once;
+  bool reset; /* the first connection was reset */
+} repeater_t;
+
+static bool
+is_reset (int connection)
+{
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  usleep (20 * 1000); /* a reset may arrive after the end of the stream */
+  getsockopt (connection, SOL_SOCKET, SO_ERROR, &error, &len);
+  return error != 0;
+}
+
+static void *
+repeat_first_answer (void *arg)
+{
+  repeater_t *self = arg;
+  char bytes[4096];
+  int first = accept (self->listener, NULL, NULL), second;
+  const char *answer = self->at_once ? FIRST FIRST : FIRST;
+
+  recv (first, bytes, sizeof bytes, 0);
+  send (first, answer, strlen (answer), MSG_NOSIGNAL);
+  struct pollfd polled[] = { { first, POLLIN, 0 }, { self->listener, POLLIN, 0 } };
+  while (poll (polled, 2, -1) > 0 && (polled[1].revents & POLLHUP) == 0)
+    {
+      if (polled[0].revents != 0)
+        {
+          ssize_t got = recv (first, bytes, 1, MSG_PEEK);
+          if (got <= 0)
+            self->reset |= got < 0 || is_reset (first);
+          polled[0].fd = -1;
+          if (got > 0)
+            send (first, FIRST, strlen (FIRST), MSG_NOSIGNAL);
+        }
+      if ((polled[1].revents & POLLIN) == 0)
+        continue;
+      second = accept (self->listener, NULL, NULL);
+      if (second >= 0 && recv (second, bytes, sizeof bytes, 0) > 0)
+        send (second, LATER, strlen (LATER), MSG_NOSIGNAL);
+      close (second);
+    }
+  close (first);
+  return NULL;
+}
+
+/* Makes the first call on a pooled connection, and another as CLIENT says. */
+static void
+call_repeater (client_t *client, repeater_t *server, bool reset_idle)
+{
+  server_t listening = { 0 };
+  const struct timeval pause = { .tv_usec = 20 * 1000 };
+  const client_t wanted = *client;
+  pthread_t thread;
+  int small = 2048;
+
+  listen_on_loopback (&listening);
+  /* Accepted connections have it too: a call with a body doesn't arrive entirely. */
+  setsockopt (listening.listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  server->listener = listening.listener;
+  pthread_create (&thread, NULL, repeat_first_answer, server);
+  *client = (client_t){ .base = event_base_new () };
+  httpc_pool_init (&client->pool, client->base, TEXT ("127.0.0.1"), listening.port, 300);
+  call_once (client);
+  assert_true (client->done);
+  assert_false (client->reused);
+  event_base_loopexit (client->base, &pause); /* what follows the answer arrives */
+  event_base_dispatch (client->base);
+  if (reset_idle)
+    httpc_pool_reset_idle (&client->pool);
+  client->alone = wanted.alone;
+  client->request_body = wanted.request_body;
+  call_once (client);
+  event_base_loopexit (client->base, &pause);
+  event_base_dispatch (client->base);
+  shutdown (server->listener, SHUT_RDWR);
+  pthread_join (thread, NULL);
+  close (server->listener);
+  httpc_pool_finish (&client->pool);
+  event_base_free (client->base);
+}
+
+static void
+test_bytes_beyond_a_response_are_not_taken_for_the_next_one (void **state)
+{
+  repeater_t server = { .at_once = true };
+  client_t client = { 0 };
+
+  (void)state;
+  call_repeater (&client, &server, false);
+  assert_true (client.done);
+  assert_int_equal (client.body, strlen ("later.."));
+  assert_false (client.reused);
+}
+
+static void
+test_a_call_that_is_made_alone_gets_no_repeated_response (void **state)
+{
+  repeater_t server = { 0 };
+  client_t pooled = { 0 }, alone = { .alone = true };
+
+  (void)state;
+  call_repeater (&pooled, &server, false);
+  assert_true (pooled.reused); /* its response may be a repeated one, and is here */
+  assert_int_equal (pooled.body, strlen ("first"));
+  call_repeater (&alone, &server, false);
+  assert_true (alone.done);
+  assert_false (alone.reused);
+  assert_int_equal (alone.body, strlen ("later.."));
+  assert_true (g_queue_is_empty (&alone.pool.idle));
+}
+
+static void
+test_a_response_before_its_call_has_arrived_is_a_repeated_one (void **state)
+{
+  repeater_t server = { 0 };
+  client_t client = { .request_body = 20000 };
+
+  (void)state;
+  call_repeater (&client, &server, false);
+  assert_true (client.failed);
+  assert_true (client.sent);
+  assert_int_equal (client.failure, HTTPC_CONNECTION_LOST);
+}
+
+static void
+test_idle_connections_are_reset_on_demand (void **state)
+{
+  repeater_t server = { 0 };
+  client_t client = { .alone = true };
+
+  (void)state;
+  call_repeater (&client, &server, true);
+  assert_true (client.done);
+  assert_true (server.reset);
+}
+
 int
 main (void)
 {
@@ -508,6 +667,10 @@
     cmocka_unit_test (test_slow_connection_is_waited_for),
     cmocka_unit_test (test_response_is_arriving_once_its_head_is_complete),
     cmocka_unit_test (test_connection_is_reused),
+    cmocka_unit_test (test_bytes_beyond_a_response_are_not_taken_for_the_next_one),
+    cmocka_unit_test (test_a_call_that_is_made_alone_gets_no_repeated_response),
+    cmocka_unit_test (test_a_response_before_its_call_has_arrived_is_a_repeated_one),
+    cmocka_unit_test (test_idle_connections_are_reset_on_demand),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -64,6 +64,7 @@
              const key_service_t *service,
              key_range_state_t *range,
              msec_t hold,
+             bool proof,
              GArray *out)
 {
   keys_out_t call = { .kind = kind,
@@ -75,6 +76,7 @@
                       .last = range->last,
                       .fence = range->fence,
                       .call = ++self->last_call,
+                      .proof = proof,
                       .hold = hold,
                       .handover = range->handover };
 
@@ -90,6 +92,23 @@
   return now < self->role_until - ROLE_MARGIN_MS;
 }
 
+/* Whether the acceptance of a grant proves that the owner rejects earlier ones. */
+static bool
+shows_new_fence (const key_service_t *service, const key_range_state_t *range)
+{
+  return !service->needs_new_fences && range->pending_fence == 0;
+}
+
+/* Whether a grant has to prove that. */
+static bool
+has_to_show_fence (const key_service_t *service,
+                   const key_range_state_t *range,
+                   msec_t now)
+{
+  return shows_new_fence (service, range) && range->holds.inherited_until > now
+         && !range->holds.fenced_off;
+}
+
 static void
 renew_grant (keys_t *self,
              const key_service_t *service,
@@ -108,7 +127,13 @@
     {
       range->next_call_at = now + KEYS_RENEW_MS;
       key_holds_sent (&range->holds, hold, now);
-      append_call (self, KEYS_GRANT, service, range, hold, out);
+      append_call (self,
+                   KEYS_GRANT,
+                   service,
+                   range,
+                   hold,
+                   range->needs_proof || has_to_show_fence (service, range, now),
+                   out);
     }
 }
 
@@ -123,7 +148,7 @@
 {
   range->next_call_at = now + KEYS_RETRY_MS;
   key_holds_sent (&range->holds, KEYS_FENCE_HOLD_MS, now);
-  append_call (self, KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, out);
+  append_call (self, KEYS_GRANT, service, range, KEYS_FENCE_HOLD_MS, true, out);
 }
 
 /* Whether the owner has to be fenced, and can be: it is listed, may still apply a
@@ -200,7 +225,7 @@
     {
       range->next_call_at = now + KEYS_RETRY_MS * (1 + MIN (range->release_attempts, 4));
       range->release_attempts++;
-      append_call (self, KEYS_RELEASE, service, range, 0, out);
+      append_call (self, KEYS_RELEASE, service, range, 0, true, out);
     }
 }
 
@@ -315,10 +340,19 @@
     }
 }
 
+/* What the answer counts as.  A refusal that may be one of an earlier call says nothing
+ * on this one, which may still take effect. */
+static keys_msg_kind_t
+counted_kind (const keys_msg_t *msg)
+{
+  return msg->shared && msg->kind != KEYS_GRANTED ? KEYS_CALL_FAILED : msg->kind;
+}
+
 static void
 finish_call (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out)
 {
   key_service_t *service = find_service (self, &msg->service);
+  const keys_msg_kind_t kind = counted_kind (msg);
 
   for (guint i = 0; service != NULL && i < service->ranges->len; i++)
     {
@@ -326,17 +360,18 @@
       if (msg->call == 0 || range->call != msg->call)
         continue;
       range->call = 0;
-      if (msg->kind == KEYS_CALL_FAILED)
+      range->needs_proof = kind != msg->kind;
+      if (kind == KEYS_CALL_FAILED)
         {
           key_holds_not_fenced_off (&range->holds);
           range->fence_confirmed = false;
         }
-      if (msg->kind == KEYS_GRANTED)
+      if (kind == KEYS_GRANTED)
         {
           key_holds_answered (&range->holds, range->last_hold, now);
           range->granted = true;
           range->handover.len = 0;
-          if (!service->needs_new_fences && range->pending_fence == 0)
+          if (!msg->shared && shows_new_fence (service, range))
             {
               key_holds_fenced_off (&range->holds);
               range->fence_confirmed = range->phase == RANGE_REVOKING;
@@ -344,12 +379,12 @@
           if (range->fence_confirmed)
             range->next_call_at = now;
         }
-      else if (msg->kind == KEYS_RELEASED && range->phase == RANGE_REVOKING)
+      else if (kind == KEYS_RELEASED && range->phase == RANGE_REVOKING)
         {
           range->released = true;
           range->handover = msg->handover;
         }
-      else if (msg->kind == KEYS_SUPERSEDED)
+      else if (kind == KEYS_SUPERSEDED)
         {
           /* The owner may still hold those of the keys for which it has seen no higher
            * fence. */
@@ -357,15 +392,15 @@
           range->superseded = true;
           range->next_call_at = now + KEYS_RETRY_MS;
         }
-      else if (msg->kind == KEYS_OWNER_GONE)
+      else if (kind == KEYS_OWNER_GONE)
         {
           key_plan_revoke (range, NULL);
           range->owner_gone = true;
         }
-      else if (msg->kind == KEYS_CALL_FAILED && !msg->release)
+      else if (kind == KEYS_CALL_FAILED && !msg->release)
         {
           range->next_call_at = MIN (range->next_call_at, now + KEYS_RETRY_MS);
-          if (msg->sent)
+          if (msg->sent || msg->shared)
             {
               key_holds_unanswered (&range->holds, range->last_hold, now);
               append_note (KEYS_UNANSWERED,
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -19,6 +19,10 @@
  * grants and assumes the longest possible ones.  A target may even apply one of them
  * after a release. The new granter therefore commits new fences for all ranges, and a
  * target that accepted a grant under a new fence rejects what is left of the old ones.
+ *
+ * Targets may repeat an answer in place of the next one.  What frees keys is therefore
+ * taken from answers alone that can belong to no other call: a release, the acceptance of
+ * a new fence, and that another target has the address.
  */
 
 typedef enum
@@ -56,8 +60,9 @@
   uint64_t call;            /* GRANTED to CALL_FAILED: which one ended */
   bool release;             /* CALL_FAILED: the call was a release */
   bool sent;                /* CALL_FAILED: a byte of the call may have been sent */
-  name_t handover;          /* RELEASED */
-  const GArray *loads;      /* LOADS: key_load_t, of one host since its last report */
+  bool shared;     /* GRANTED to OWNER_GONE: the answer may be one to an earlier call */
+  name_t handover; /* RELEASED */
+  const GArray *loads;         /* LOADS: key_load_t, of one host since its last report */
   const GArray *service_times; /* SERVICE_TIMES: target_service_time_t */
   const GArray *shares;        /* RATE_LIMITS: rate_share_t */
 } keys_msg_t;
@@ -82,6 +87,7 @@
   uint32_t first, last;
   uint64_t fence;
   uint64_t call;       /* GRANT, RELEASE: identifies the call; never 0 */
+  bool proof;          /* GRANT, RELEASE: its answer counts only if it isn't shared */
   msec_t hold;         /* GRANT: its duration */
   name_t handover;     /* GRANT */
   key_table_t table;   /* COMMIT */
@@ -119,6 +125,7 @@
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
   bool needs_new_fence;   /* against grants without an answer */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
+  bool needs_proof;       /* the last answer contradicts the range, and was shared */
   bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
   bool released;          /* the owner released it */
   bool superseded;        /* the owner has seen a higher fence */
--- a/packages/keys/tests/keys_fixture.c
+++ b/packages/keys/tests/keys_fixture.c
@@ -130,6 +130,17 @@
   handle_msg (self, msg);
 }
 
+void
+reply_shared (fixture_t *self, const keys_out_t *call, keys_msg_kind_t kind)
+{
+  handle_msg (self,
+              (keys_msg_t){ .kind = kind,
+                            .call = call->call,
+                            .release = call->kind == KEYS_RELEASE,
+                            .sent = true,
+                            .shared = true });
+}
+
 void
 accept_grants (fixture_t *self)
 {
--- a/packages/keys/tests/keys_fixture.h
+++ b/packages/keys/tests/keys_fixture.h
@@ -58,6 +58,9 @@
 /* Ends CALL with a message of KIND; a release hands over "warm". */
 void reply (fixture_t *self, const keys_out_t *call, keys_msg_kind_t kind, bool sent);
 
+/* The same by an answer that may be one to an earlier call. */
+void reply_shared (fixture_t *self, const keys_out_t *call, keys_msg_kind_t kind);
+
 /* Accepts all grants that the last message requested. */
 void accept_grants (fixture_t *self);
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -629,6 +629,99 @@
   end (&fixture);
 }
 
+/* An answer that may be a repeated one to an earlier call. */
+
+static void
+test_a_release_counts_only_by_an_answer_of_its_own (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  set_store_lost (&fixture, true);
+  target (&fixture, 0)->leaving = true;
+  list_targets (&fixture);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  assert_true (release.proof);
+  reply_shared (&fixture, &release, KEYS_RELEASED);
+  set_store_lost (&fixture, false);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  assert_true (
+      run_until_action (&fixture, KEYS_RELEASE, fixture.now + 4 * KEYS_RETRY_MS));
+  end (&fixture);
+}
+
+static void
+test_a_new_fence_is_shown_by_answers_of_their_own (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  for (int shared = 0; shared < 2; shared++)
+    {
+      begin (&fixture, 2);
+      key_table_t table = stored_table (&fixture, 2);
+      take_over (&fixture, &table, HOLD_MAX_MS);
+      key_table_finish (&table);
+      accept_grants (&fixture);
+      handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+      keys_out_t grant = call_to_first (&fixture, KEYS_GRANT);
+      assert_true (grant.proof);
+      if (shared)
+        reply_shared (&fixture, &grant, KEYS_GRANTED);
+      else
+        reply (&fixture, &grant, KEYS_GRANTED, true);
+      release_unlisted_owner (&fixture);
+      assert_moved_after (&fixture, shared ? START_MS + HOLD_MAX_MS : fixture.now);
+      end (&fixture);
+    }
+}
+
+static void
+test_a_usual_renewal_needs_no_proof (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  assert_false (next_grant (&fixture).proof);
+  end (&fixture);
+  take_over_and_fence (&fixture);
+  assert_false (next_grant (&fixture).proof);
+  end (&fixture);
+}
+
+static void
+test_a_refusal_that_may_be_of_an_earlier_call_frees_no_keys (void **state)
+{
+  static const keys_msg_kind_t kinds[] = { KEYS_OWNER_GONE, KEYS_SUPERSEDED };
+  fixture_t fixture;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      begin (&fixture, 2);
+      assign_all_keys (&fixture);
+      keys_out_t grant = next_grant (&fixture);
+      reply_shared (&fixture, &grant, kinds[i]);
+      msec_t failed = fixture.now;
+      assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+      grant = next_grant (&fixture);
+      assert_true (grant.proof); /* the owner is asked again at once */
+      assert_true (fixture.now <= failed + 2 * KEYS_RETRY_MS);
+      reply (&fixture, &grant, KEYS_GRANTED, true);
+      grant = next_grant (&fixture);
+      assert_false (grant.proof);
+      reply (&fixture, &grant, KEYS_GRANTED, true);
+      /* The renewal that got no answer may still take effect. */
+      release_first_target (&fixture);
+      assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+      end (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -665,6 +758,10 @@
     cmocka_unit_test (test_a_part_of_a_range_counts_the_grants_of_the_whole),
     cmocka_unit_test (
         test_a_table_that_is_read_again_does_not_end_the_wait_for_own_grants),
+    cmocka_unit_test (test_a_release_counts_only_by_an_answer_of_its_own),
+    cmocka_unit_test (test_a_new_fence_is_shown_by_answers_of_their_own),
+    cmocka_unit_test (test_a_usual_renewal_needs_no_proof),
+    cmocka_unit_test (test_a_refusal_that_may_be_of_an_earlier_call_frees_no_keys),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
