A release that an owner's next process may have answered is repeated after a fence

Callers: a key could be with two targets by a late grant. After a take-over the owner accepts the new fence and is asked to release; if it starts again meanwhile at its address, and its entry shows that before the answer comes, the next process has answered, which knows no fence and may still apply a grant of a predecessor. Change: such an answer has the owner fenced and asked once more.

--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -428,6 +428,17 @@
   return msg->shared && msg->kind != KEYS_GRANTED ? KEYS_CALL_FAILED : msg->kind;
 }
 
+/* Whether a release may have been answered by a process that knows no fence: another one
+ * was listed meanwhile, and grants of predecessors may last. */
+static bool
+is_from_unfenced_process (const keys_t *self, const key_range_state_t *range, msec_t now)
+{
+  const target_entry_t *listed = key_plan_find_target (self, &range->owner);
+
+  return range->holds.inherited_until > now && listed != NULL
+         && listed->started_at != range->called;
+}
+
 static void
 finish_call (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out)
 {
@@ -460,6 +471,9 @@
           if (range->fence_confirmed)
             range->next_call_at = now;
         }
+      else if (kind == KEYS_RELEASED && range->phase == RANGE_REVOKING
+               && is_from_unfenced_process (self, range, now))
+        range->next_call_at = now; /* it is fenced, and asked once more */
       else if (kind == KEYS_RELEASED && range->phase == RANGE_REVOKING)
         {
           range->released = true;
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -613,6 +613,60 @@
   end (&fixture);
 }
 
+/* T0 leaves after a take-over, and accepts a grant under the new fence. */
+static void
+fence_leaving_owner (fixture_t *self)
+{
+  take_over_and_fence (self);
+  target (self, 0)->leaving = true;
+  list_targets (self);
+  keys_out_t grant = fencing_grant (self);
+  reply (self, &grant, KEYS_GRANTED, true);
+}
+
+/* T0 is listed with a new process at its address. */
+static void
+restart_first_target (fixture_t *self)
+{
+  target (self, 0)->started_at++;
+  target (self, 0)->leaving = false;
+  list_targets (self);
+}
+
+static void
+test_an_owner_that_restarts_before_its_release_is_shown_the_fence_again (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  fence_leaving_owner (&fixture);
+  restart_first_target (&fixture);
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, fixture.now);
+  end (&fixture);
+}
+
+static void
+test_a_release_that_the_next_life_of_an_owner_may_have_answered_is_repeated (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  fence_leaving_owner (&fixture);
+  tick (&fixture, fixture.now);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  restart_first_target (&fixture);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  fencing_grant (&fixture);
+  end (&fixture);
+}
+
 static void
 test_an_owner_may_have_restarted_since_it_accepted_a_new_fence (void **state)
 {
@@ -974,6 +1028,10 @@
     cmocka_unit_test (
         test_an_answer_of_an_earlier_life_does_not_show_the_fence_to_the_next),
     cmocka_unit_test (test_an_unlisted_owner_has_not_seen_the_fence_of_the_life_before),
+    cmocka_unit_test (
+        test_an_owner_that_restarts_before_its_release_is_shown_the_fence_again),
+    cmocka_unit_test (
+        test_a_release_that_the_next_life_of_an_owner_may_have_answered_is_repeated),
     cmocka_unit_test (test_an_owner_may_have_restarted_since_it_accepted_a_new_fence),
     cmocka_unit_test (test_a_grant_that_shows_a_fence_is_not_longer_than_others),
     cmocka_unit_test (test_an_owner_may_have_restarted_if_a_release_got_no_answer),
