A grant leaves only under the lease that it was decided under

Callers: keys held by two targets. The lease was checked when a call began. Its bytes left once a connection was established, up to 0.2 s later, or more after a freeze, a CPU quota or a suspension meanwhile; a pooled call's left in the next turn of the event loop. A successor doesn't know of such a grant: it counts from the end of the lease. Also, a call that outlasted its tenure would have left under a later one's lease. Change: httpc asks its owner (may_send) once the connection is established, before the first byte is handed to it, and writes at once, on a new connection in the callback that reports it, on an open one before httpc_call returns. If not permitted, the socket is shut down before the write, and the call fails as not sent. Open: a stall between the question and the system call that writes; no check of our own can exclude it. Bytes that the socket took, and the kernel sends again while the process is frozen, end after COMMAND_CALL_MS (TCP_USER_TIMEOUT).

--- a/packages/coordinator/deployment.h
+++ b/packages/coordinator/deployment.h
@@ -27,6 +27,9 @@
   uint64_t fence;
   msec_t hold;     /* of a grant: its duration in ms, from its arrival */
   name_t handover; /* of a grant: what the last owner returned; may be empty */
+  /* Whether it may still be sent; asked with the owner of its result right before its
+   * first byte is.  NULL: always. */
+  bool (*may_send) (void *owner);
 } key_command_t;
 
 typedef struct
--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -128,6 +128,17 @@
     note_leaving (self, &target);
 }
 
+/* Grants only in the tenure in which they were decided: no later one covers them. */
+static bool
+may_send_grant (void *owner)
+{
+  const pending_command_t *command = owner;
+  const coordinator_t *self = command->coordinator;
+
+  return msclock_now (&self->clock) < self->role.lease_end
+         && command->tenure == self->role.acquired_version;
+}
+
 static void
 send_command (coordinator_t *self, const keys_out_t *action)
 {
@@ -141,7 +152,8 @@
                          .last = action->last,
                          .fence = action->fence,
                          .hold = action->hold,
-                         .handover = action->handover };
+                         .handover = action->handover,
+                         .may_send = action->kind == KEYS_GRANT ? may_send_grant : NULL };
   const command_result_t not_sent = { .outcome = COMMAND_FAILED };
 
   *command = (pending_command_t){ self,
@@ -150,7 +162,7 @@
                                   self->role.acquired_version,
                                   now };
   /* The role may have ended since the decision; no grant may be sent after that. */
-  if (!call.release && now >= self->role.lease_end)
+  if (call.may_send != NULL && !call.may_send (command))
     {
       on_command_done (command, &not_sent);
       return;
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -28,6 +28,12 @@
   coordinator_t coordinator;
   name_t service;
   bool slow;       /* the lease ends while a command is sent */
+  bool stalled;    /* the lease ends before a command is sent */
+  unsigned unsent; /* commands that were not permitted any more */
+  bool holds;      /* the next grant isn't sent before the test does */
+  key_command_t held;
+  command_done_t held_done;
+  void *held_owner;
   unsigned grants; /* sent so far */
   msec_t longest;  /* hold of these */
 } fixture_t;
@@ -73,6 +79,23 @@
 {
   (void)target;
   (void)now;
+  if (current->holds && !command->release)
+    {
+      current->holds = false;
+      current->held = *command;
+      current->held_done = done;
+      current->held_owner = owner;
+      return;
+    }
+  if (current->stalled)
+    msclock_set (&current->coordinator.clock, current->coordinator.role.lease_end);
+  if (command->may_send != NULL && !command->may_send (owner))
+    {
+      const command_result_t not_sent = { .outcome = COMMAND_FAILED };
+      current->unsent++;
+      done (owner, &not_sent);
+      return;
+    }
   current->grants += !command->release;
   current->longest = MAX (current->longest, command->hold);
   if (current->slow)
@@ -739,6 +762,49 @@
   end (&fixture);
 }
 
+static void
+test_no_grant_leaves_after_the_lease_that_it_was_checked_against (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  for (int stalled = 0; stalled < 2; stalled++)
+    {
+      begin (&fixture);
+      acquire (&fixture, 2, NULL);
+      call_t read = take_call (&fixture, false, STORE_KEYS);
+      fixture.stalled = stalled;
+      answer_owners (&fixture, &read, 2, 5);
+      assert_int_equal (fixture.grants > 0, !stalled);
+      assert_int_equal (fixture.unsent > 0, stalled);
+      end (&fixture);
+    }
+}
+
+static void
+test_no_grant_leaves_in_a_later_tenure (void **state)
+{
+  static const command_result_t not_sent = { .outcome = COMMAND_FAILED };
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  role_row_t row = fixture.coordinator.role.row;
+  fixture.holds = true;
+  answer_owners (&fixture, &read, 2, 5);
+  assert_true (fixture.held.may_send (fixture.held_owner));
+  while (fixture.coordinator.role.state == ROLE_HELD)
+    pass_time (&fixture, 50);
+  assert_false (fixture.held.may_send (fixture.held_owner));
+  g_array_set_size (fixture.calls, 0);
+  acquire (&fixture, 3, &row);
+  assert_false (fixture.held.may_send (fixture.held_owner));
+  fixture.held_done (fixture.held_owner, &not_sent);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -758,6 +824,8 @@
     cmocka_unit_test (test_a_late_reply_does_not_set_the_store_clock_back),
     cmocka_unit_test (test_a_write_that_could_not_be_sent_is_not_taken_for_written),
     cmocka_unit_test (test_a_lease_is_not_longer_than_the_row_that_was_written),
+    cmocka_unit_test (test_no_grant_leaves_after_the_lease_that_it_was_checked_against),
+    cmocka_unit_test (test_no_grant_leaves_in_a_later_tenure),
     cmocka_unit_test (test_a_successor_assumes_the_longest_hold_of_the_row),
     cmocka_unit_test (test_the_row_states_a_longer_hold_until_such_grants_have_expired),
     cmocka_unit_test (test_a_longer_hold_is_not_granted_before_the_row_states_it),
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -6,6 +6,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
+#include <sys/socket.h>
 
 struct httpc_conn
 {
@@ -17,6 +18,7 @@
   uint64_t bytes_sent; /* bytes drained from the output buffer since the call started */
   bool alone;          /* closed after its call */
   bool reused;
+  bool not_permitted;
   bool head_received;
   bool streaming;
   bool timed_out;
@@ -85,6 +87,18 @@
     close_and_free_later (self);
 }
 
+/* Called before the first byte of the call is in the output buffer.  A shut down socket
+ * accepts none: the call fails from the event loop. */
+static void
+ask_permission (httpc_conn_t *self, evutil_socket_t fd)
+{
+  if (self->ops == NULL || self->ops->may_send == NULL
+      || self->ops->may_send (self->owner))
+    return;
+  self->not_permitted = true;
+  shutdown (fd, SHUT_RDWR);
+}
+
 static void
 on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *arg)
 {
@@ -103,6 +117,7 @@
            * passed by then.  Set in advance: libevent closes the socket before it reports
            * a failure. */
           socket_set_reset_on_close (fd, true);
+          ask_permission (self, fd);
         }
       self->options_set = fd >= 0;
     }
@@ -115,7 +130,7 @@
 {
   const httpc_ops_t *ops = self->ops;
   void *owner = self->owner;
-  bool sent = self->bytes_sent > 0;
+  bool sent = self->bytes_sent > 0 && !self->not_permitted;
 
   if (ops == NULL)
     return;
@@ -236,7 +251,8 @@
     return;
   if (response == NULL || evhttp_request_get_response_code (response) == 0)
     {
-      httpc_failure_t failure = self->timed_out        ? HTTPC_TIMED_OUT
+      httpc_failure_t failure = self->not_permitted    ? HTTPC_NOT_PERMITTED
+                                : self->timed_out      ? HTTPC_TIMED_OUT
                                 : self->head_received  ? HTTPC_TRUNCATED
                                 : self->bytes_sent > 0 ? HTTPC_CONNECTION_LOST
                                                        : HTTPC_UNREACHABLE;
@@ -345,6 +361,7 @@
   self->owner = owner;
   self->bytes_sent = 0;
   self->options_set = false; /* evhttp may open a new socket for this call */
+  self->not_permitted = false;
   self->head_received = false;
   self->streaming = false;
   self->timed_out = false;
@@ -354,6 +371,21 @@
   evtimer_add (self->connect_timer, &connect_tv);
 }
 
+/* Writes without waiting for the event loop, so that no time passes since the permission
+ * was given.  What is left, and errors, are the event loop's. */
+static void
+write_now (httpc_conn_t *self)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
+  struct evbuffer *output = bufferevent_get_output (bev);
+
+  if (bufferevent_getfd (bev) < 0 || evbuffer_get_length (output) == 0)
+    return;
+  evbuffer_unfreeze (output, 1);
+  evbuffer_write (output, bufferevent_getfd (bev));
+  evbuffer_freeze (output, 1);
+}
+
 static httpc_conn_t *
 send_request (httpc_conn_t *self,
               struct evhttp_request *request,
@@ -367,7 +399,11 @@
   evhttp_request_set_header_cb (request, on_head);
   evhttp_request_set_error_cb (request, on_error);
   if (evhttp_make_request (self->evcon, request, method, uri) == 0)
-    return self;
+    {
+      if (ops->may_send != NULL)
+        write_now (self);
+      return self;
+    }
   close_and_free_later (self);
   return NULL;
 }
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -35,6 +35,7 @@
   HTTPC_CONNECTION_LOST, /* the connection was lost before the head of a response */
   HTTPC_TRUNCATED,       /* the response was truncated, or has no explicit end */
   HTTPC_TIMED_OUT,       /* no progress within the timeout, or not complete in time */
+  HTTPC_NOT_PERMITTED,   /* `may_send` returned false; nothing was sent */
 } httpc_failure_t;
 
 typedef struct
@@ -49,6 +50,10 @@
   void (*done) (void *owner, struct evhttp_request *response);
   /* SENT: a byte of the call may have left this process. */
   void (*failed) (void *owner, bool sent, httpc_failure_t failure);
+  /* Whether the call may still be sent.  Asked once a connection is established, right
+   * before the first byte is handed to it.  The process has to ignore SIGPIPE.  NULL:
+   * always. */
+  bool (*may_send) (void *owner);
 } httpc_ops_t;
 
 typedef struct httpc_conn httpc_conn_t;
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <cmocka.h>
 #include <pthread.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -25,7 +26,8 @@
   const char *repeated; /* sent without end after the response; NULL: nothing */
   unsigned pause_ms;    /* between the repetitions */
   int connection;
-  int close_error; /* errno of the last receive; 0: closed without a reset */
+  int close_error;           /* errno of the last receive; 0: closed without a reset */
+  _Atomic unsigned received; /* calls by `serve`, bytes by `count_bytes` */
 } server_t;
 
 typedef struct
@@ -37,6 +39,8 @@
   httpc_failure_t failure;
   bool streams;
   size_t body;
+  bool forbidden;      /* calls may not be sent */
+  unsigned asked;      /* how often it was asked whether they may */
   bool alone;          /* calls by httpc_call_alone */
   size_t request_body; /* bytes that are sent with a call */
   msec_t timeout;      /* of the call; 0: the pool's */
@@ -54,6 +58,7 @@
     {
       if (recv (self->connection, bytes, sizeof bytes, 0) <= 0)
         break;
+      self->received++;
       if (self->response != NULL)
         send (self->connection, self->response, strlen (self->response), MSG_NOSIGNAL);
     }
@@ -153,7 +158,16 @@
   event_base_loopbreak (self->base);
 }
 
-static const httpc_ops_t ops = { on_head, on_data, on_done, on_failed };
+static bool
+may_send (void *owner)
+{
+  client_t *self = owner;
+
+  self->asked++;
+  return !self->forbidden;
+}
+
+static const httpc_ops_t ops = { on_head, on_data, on_done, on_failed, may_send };
 
 static void
 call_once (client_t *self)
@@ -650,9 +664,155 @@
   assert_true (server.reset);
 }
 
+/* Accepts connections after a while and reads from them. */
+static void *
+count_bytes (void *arg)
+{
+  server_t *self = arg;
+  char bytes[4096];
+  int connection;
+  ssize_t got;
+
+  usleep (300 * 1000);
+  while ((connection = accept (self->listener, NULL, NULL)) >= 0)
+    {
+      const struct timeval wait = { .tv_usec = 300 * 1000 };
+      setsockopt (connection, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+      while ((got = recv (connection, bytes, sizeof bytes, 0)) > 0)
+        self->received += (unsigned)got;
+      close (connection);
+    }
+  return NULL;
+}
+
+static void
+forbid (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  ((client_t *)arg)->forbidden = true;
+}
+
+/* The server's queue of connections is full at first, so that connecting takes a second.
+ */
+static void
+call_busy_server (client_t *client, server_t *server, bool forbidden_meanwhile)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  const struct timeval soon = { .tv_usec = 100 * 1000 };
+  pthread_t thread;
+  int waiting[3];
+
+  listen_on_loopback (server);
+  assert_int_equal (listen (server->listener, 0), 0);
+  address.sin_port = htons (server->port);
+  for (size_t k = 0; k < G_N_ELEMENTS (waiting); k++)
+    {
+      waiting[k] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      int done = connect (waiting[k], (struct sockaddr *)&address, sizeof address);
+      assert_true (done == 0 || errno == EINPROGRESS);
+      shutdown (waiting[k], SHUT_WR);
+    }
+  client->base = event_base_new ();
+  httpc_pool_init (&client->pool, client->base, TEXT ("127.0.0.1"), server->port, 5000);
+  httpc_pool_set_connect_timeout (&client->pool, 5000);
+  if (forbidden_meanwhile)
+    event_base_once (client->base, -1, EV_TIMEOUT, forbid, client, &soon);
+  pthread_create (&thread, NULL, count_bytes, server);
+  call_once (client);
+  httpc_pool_finish (&client->pool);
+  event_base_free (client->base);
+  for (size_t k = 0; k < G_N_ELEMENTS (waiting); k++)
+    close (waiting[k]);
+  shutdown (server->listener, SHUT_RDWR);
+  pthread_join (thread, NULL);
+  close (server->listener);
+}
+
+static void
+test_a_call_that_is_forbidden_while_it_connects_sends_nothing (void **state)
+{
+  server_t server = { 0 }, other = { 0 };
+  client_t permitted = { 0 }, forbidden = { 0 };
+
+  (void)state;
+  call_busy_server (&permitted, &server, false);
+  assert_true (permitted.sent);
+  assert_true (server.received > 0);
+  call_busy_server (&forbidden, &other, true);
+  assert_int_equal (forbidden.asked, 1);
+  assert_true (forbidden.failed);
+  assert_false (forbidden.sent);
+  assert_int_equal (forbidden.failure, HTTPC_NOT_PERMITTED);
+  assert_int_equal (other.received, 0);
+}
+
+static void
+test_a_forbidden_call_sends_nothing_on_an_open_connection (void **state)
+{
+  server_t server
+      = { .response = SIZED "hello", .stays_open = true, .responds_twice = true };
+  client_t client = { 0 };
+  pthread_t thread;
+
+  (void)state;
+  listen_on_loopback (&server);
+  pthread_create (&thread, NULL, serve, &server);
+  client.base = event_base_new ();
+  httpc_pool_init (&client.pool, client.base, TEXT ("127.0.0.1"), server.port, 300);
+  call_once (&client);
+  assert_true (client.done);
+  client.forbidden = true;
+  call_once (&client);
+  httpc_pool_finish (&client.pool);
+  event_base_free (client.base);
+  pthread_join (thread, NULL);
+  close (server.listener);
+  assert_true (client.reused);
+  assert_int_equal (client.asked, 2);
+  assert_int_equal (client.failure, HTTPC_NOT_PERMITTED);
+  assert_false (client.sent);
+  assert_int_equal (server.received, 1); /* one call */
+}
+
+static void
+test_an_open_connection_is_written_to_as_soon_as_it_may_be (void **state)
+{
+  server_t server
+      = { .response = SIZED "hello", .stays_open = true, .responds_twice = true };
+  client_t client = { 0 };
+  pthread_t thread;
+
+  (void)state;
+  listen_on_loopback (&server);
+  pthread_create (&thread, NULL, serve, &server);
+  client.base = event_base_new ();
+  httpc_pool_init (&client.pool, client.base, TEXT ("127.0.0.1"), server.port, 300);
+  call_once (&client);
+  assert_true (client.done);
+  httpc_call (&client.pool,
+              httpc_request_new (),
+              EVHTTP_REQ_GET,
+              "/x",
+              &ops,
+              &client,
+              g_get_monotonic_time () / 1000);
+  usleep (100 * 1000); /* the event loop doesn't run */
+  assert_int_equal (server.received, 2);
+  client.done = false;
+  event_base_dispatch (client.base);
+  assert_true (client.done);
+  httpc_pool_finish (&client.pool);
+  event_base_free (client.base);
+  pthread_join (thread, NULL);
+  close (server.listener);
+}
+
 int
 main (void)
 {
+  signal (SIGPIPE, SIG_IGN);
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_complete_responses),
     cmocka_unit_test (test_truncated_responses),
@@ -671,6 +831,9 @@
     cmocka_unit_test (test_a_call_that_is_made_alone_gets_no_repeated_response),
     cmocka_unit_test (test_a_response_before_its_call_has_arrived_is_a_repeated_one),
     cmocka_unit_test (test_idle_connections_are_reset_on_demand),
+    cmocka_unit_test (test_a_call_that_is_forbidden_while_it_connects_sends_nothing),
+    cmocka_unit_test (test_a_forbidden_call_sends_nothing_on_an_open_connection),
+    cmocka_unit_test (test_an_open_connection_is_written_to_as_soon_as_it_may_be),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/worker/calls.c
+++ b/packages/worker/calls.c
@@ -200,8 +200,10 @@
   worker_feed (job->worker, &abandoned);
 }
 
-static const httpc_ops_t target_ops
-    = { on_target_head, on_target_data, on_target_done, on_target_failed };
+static const httpc_ops_t target_ops = { .head = on_target_head,
+                                        .data = on_target_data,
+                                        .done = on_target_done,
+                                        .failed = on_target_failed };
 
 void
 calls_start (job_t *job, const route_out_t *effect)
--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -202,7 +202,8 @@
   record_incomplete (call, &call->stream->lost);
 }
 
-static const httpc_ops_t call_ops = { on_head, on_data, on_done, on_failed };
+static const httpc_ops_t call_ops
+    = { .head = on_head, .data = on_data, .done = on_done, .failed = on_failed };
 
 /* Health checks. */
 
