--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -40,6 +40,8 @@
   bool streams;
   size_t body;
   bool forbidden;      /* calls may not be sent */
+  server_t *watched;   /* it is looked at after a call was permitted */
+  unsigned arrived;    /* calls that it had received by then */
   unsigned asked;      /* how often it was asked whether they may */
   bool alone;          /* calls by httpc_call_alone */
   size_t request_body; /* bytes that are sent with a call */
@@ -158,12 +160,26 @@
   event_base_loopbreak (self->base);
 }
 
+static void
+look_at_server (evutil_socket_t fd, short what, void *arg)
+{
+  client_t *self = arg;
+
+  (void)fd;
+  (void)what;
+  usleep (100 * 1000);
+  self->arrived = self->watched->received;
+}
+
 static bool
 may_send (void *owner)
 {
   client_t *self = owner;
+  const struct timeval next = { 0 };
 
   self->asked++;
+  if (self->watched != NULL)
+    event_base_once (self->base, -1, EV_TIMEOUT, look_at_server, self, &next);
   return !self->forbidden;
 }
 
@@ -809,6 +825,18 @@
   close (server.listener);
 }
 
+static void
+test_a_new_connection_is_written_to_as_soon_as_it_may_be (void **state)
+{
+  server_t server = { .response = SIZED "hello", .stays_open = true };
+  client_t client = { .watched = &server };
+
+  (void)state;
+  call_server (&client, &server);
+  assert_true (client.done);
+  assert_int_equal (client.arrived, 1); /* before the event loop's next event */
+}
+
 int
 main (void)
 {
@@ -834,6 +862,7 @@
     cmocka_unit_test (test_a_call_that_is_forbidden_while_it_connects_sends_nothing),
     cmocka_unit_test (test_a_forbidden_call_sends_nothing_on_an_open_connection),
     cmocka_unit_test (test_an_open_connection_is_written_to_as_soon_as_it_may_be),
+    cmocka_unit_test (test_a_new_connection_is_written_to_as_soon_as_it_may_be),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
