A host that stops while it reads back a write of the role holds nothing

Callers: a key could be with two targets. A host that stopped while it read back a write without an answer, of its role or of acquiring it, took the row for its lease, and granted keys for the longest hold until that lease ended, also after its next write had said that it resigned; a successor counts from the resignation. Change: such a row is written anew as resigned, and is no lease.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -397,7 +397,8 @@
   if (!is_ours (self, &role->row))
     lose_role (self, "another_holder", now);
   else if (role->write.first_sequence != 0
-           && role->row.sequence >= role->write.first_sequence)
+           && role->row.sequence >= role->write.first_sequence
+           && !(self->stopping && role->row.until != 0))
     complete_write (self, role->row, role->version, stored_lease_end (role, now), now);
   else
     {
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -805,6 +805,52 @@
   end (&fixture);
 }
 
+/* The host is stopped while it reads back whether it has acquired the role. */
+static void
+test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  coordinator_t *host = &fixture.coordinator;
+  for (int i = 0; i < 100 && host->role.state == ROLE_NOT_HELD; i++)
+    {
+      pass_time (&fixture, 50);
+      if (host->role.checking)
+        {
+          call_t check = take_call (&fixture, false, STORE_ROLE);
+          answer (&fixture, &check, 1, NULL);
+        }
+    }
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  store_reply_t lost = { .outcome = STORE_UNKNOWN, .reason = "test" };
+  write.done (write.owner, &lost);
+  call_t read = take_call (&fixture, false, STORE_ROLE);
+  keys_msg_t resign = { .kind = KEYS_RESIGN };
+  grants_handle (host, &resign);
+  host->stopping = true;
+  role_resign (host, now (&fixture));
+  answer (&fixture, &read, 2, key_rows_encode_role (&write.row));
+  if (host->role.state == ROLE_HELD)
+    {
+      call_t tables = take_call (&fixture, false, STORE_KEYS);
+      answer_owners (&fixture, &tables, 2, 5);
+    }
+  pass_time (&fixture, ROLE_RENEW_MS);
+  call_t last = take_call (&fixture, true, STORE_ROLE);
+  assert_int_equal (last.row.until, 0);
+  answer (&fixture, &last, 3, NULL);
+  fixture.grants = 0;
+  keys_msg_t tick = { .kind = KEYS_TICK };
+  pass_time (&fixture, KEYS_RENEW_MS / 4);
+  grants_handle (host, &tick);
+  pass_time (&fixture, KEYS_RENEW_MS / 4);
+  grants_handle (host, &tick);
+  assert_int_equal (fixture.grants, 0);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -819,6 +865,7 @@
     cmocka_unit_test (
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
+    cmocka_unit_test (test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
     cmocka_unit_test (test_hosts_with_slow_links_leave_a_vacant_role_to_others_at_first),
     cmocka_unit_test (test_a_late_reply_does_not_set_the_store_clock_back),
