A table that the store refuses is not written again each round trip

Cause: the wait after a refusal applied to renewals; tables passed 0.8 s before its end, which is always over. Evidence: the new test of unit role failed without the change (the mutant). Change: a refused table waits for STORE_RETRY_MS like a renewal; others are written at once, as before.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -76,6 +76,7 @@
   uint64_t version; /* of the row; 0: no such row */
   msec_t lease_end; /* no grant is sent from then on; this host's clock */
   msec_t next_write;
+  msec_t next_table_write; /* not before this, after the store refused a table */
   msec_t next_check;
   bool check_failed;            /* the last check: the store did not answer it */
   uint64_t gave_way_at_version; /* of the row at which the role was left to others */
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -432,7 +432,7 @@
       key_table_finish (&role->write.table);
     }
   role->write = (role_write_t){ 0 };
-  role->next_write = now + STORE_RETRY_MS;
+  role->next_write = role->next_table_write = now + STORE_RETRY_MS;
   notify_role (self, role->lease_end);
   if (had_table)
     grants_handle (self, &msg);
@@ -611,8 +611,7 @@
       write->table = *table;
       g_free (table);
     }
-  if ((write->has_table && now >= role->next_write - ROLE_RENEW_MS)
-      || now >= role->next_write)
+  if ((write->has_table && now >= role->next_table_write) || now >= role->next_write)
     write_role (self, now);
 }
 
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -805,6 +805,38 @@
   end (&fixture);
 }
 
+/* The host assigns the keys of its service for the first time. */
+static void
+test_a_refused_commit_is_not_repeated_at_once (void **state)
+{
+  fixture_t fixture;
+  store_reply_t refused = { .outcome = STORE_REFUSED, .reason = "test" };
+  keys_msg_t tick = { .kind = KEYS_TICK };
+  call_t write = { 0 };
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer (&fixture, &read, 2, NULL);
+  for (int i = 0; i < 40 && !write.with_owners; i++)
+    {
+      pass_time (&fixture, 50);
+      grants_handle (&fixture.coordinator, &tick);
+      if (count_commits (&fixture) == 0)
+        continue;
+      write = take_call (&fixture, true, STORE_ROLE);
+      if (!write.with_owners)
+        answer (&fixture, &write, 3, NULL);
+    }
+  assert_true (write.with_owners);
+  write.done (write.owner, &refused);
+  assert_int_equal (count_commits (&fixture), 0);
+  pass_time (&fixture, STORE_RETRY_MS);
+  assert_int_equal (count_commits (&fixture), 1);
+  end (&fixture);
+}
+
 /* The host is stopped while it reads back whether it has acquired the role. */
 static void
 test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it (void **state)
@@ -865,6 +897,7 @@
     cmocka_unit_test (
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
+    cmocka_unit_test (test_a_refused_commit_is_not_repeated_at_once),
     cmocka_unit_test (test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
     cmocka_unit_test (test_hosts_with_slow_links_leave_a_vacant_role_to_others_at_first),
