--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -368,8 +368,7 @@
   end (&fixture);
 }
 
-/* T0's keys are given to another target by a commit that is rejected.  The next commit is
- * one of new fences, for T1, and still names T0. */
+/* The commit after a rejected one is of new fences, for T1, and still names T0. */
 static void
 test_a_table_names_no_owner_at_the_address_of_another_after_a_rejected_commit (
     void **state)
