Owners on a later page of the store's rows are read before keys are granted

Cause: a host that acquires the role reads the tables of owners in one call. The store answers with at most 1 MB and says that more follows; services whose row was not in that answer counted as without owners, so that their keys were free at once while their owners held them.

Change: the role reads page after page. Each page gives the services whose row it holds their owners, and only the last one shows that a service has no row. A page that fails or is older than the role is read again from the start.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -204,16 +204,29 @@
 
 static void on_tables (void *owner, const store_reply_t *reply);
 
+/* Reads the rows after the key AFTER. */
 static void
-read_tables (coordinator_t *self)
+read_tables (coordinator_t *self, text_t after)
 {
   self->role.needs_tables = false;
-  self->store->ops->read (self->store, STORE_KEYS, TEXT_NONE, on_tables, self);
+  self->store->ops->read (self->store, STORE_KEYS, after, on_tables, self);
 }
 
-/* Passes on the store's table of SERVICE, or that it has none if REPLY lacks its row. */
+static const store_row_t *
+find_row (const store_reply_t *reply, const name_t *service)
+{
+  for (guint i = 0; i < reply->rows->len; i++)
+    {
+      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
+      if (text_equal ((text_t){ row->key->str, row->key->len }, name_text (service)))
+        return row;
+    }
+  return NULL;
+}
+
+/* Passes on the store's table of SERVICE, or that it has none if ROW is NULL. */
 static void
-notify_table (coordinator_t *self, const name_t *service, const store_reply_t *reply)
+notify_table (coordinator_t *self, const name_t *service, const store_row_t *row)
 {
   keys_msg_t msg
       = { .kind = KEYS_TABLE,
@@ -224,38 +237,45 @@
   fault_t fault;
 
   key_table_init (&table, name_text (service));
-  for (guint i = 0; i < reply->rows->len; i++)
+  if (row != NULL
+      && key_rows_decode_table (&table,
+                                (text_t){ row->value->str, row->value->len },
+                                &fault)
+             == STATUS_OK)
     {
-      const store_row_t *row = &g_array_index (reply->rows, store_row_t, i);
-      text_t key = { row->key->str, row->key->len };
-      if (!text_equal (key, name_text (service)))
-        continue;
-      if (key_rows_decode_table (&table,
-                                 (text_t){ row->value->str, row->value->len },
-                                 &fault)
-          == STATUS_OK)
-        {
-          table.version = row->version;
-          msg.table = &table;
-          owners_update (self, &table);
-        }
-      else
-        {
-          msg.unreadable = true;
-          msg.predecessor_hold = keys_predecessor_hold (&self->keys, 0);
-          eventlog_write (EVENT_STATE,
-                          "role",
-                          "table_rejected",
-                          "service=%.*s wait_ms=%lld why=\"%.*s\"",
-                          NAME_ARG (*service),
-                          (long long)msg.predecessor_hold,
-                          TEXT_ARG (fault_text (&fault)));
-        }
+      table.version = row->version;
+      msg.table = &table;
+      owners_update (self, &table);
+    }
+  else if (row != NULL)
+    {
+      msg.unreadable = true;
+      msg.predecessor_hold = keys_predecessor_hold (&self->keys, 0);
+      eventlog_write (EVENT_STATE,
+                      "role",
+                      "table_rejected",
+                      "service=%.*s wait_ms=%lld why=\"%.*s\"",
+                      NAME_ARG (*service),
+                      (long long)msg.predecessor_hold,
+                      TEXT_ARG (fault_text (&fault)));
     }
   grants_handle (self, &msg);
   key_table_finish (&table);
 }
 
+/* Only the last page shows that a service has no row. */
+static void
+notify_page (coordinator_t *self, const store_reply_t *reply)
+{
+  for (guint i = 0; i < self->keyed_services->len; i++)
+    {
+      const name_t *service = &g_array_index (self->keyed_services, name_t, i);
+      const store_row_t *row = find_row (reply, service);
+      if (row != NULL || !reply->has_more)
+        notify_table (self, service, row);
+    }
+}
+
 static void
 on_tables (void *owner, const store_reply_t *reply)
 {
@@ -278,9 +298,15 @@
       self->role.next_tables_read = msclock_now (&self->clock) + STORE_RETRY_MS;
       return;
     }
+  notify_page (self, reply);
+  if (reply->has_more && reply->rows->len > 0)
+    {
+      const store_row_t *last
+          = &g_array_index (reply->rows, store_row_t, reply->rows->len - 1);
+      read_tables (self, (text_t){ last->key->str, last->key->len });
+      return;
+    }
   self->role.needs_tables = false;
-  for (guint i = 0; i < self->keyed_services->len; i++)
-    notify_table (self, &g_array_index (self->keyed_services, name_t, i), reply);
   self->role.awaits_tables = false;
 }
 
@@ -311,7 +337,7 @@
                   ROLE_LEASE_MS);
   keys_raise_fence (&self->keys, role->row.next_fence);
   role->awaits_tables = true;
-  read_tables (self);
+  read_tables (self, TEXT_NONE);
   role->next_write = now + ROLE_RENEW_MS;
 }
 
@@ -585,7 +611,7 @@
   if (role->state == ROLE_HELD)
     check_services (self);
   if (role->state == ROLE_HELD && role->needs_tables && now >= role->next_tables_read)
-    read_tables (self);
+    read_tables (self, TEXT_NONE);
   if (role->state == ROLE_NOT_HELD)
     {
       if (!role->checking && now >= role->next_check && discovery_is_complete (self)
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -13,6 +13,7 @@
 typedef struct
 {
   store_table_t table; /* of a read */
+  name_t after;        /* of a read */
   bool commit, with_owners;
   uint64_t expected;
   role_row_t row; /* of a commit */
@@ -24,6 +25,7 @@
 {
   store_t store; /* must be first */
   GArray *calls; /* call_t, the oldest first */
+  bool has_more; /* the store has further rows after those of its next answer */
   router_settings_t settings;
   coordinator_t coordinator;
   name_t service;
@@ -45,7 +47,7 @@
   fixture_t *self = (fixture_t *)store;
   call_t call = { .table = table, .done = done, .owner = owner };
 
-  (void)after;
+  name_set (&call.after, after);
   g_array_append_val (self->calls, call);
 }
 
@@ -261,6 +263,7 @@
   store_row_t other = { g_string_new ("r"), bytes, version, false };
   store_reply_t reply = { .outcome = STORE_DONE,
                           .rows = rows,
+                          .has_more = self->has_more,
                           .version = version,
                           .clock = now (self) + STORE_CLOCK_AHEAD_MS,
                           .reason = "test" };
@@ -356,6 +359,37 @@
   end (&fixture);
 }
 
+/* The page holds the rows of "r" and "s". */
+static void
+test_a_service_whose_row_is_on_a_later_page_has_owners (void **state)
+{
+  fixture_t fixture;
+  name_t later;
+
+  (void)state;
+  begin (&fixture);
+  coordinator_t *host = &fixture.coordinator;
+  name_set (&later, TEXT ("u"));
+  g_array_append_val (host->keyed_services, later);
+  keys_msg_t services = { .kind = KEYS_SERVICES, .services = host->keyed_services };
+  grants_handle (host, &services);
+  acquire (&fixture, 2, NULL);
+  call_t first = take_call (&fixture, false, STORE_KEYS);
+  assert_int_equal (first.after.len, 0);
+  fixture.has_more = true;
+  answer_owners (&fixture, &first, 2, 5);
+  assert_false (keys_lacks_table (&host->keys, &fixture.service));
+  assert_true (keys_lacks_table (&host->keys, &later));
+  assert_true (host->role.awaits_tables);
+  call_t second = take_call (&fixture, false, STORE_KEYS);
+  assert_true (text_equal (name_text (&second.after), TEXT ("r")));
+  fixture.has_more = false;
+  answer (&fixture, &second, 2, NULL);
+  assert_false (keys_lacks_table (&host->keys, &later));
+  assert_false (host->role.awaits_tables);
+  end (&fixture);
+}
+
 /* Runs a host until the read for a renewal of its role is unanswered, but the renewal was
  * answered and owners are being committed.  Returns the read; VERSION is the row's from
  * before the renewal. */
@@ -890,6 +924,7 @@
     cmocka_unit_test (
         test_owners_that_were_read_before_the_role_was_acquired_do_not_count),
     cmocka_unit_test (test_owners_that_were_read_before_a_commit_do_not_replace_it),
+    cmocka_unit_test (test_a_service_whose_row_is_on_a_later_page_has_owners),
     cmocka_unit_test (test_a_read_for_an_earlier_write_does_not_start_another_attempt),
     cmocka_unit_test (test_a_row_from_before_the_last_commit_is_not_gone_by),
     cmocka_unit_test (
