--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -168,6 +168,26 @@
   return &call->stream->refused;
 }
 
+static void
+note_refusal (call_t *call, struct evhttp_request *response)
+{
+  load_stream_t *stream = call->stream;
+  struct evkeyvalq *headers = evhttp_request_get_input_headers (response);
+  const char *outcome = evhttp_find_header (headers, "Request-Outcome");
+  const char *reason = evhttp_find_header (headers, "Request-Reason");
+
+  if (stream->n_refusals == LOAD_REFUSALS_MAX)
+    return;
+  stream->refusals[stream->n_refusals++] = g_strdup_printf (
+      "after %" G_GINT64_FORMAT " ms, host %td, %s: status %d, outcome %s, reason %s",
+      (now_us () - call->self->started_at) / 1000,
+      call->host - call->self->hosts,
+      call->uri,
+      evhttp_request_get_response_code (response),
+      outcome != NULL ? outcome : "none",
+      reason != NULL ? reason : "none");
+}
+
 static void
 on_done (void *owner, struct evhttp_request *response)
 {
@@ -175,6 +195,7 @@
 
   if (evhttp_request_get_response_code (response) != 200)
     {
+      note_refusal (call, response);
       record_incomplete (call, counter_for (call, response));
       return;
     }
--- a/tools/load/load.h
+++ b/tools/load/load.h
@@ -24,6 +24,8 @@
  * complete response. */
 #define LOAD_WINDOW_MS 50
 #define LOAD_WINDOWS_MAX 20000
+/* Refused requests of which the report has a line each. */
+#define LOAD_REFUSALS_MAX 8
 
 typedef enum
 {
@@ -46,6 +48,8 @@
   uint64_t issued;
   uint64_t sent, complete, not_run, unknown, refused, lost, wrong, repeats, open;
   uint64_t failures[HTTPC_TIMED_OUT + 1]; /* by httpc_failure_t */
+  char *refusals[LOAD_REFUSALS_MAX]; /* the first ones: when, where, status and reason */
+  unsigned n_refusals;
   uint64_t *buckets;
   uint64_t slowest_us;
   load_window_t *windows;
--- a/tools/load/load_report.c
+++ b/tools/load/load_report.c
@@ -43,6 +43,16 @@
   return sum > 0 ? highest * g_hash_table_size (stream->responses_by_target) / sum : 0;
 }
 
+static json_t *
+refusals (const load_stream_t *s)
+{
+  json_t *list = json_array ();
+
+  for (unsigned i = 0; i < s->n_refusals; i++)
+    json_array_append_new (list, json_string (s->refusals[i]));
+  return list;
+}
+
 json_t *
 load_report (const load_t *self)
 {
@@ -83,6 +93,7 @@
                                       (json_int_t)s->failures[HTTPC_TRUNCATED],
                                       "silent",
                                       (json_int_t)s->failures[HTTPC_TIMED_OUT]));
+      json_object_set_new (row, "refusals", refusals (s));
       json_object_set_new (row, "p50_ms", json_real (percentile_ms (s, 0.5)));
       json_object_set_new (row, "p99_ms", json_real (percentile_ms (s, 0.99)));
       json_object_set_new (row, "p999_ms", json_real (percentile_ms (s, 0.999)));
