A call that has failed is reset before its owner learns of it

Cause: a call that ran out of time was reported as failed at once, and its connection was reset in the next turn of the event loop.

Change: the connection is reset in the same step, by disconnecting its socket, so that bytes that were written and not delivered are discarded; its memory is freed from the event loop as before. libevent does the same for the time-outs that it detects itself.

Measured: unit httpc, a_call_that_has_reached_its_limit_cannot_arrive_any_more: 100 ms after the failure and before the next turn the server still saw an open connection, now it sees a reset. The other new test, for libevent's own time-out, passed before too.

--- a/packages/http/sockets.c
+++ b/packages/http/sockets.c
@@ -28,6 +28,15 @@
     setsockopt (fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
+void
+socket_reset (evutil_socket_t fd)
+{
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  if (fd >= 0)
+    connect (fd, &none, sizeof none);
+}
+
 int
 socket_unacknowledged (evutil_socket_t fd)
 {
--- a/packages/http/sockets.h
+++ b/packages/http/sockets.h
@@ -20,6 +20,13 @@
  */
 void socket_set_reset_on_close (evutil_socket_t fd, bool reset);
 
+/*
+ * Resets the connection of FD at once, and keeps FD open: bytes that were written and not
+ * delivered are discarded, and nothing more can be sent or received.  A negative FD is
+ * ignored.
+ */
+void socket_reset (evutil_socket_t fd);
+
 /* Bytes that were written to FD and that the peer's host has not acknowledged; 0 if FD is
  * negative. */
 int socket_unacknowledged (evutil_socket_t fd);
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -54,7 +54,7 @@
 /* The connection is freed from the event loop, since one of its callbacks may be running.
  */
 static void
-close_and_free_later (httpc_conn_t *conn)
+free_later (httpc_conn_t *conn)
 {
   httpc_pool_t *pool = conn->pool;
 
@@ -66,14 +66,27 @@
   event_active (pool->free_event, EV_TIMEOUT, 0);
 }
 
+static evutil_socket_t
+get_socket (const httpc_conn_t *self)
+{
+  return bufferevent_getfd (evhttp_connection_get_bufferevent (self->evcon));
+}
+
+/* Reset before the owner learns of the failure: it counts on that nothing arrives any
+ * more. */
+static void
+reset (httpc_conn_t *conn)
+{
+  socket_reset (get_socket (conn));
+  free_later (conn);
+}
+
 /* No call is in progress on the connection, so it is closed without a reset. */
 static void
 close_gracefully (httpc_conn_t *conn)
 {
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (conn->evcon);
-
-  socket_set_reset_on_close (bufferevent_getfd (bev), false);
-  close_and_free_later (conn);
+  socket_set_reset_on_close (get_socket (conn), false);
+  free_later (conn);
 }
 
 /* An idle connection ended, or bytes arrived on it that belong to no call. */
@@ -84,7 +97,7 @@
 
   (void)evcon;
   if (g_queue_remove (&self->pool->idle, self))
-    close_and_free_later (self);
+    reset (self);
 }
 
 /* Called before the first byte of the call is in the output buffer.  A shut down socket
@@ -108,8 +121,7 @@
   self->bytes_sent += info->n_deleted;
   if (!self->options_set && info->n_added > 0)
     {
-      evutil_socket_t fd
-          = bufferevent_getfd (evhttp_connection_get_bufferevent (self->evcon));
+      evutil_socket_t fd = get_socket (self);
       if (fd >= 0)
         {
           socket_set_options (fd, (unsigned)self->pool->timeout);
@@ -134,7 +146,7 @@
 
   if (ops == NULL)
     return;
-  close_and_free_later (self);
+  reset (self);
   ops->failed (owner, sent, failure);
 }
 
@@ -226,7 +238,7 @@
 
   if (has_surplus_input (self))
     {
-      close_and_free_later (self);
+      reset (self);
       return;
     }
   if (self->alone || (value != NULL && g_ascii_strcasecmp (value, "close") == 0))
@@ -404,7 +416,7 @@
         write_now (self);
       return self;
     }
-  close_and_free_later (self);
+  reset (self);
   return NULL;
 }
 
@@ -445,7 +457,7 @@
   GList *open = g_hash_table_get_keys (self->open);
 
   for (GList *node = open; node != NULL; node = node->next)
-    close_and_free_later (node->data);
+    reset (node->data);
   g_list_free (open);
   on_free (-1, 0, self);
   g_queue_clear (&self->idle);
@@ -469,7 +481,7 @@
   httpc_conn_t *conn;
 
   while ((conn = g_queue_pop_head (&self->idle)) != NULL)
-    close_and_free_later (conn);
+    reset (conn);
 }
 
 struct evhttp_request *
@@ -538,7 +550,7 @@
 void
 httpc_cancel (httpc_conn_t *conn)
 {
-  close_and_free_later (conn);
+  reset (conn);
 }
 
 void
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -28,6 +28,7 @@
   int connection;
   int close_error;           /* errno of the last receive; 0: closed without a reset */
   _Atomic unsigned received; /* calls by `serve`, bytes by `count_bytes` */
+  _Atomic bool ended;        /* the connection, as seen by `serve` */
 } server_t;
 
 typedef struct
@@ -42,6 +43,8 @@
   bool forbidden;      /* calls may not be sent */
   server_t *watched;   /* it is looked at after a call was permitted */
   unsigned arrived;    /* calls that it had received by then */
+  server_t *abandoned; /* it is looked at after a call has failed */
+  bool had_ended;      /* its connection had ended by then */
   unsigned asked;      /* how often it was asked whether they may */
   bool alone;          /* calls by httpc_call_alone */
   size_t request_body; /* bytes that are sent with a call */
@@ -75,6 +78,7 @@
   while ((got = recv (self->connection, bytes, sizeof bytes, 0)) > 0)
     ;
   self->close_error = got < 0 ? errno : 0;
+  self->ended = true;
   if (self->stays_open && self->close_error == 0)
     {
       /* A reset may arrive after the end of the stream. */
@@ -165,6 +169,11 @@
   self->failed = true;
   self->sent = sent;
   self->failure = failure;
+  if (self->abandoned != NULL)
+    {
+      usleep (100 * 1000);
+      self->had_ended = self->abandoned->ended;
+    }
   event_base_loopbreak (self->base);
 }
 
@@ -319,6 +328,32 @@
   assert_int_equal (responding.close_error, 0);
 }
 
+static void
+test_a_call_that_has_failed_cannot_arrive_any_more (void **state)
+{
+  server_t silent = { .stays_open = true };
+  client_t client = { .abandoned = &silent };
+
+  (void)state;
+  call_server (&client, &silent);
+  assert_int_equal (client.failure, HTTPC_TIMED_OUT);
+  assert_true (client.had_ended);
+  assert_int_not_equal (silent.close_error, 0);
+}
+
+static void
+test_a_call_that_has_reached_its_limit_cannot_arrive_any_more (void **state)
+{
+  server_t silent = { .stays_open = true };
+  client_t client = { .abandoned = &silent, .limit = 100 };
+
+  (void)state;
+  call_server (&client, &silent);
+  assert_int_equal (client.failure, HTTPC_TIMED_OUT);
+  assert_true (client.had_ended);
+  assert_int_equal (silent.close_error, ECONNRESET);
+}
+
 /* Answers one call and closes its connection, then serves another one as usual. */
 static void *
 serve_after_closing (void *arg)
@@ -868,6 +903,8 @@
     cmocka_unit_test (test_a_call_ends_at_its_limit_whatever_arrives),
     cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
+    cmocka_unit_test (test_a_call_that_has_failed_cannot_arrive_any_more),
+    cmocka_unit_test (test_a_call_that_has_reached_its_limit_cannot_arrive_any_more),
     cmocka_unit_test (test_an_aborted_call_resets_a_connection_that_was_opened_anew),
     cmocka_unit_test (test_refused_connection_sends_nothing),
     cmocka_unit_test (test_slow_connection_is_waited_for),
