The limit of a target grows only while it is used

A burst after a pause then overran the target, which refused, and a look-up's attempts were over while it did.

Change: responses raise the limit only while at least half of it is in flight.

Unit limit, a_limit_that_is_not_used_does_not_grow, fails without the change; the mutant an-unused-limit-grows is caught.

--- a/packages/limit/limit.c
+++ b/packages/limit/limit.c
@@ -31,9 +31,11 @@
 void
 limit_end (limit_t *self, limit_outcome_t outcome)
 {
+  bool used = self->in_flight * 2 * LIMIT_SCALE >= self->cap;
+
   g_assert (self->in_flight > 0);
   self->in_flight--;
-  if (outcome == LIMIT_ANSWERED)
+  if (outcome == LIMIT_ANSWERED && used)
     self->cap += LIMIT_SCALE * LIMIT_SCALE / self->cap;
   else if (outcome == LIMIT_SHED)
     self->cap = self->cap / 100 * LIMIT_CUT_PERCENT;
--- a/packages/limit/limit.h
+++ b/packages/limit/limit.h
@@ -8,7 +8,9 @@
  *
  * No I/O.  Additive increase, multiplicative decrease: the limit grows by one after as
  * many responses as its current value; a shed request or a timeout reduces it to
- * LIMIT_CUT_PERCENT of its value.
+ * LIMIT_CUT_PERCENT of its value.  Responses count only while at least half of the limit
+ * is in flight: others don't show that the target bears more, and a burst after a quiet
+ * time would meet a limit that was never tried.
  */
 
 #define LIMIT_SCALE 1000
