Retries outlast a short overload of a target

Cause: four attempts with waits of up to 10, 20 and 40 ms ended after 35 ms in the mean, while a full queue of a target takes some 100 ms; the caller got the target's 503 although its deadline was seconds away. RETRY_CAP_MS was never reached.

Change: eight attempts. The budget of retries, which bounds their number, and the deadline are as before.

Measured: unit route-retries, a_request_outlasts_a_short_overload, fails with four attempts and passes with eight; retries_stay_within_the_budget still holds.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -107,7 +107,7 @@
 #define RETRY_CAP_MS 500
 #define RETRY_BUDGET_PERCENT 10
 #define RETRY_BUDGET_MAX 100
-#define RETRY_ATTEMPTS_MAX 4
+#define RETRY_ATTEMPTS_MAX 8 /* together they outlast an overload of some 100 ms */
 
 /* Requests that crash targets. */
 #define SUSPECT_MAX 256
--- a/packages/route/tests/test_route_retries.c
+++ b/packages/route/tests/test_route_retries.c
@@ -72,6 +72,27 @@
   free_fixture (f);
 }
 
+static void
+test_a_request_outlasts_a_short_overload (void **state)
+{
+  fixture_t *f = new_fixture ();
+  const msec_t overload = TIMEOUT_MS / 10;
+
+  (void)state;
+  route_id_t id = arrive (f, ORDERS, 0, true, false);
+  for (msec_t passed = 0; passed < overload; passed++)
+    {
+      while (find (f, ROUTE_SEND) != NULL)
+        answer (f, id, ANSWER_SHED, 0);
+      assert_null (find (f, ROUTE_DELIVER));
+      tick_after (f, 1);
+    }
+  assert_non_null (send_within (f, RETRY_CAP_MS));
+  answer (f, id, ANSWER_COMPLETE, 0);
+  assert_non_null (find (f, ROUTE_DELIVER));
+  free_fixture (f);
+}
+
 /* Answers every request sent, and each immediate retry, with ANSWER_SHED.  Returns the
  * number of sends. */
 static uint32_t
@@ -127,6 +148,7 @@
     cmocka_unit_test (test_idempotent_request_is_retried_within_its_deadline),
     cmocka_unit_test (test_retry_after_is_minimum_delay),
     cmocka_unit_test (test_no_retry_past_the_deadline),
+    cmocka_unit_test (test_a_request_outlasts_a_short_overload),
     cmocka_unit_test (test_retries_stay_within_the_budget),
   };
 
