A granter that stops says so, and is followed at once

Cause: a host that stops resigns the granter's role in its row, but the others look at the row only when the lease that they know of would have ended: 1.8 s without a granter after each planned stop.

Change: once its resignation is committed, the host sends all hosts that report to it an update that leaves no time of the role; they check the row as after the end of a lease, with the same delays. The row alone still decides who has the role, and grants of the one that stopped count as before.

--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -67,6 +67,10 @@
  * role row isn't checked earlier. */
 void role_postpone_check (coordinator_t *self, msec_t until);
 
+/* The role's holder reported that its row says that it resigned: the row is checked as
+ * after the end of a lease. */
+void role_vacated (coordinator_t *self, msec_t now);
+
 /* owners.c: the newest known table of key owners of each service.
  *
  * owners_find returns NULL if none is known. */
@@ -90,6 +94,10 @@
  * before owners_update, since changes are taken against the table known so far. */
 void peers_broadcast_table (coordinator_t *self, const key_table_t *table);
 
+/* Tells all hosts that report to this one that it no longer has the role, so that one of
+ * them acquires it before its lease would have ended. */
+void peers_broadcast_resignation (coordinator_t *self);
+
 /* Whether this host is the granter, or received an update from it recently. */
 bool peers_granter_is_live (const coordinator_t *self);
 
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -269,8 +269,14 @@
 {
   msec_t now = msclock_now (&self->clock);
 
-  if (self->role.state != ROLE_NOT_HELD || update->role_left_ms <= 0)
+  if (self->role.state != ROLE_NOT_HELD)
     return;
+  if (update->role_left_ms <= 0)
+    {
+      if (name_equal (&update->address, &self->granter))
+        role_vacated (self, now);
+      return;
+    }
   if (update->report_sent_at > 0)
     self->round_trip_ms = now - update->report_sent_at;
   self->granter = update->address;
@@ -430,6 +436,15 @@
   self->table_broadcast_at = msclock_now (&self->clock);
 }
 
+void
+peers_broadcast_resignation (coordinator_t *self)
+{
+  GByteArray *body = encode_update (self, NULL, NULL, NULL, 0);
+
+  peers_broadcast (self, body);
+  g_byte_array_unref (body);
+}
+
 status_t
 peers_init (coordinator_t *self, fault_t *fault)
 {
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -362,6 +362,8 @@
         role_acquired (self, now);
       notify_role (self, role->lease_end);
     }
+  else
+    peers_broadcast_resignation (self);
   if (done.has_table)
     {
       keys_msg_t msg = { .kind = KEYS_COMMITTED, .service = done.table.service };
@@ -659,6 +661,14 @@
                  + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS));
 }
 
+void
+role_vacated (coordinator_t *self, msec_t now)
+{
+  self->role.next_check = MIN (
+      self->role.next_check,
+      now + check_handicap (self) + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS));
+}
+
 void
 role_queue_table (coordinator_t *self, key_table_t *table)
 {
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -871,6 +871,27 @@
   end (&fixture);
 }
 
+static void
+test_a_role_that_was_resigned_is_checked_before_its_lease_ends (void **state)
+{
+  fixture_t fixture;
+  const role_row_t taken = { .host = { .len = 1, .at = "x" },
+                             .until = START_MS + STORE_CLOCK_AHEAD_MS + LONG_HOLD_MS };
+
+  (void)state;
+  begin (&fixture);
+  coordinator_t *host = &fixture.coordinator;
+  while (!host->role.checking)
+    pass_time (&fixture, 50);
+  call_t read = take_call (&fixture, false, STORE_ROLE);
+  answer (&fixture, &read, 1, key_rows_encode_role (&taken));
+  role_postpone_check (host, now (&fixture) + ROLE_LEASE_MS);
+  role_vacated (host, now (&fixture));
+  pass_time (&fixture, ROLE_HANDICAP_MS + ROLE_CHECK_JITTER_MS);
+  assert_true (host->role.checking);
+  end (&fixture);
+}
+
 /* The host is stopped while it reads back whether it has acquired the role. */
 static void
 test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it (void **state)
@@ -933,6 +954,7 @@
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
     cmocka_unit_test (test_a_refused_commit_is_not_repeated_at_once),
+    cmocka_unit_test (test_a_role_that_was_resigned_is_checked_before_its_lease_ends),
     cmocka_unit_test (test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
     cmocka_unit_test (test_hosts_with_slow_links_leave_a_vacant_role_to_others_at_first),
--- a/packages/link/link_codec.h
+++ b/packages/link/link_codec.h
@@ -54,7 +54,7 @@
   name_t host; /* the granter */
   name_t address;
   uint64_t incarnation;
-  msec_t role_left_ms;   /* ms for which its role lasts at least */
+  msec_t role_left_ms;   /* ms for which its role lasts at least; 0: it has ended */
   uint32_t n_hosts;      /* number of hosts that report, itself included */
   msec_t report_sent_at; /* of the report that this replies to; 0: not a reply */
   msec_t rates_at;       /* of that report; its rates get GRANTS */
