Reports of requests that crash targets outlive the granter

Callers saw targets crash that could have been spared: a host reported a lost target once, to the host that it took for the granter. If that one was suspended or lost, the others never learned of it, and went on sending the request.

Change: a host keeps its own reports until they come back, which the granter sends to all, and repeats them to the next granter, or to the hosts that report to it if it is the next one. The next granter is known by the incarnation in its updates.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -4,6 +4,7 @@
 #include "../currency/currency.h"
 #include "../keys/keys.h"
 #include "../proxy/proxy.h"
+#include "../suspect/reports.h"
 #include "deployment.h"
 #include "feed.h"
 #include "outbox.h"
@@ -150,6 +151,8 @@
   msec_t granter_update_expires; /* the granter is considered live until then */
   msec_t table_broadcast_at;     /* when a changed table was last broadcast */
   msec_t table_requested_at;     /* when a missed table was last requested */
+  reports_t suspects;            /* reported by this host */
+  uint64_t updated_by;           /* incarnation of the granter of the last update */
   GHashTable *reporters;         /* host name to reporter_t */
   uint32_t host_count;           /* that share the retry budget; 0: unknown */
 };
--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -153,6 +153,44 @@
                             host);
 }
 
+static GByteArray *
+encode_suspect (const suspect_out_t *suspect)
+{
+  const link_suspect_t message
+      = { suspect->fingerprint, suspect->target, suspect->cleared };
+
+  return link_encode_suspect (&message);
+}
+
+static void
+pass_on_suspect (coordinator_t *self, const suspect_out_t *suspect)
+{
+  GByteArray *body = encode_suspect (suspect);
+
+  /* The granter broadcasts it, also to the host that reported it: the duplicate doesn't
+   * count as another loss. */
+  if (self->role.state == ROLE_HELD)
+    peers_broadcast (self, body);
+  else if (self->granter.len > 0)
+    send_body (self, &self->granter, body, NULL, 0);
+  g_byte_array_unref (body);
+}
+
+/* Repeats what may have been lost with an earlier granter to ADDRESS: the new granter, or
+ * a host that has begun to report to this one. */
+static void
+repeat_suspects (coordinator_t *self, const name_t *address)
+{
+  GArray *suspects = g_array_new (FALSE, FALSE, sizeof (suspect_out_t));
+
+  reports_repeat (&self->suspects, msclock_now (&self->clock), suspects);
+  for (guint i = 0; i < suspects->len; i++)
+    peers_send (self,
+                address,
+                encode_suspect (&g_array_index (suspects, suspect_out_t, i)));
+  g_array_unref (suspects);
+}
+
 static void
 handle_report (coordinator_t *self, const link_report_t *report)
 {
@@ -177,6 +215,7 @@
     {
       reporter = g_new0 (reporter_t, 1);
       g_hash_table_insert (self->reporters, g_strdup (host), reporter);
+      repeat_suspects (self, &report->address);
     }
   *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
@@ -280,6 +319,9 @@
   if (update->report_sent_at > 0)
     self->round_trip_ms = now - update->report_sent_at;
   self->granter = update->address;
+  if (update->incarnation != self->updated_by)
+    repeat_suspects (self, &self->granter);
+  self->updated_by = update->incarnation;
   self->granter_update_expires = now + MIN (update->role_left_ms, UPDATE_VALID_MS);
   role_postpone_check (self, now + update->role_left_ms);
   update_host_count (self, update->n_hosts);
@@ -293,17 +335,8 @@
 void
 peers_report_suspect (coordinator_t *self, const suspect_out_t *suspect)
 {
-  const link_suspect_t message
-      = { suspect->fingerprint, suspect->target, suspect->cleared };
-  GByteArray *body = link_encode_suspect (&message);
-
-  /* The granter broadcasts it, also to the host that reported it: the duplicate doesn't
-   * count as another loss. */
-  if (self->role.state == ROLE_HELD)
-    peers_broadcast (self, body);
-  else if (self->granter.len > 0)
-    send_body (self, &self->granter, body, NULL, 0);
-  g_byte_array_unref (body);
+  reports_add (&self->suspects, suspect, msclock_now (&self->clock));
+  pass_on_suspect (self, suspect);
 }
 
 static void
@@ -312,8 +345,9 @@
   const suspect_out_t suspect = { from->fingerprint, from->target, from->cleared };
   proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
 
+  reports_confirm (&self->suspects, &suspect);
   if (self->role.state == ROLE_HELD)
-    peers_report_suspect (self, &suspect);
+    pass_on_suspect (self, &suspect);
   msg->kind = PROXY_SUSPECT;
   msg->suspect = suspect;
   discovery_post (self, msg);
@@ -451,6 +485,7 @@
   static const link_limits_t limits
       = { .message_bytes = LINK_MESSAGE_MAX_BYTES, .queue_messages = LINK_QUEUE_MAX };
 
+  reports_init (&self->suspects);
   self->reporters = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (link_init (&self->link,
                  self->base,
@@ -469,5 +504,6 @@
 peers_finish (coordinator_t *self)
 {
   link_finish (&self->link);
+  reports_finish (&self->suspects);
   g_hash_table_unref (self->reporters);
 }
