An empty page of owners is asked for again after a pause

Cause: a page without rows that promises more ended the reading of the owners' tables, and the host began it anew in its next step, without a pause.

Change: such a page counts as unavailable, as a refused one does.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -283,9 +283,11 @@
 
   if (self->role.state != ROLE_HELD)
     return;
+  bool empty_page = reply->has_more && reply->rows->len == 0;
   /* A reply from before this host acquired the role may lack the predecessor's last
    * moves. */
-  if (reply->outcome != STORE_DONE || reply->version < self->role.acquired_version)
+  if (reply->outcome != STORE_DONE || reply->version < self->role.acquired_version
+      || empty_page)
     {
       eventlog_write (EVENT_STATE,
                       "role",
@@ -299,7 +301,7 @@
       return;
     }
   notify_page (self, reply);
-  if (reply->has_more && reply->rows->len > 0)
+  if (reply->has_more)
     {
       const store_row_t *last
           = &g_array_index (reply->rows, store_row_t, reply->rows->len - 1);
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -871,6 +871,24 @@
   end (&fixture);
 }
 
+static void
+test_an_empty_page_of_owners_is_not_read_again_at_once (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  acquire (&fixture, 2, NULL);
+  call_t page = take_call (&fixture, false, STORE_KEYS);
+  fixture.has_more = true;
+  answer (&fixture, &page, 2, NULL);
+  pass_time (&fixture, 0);
+  assert_int_equal (fixture.calls->len, 0);
+  pass_time (&fixture, STORE_RETRY_MS);
+  take_call (&fixture, false, STORE_KEYS);
+  end (&fixture);
+}
+
 static void
 test_a_role_that_was_resigned_is_checked_before_its_lease_ends (void **state)
 {
@@ -954,6 +972,7 @@
         test_owners_that_are_loaded_after_the_role_was_lost_are_not_granted_to),
     cmocka_unit_test (test_owners_of_a_service_that_is_configured_later_are_read_too),
     cmocka_unit_test (test_a_refused_commit_is_not_repeated_at_once),
+    cmocka_unit_test (test_an_empty_page_of_owners_is_not_read_again_at_once),
     cmocka_unit_test (test_a_role_that_was_resigned_is_checked_before_its_lease_ends),
     cmocka_unit_test (test_a_host_that_stops_while_it_acquires_the_role_does_not_hold_it),
     cmocka_unit_test (test_a_missing_role_row_does_not_end_the_grants_of_known_owners),
