--- a/packages/suspect/reports.c
+++ b/packages/suspect/reports.c
@@ -13,22 +13,22 @@
 static entry_t *
 entry_at (const reports_t *self, guint i)
 {
-  return &g_array_index (self->unconfirmed, entry_t, i);
+  return &g_array_index (self->entries, entry_t, i);
 }
 
 static void
 remove_request (reports_t *self, uint64_t fingerprint)
 {
-  for (guint i = self->unconfirmed->len; i-- > 0;)
+  for (guint i = self->entries->len; i-- > 0;)
     if (entry_at (self, i)->suspect.fingerprint == fingerprint)
-      g_array_remove_index (self->unconfirmed, i);
+      g_array_remove_index (self->entries, i);
 }
 
 static void
 remove_expired (reports_t *self, msec_t now)
 {
-  while (self->unconfirmed->len > 0 && entry_at (self, 0)->until <= now)
-    g_array_remove_index (self->unconfirmed, 0);
+  while (self->entries->len > 0 && entry_at (self, 0)->until <= now)
+    g_array_remove_index (self->entries, 0);
 }
 
 static guint
@@ -36,7 +36,7 @@
 {
   guint n = 0;
 
-  for (guint i = 0; i < self->unconfirmed->len; i++)
+  for (guint i = 0; i < self->entries->len; i++)
     n += entry_at (self, i)->suspect.fingerprint == fingerprint;
   return n;
 }
@@ -44,13 +44,13 @@
 void
 reports_init (reports_t *self)
 {
-  self->unconfirmed = g_array_new (FALSE, FALSE, sizeof (entry_t));
+  self->entries = g_array_new (FALSE, FALSE, sizeof (entry_t));
 }
 
 void
 reports_finish (reports_t *self)
 {
-  g_array_unref (self->unconfirmed);
+  g_array_unref (self->entries);
 }
 
 void
@@ -64,9 +64,9 @@
       remove_request (self, suspect->fingerprint);
       return;
     }
-  if (self->unconfirmed->len == REPORTS_MAX)
-    g_array_remove_index (self->unconfirmed, 0);
-  g_array_append_val (self->unconfirmed, entry);
+  if (self->entries->len == REPORTS_MAX)
+    g_array_remove_index (self->entries, 0);
+  g_array_append_val (self->entries, entry);
 }
 
 void
@@ -77,7 +77,7 @@
       remove_request (self, suspect->fingerprint);
       return;
     }
-  for (guint i = 0; i < self->unconfirmed->len; i++)
+  for (guint i = 0; i < self->entries->len; i++)
     {
       entry_t *entry = entry_at (self, i);
       if (entry->suspect.fingerprint == suspect->fingerprint
@@ -90,7 +90,7 @@
 reports_repeat (reports_t *self, msec_t now, GArray *out)
 {
   remove_expired (self, now);
-  for (guint i = 0; i < self->unconfirmed->len; i++)
+  for (guint i = 0; i < self->entries->len; i++)
     {
       const entry_t *entry = entry_at (self, i);
       if (!entry->confirmed
--- a/packages/suspect/reports.h
+++ b/packages/suspect/reports.h
@@ -17,7 +17,7 @@
 
 typedef struct
 {
-  GArray *unconfirmed; /* the oldest first */
+  GArray *entries; /* the oldest first */
 } reports_t;
 
 void reports_init (reports_t *self);
