Equal requests at one lost target are reported for repetition once

Cause: a host reports each request that was in flight at a lost target. Several equal ones, of a popular lookup, are reports of the same request and target. Two of them counted as the loss of two targets, so that they were repeated to the next granter by all hosts, and REPORTS_MAX of them displaced the losses of a request that crashes targets.

Change: a report that is known already isn't added again.

--- a/packages/suspect/reports.c
+++ b/packages/suspect/reports.c
@@ -41,6 +41,16 @@
   return n;
 }
 
+static bool
+is_known (const reports_t *self, const suspect_out_t *suspect)
+{
+  for (guint i = 0; i < self->entries->len; i++)
+    if (entry_at (self, i)->suspect.fingerprint == suspect->fingerprint
+        && entry_at (self, i)->suspect.target == suspect->target)
+      return true;
+  return false;
+}
+
 void
 reports_init (reports_t *self)
 {
@@ -64,6 +74,8 @@
       remove_request (self, suspect->fingerprint);
       return;
     }
+  if (is_known (self, suspect))
+    return; /* several equal requests were in flight there */
   if (self->entries->len == REPORTS_MAX)
     g_array_remove_index (self->entries, 0);
   g_array_append_val (self->entries, entry);
--- a/packages/suspect/tests/test_reports.c
+++ b/packages/suspect/tests/test_reports.c
@@ -78,6 +78,27 @@
   assert_int_equal (count_repeated (START_MS), 0);
 }
 
+/* Several equal requests were in flight at the target. */
+static void
+test_equal_requests_at_one_lost_target_are_not_repeated (void **state)
+{
+  (void)state;
+  lose (7, 1, START_MS);
+  lose (7, 1, START_MS);
+  assert_int_equal (count_repeated (START_MS), 0);
+}
+
+static void
+test_equal_requests_leave_room_for_others (void **state)
+{
+  (void)state;
+  lose (7, 1, START_MS);
+  lose (7, 2, START_MS);
+  for (unsigned i = 0; i < REPORTS_MAX; i++)
+    lose (8, 2, START_MS);
+  assert_int_equal (count_repeated (START_MS), 2);
+}
+
 static void
 test_cleared_requests_are_not_repeated (void **state)
 {
@@ -117,6 +138,13 @@
     cmocka_unit_test_setup_teardown (test_requests_at_one_lost_target_are_not_repeated,
                                      set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (
+        test_equal_requests_at_one_lost_target_are_not_repeated,
+        set_up,
+        tear_down),
+    cmocka_unit_test_setup_teardown (test_equal_requests_leave_room_for_others,
+                                     set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (test_cleared_requests_are_not_repeated,
                                      set_up,
                                      tear_down),
