A page of owners frees no keys of services that are before it

Cause: the last page of the store's rows was taken to show that each service without a row in it has none. A service whose row is on an earlier page is safe only if its table was loaded from that page. It wasn't if the service was configured after that page was handled, or if the role was lost and acquired again before the last page was answered: then its keys counted as free while their owners held them, and the true table that was read next was ignored.

Change: each read remembers the key after which it reads, and the last page shows only of services that follow it that they have no row.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -56,6 +56,14 @@
   msec_t started;
 } role_attempt_t;
 
+/* A read of the owners' rows that follow a key. */
+typedef struct
+{
+  coordinator_t *coordinator;
+  bool in_flight;
+  name_t after; /* as much of the key as a service's name may have */
+} owners_read_t;
+
 /* A write of the role row, optionally together with a table of key owners; repeated until
  * its outcome is known. */
 typedef struct
@@ -92,6 +100,7 @@
   bool awaits_tables;            /* the owners of some service are being read */
   bool needs_tables;             /* reading the owners from the store failed */
   msec_t next_tables_read;       /* when that read is retried */
+  owners_read_t reads[ROLE_READS_MAX];
   role_write_t write;
   role_attempt_t attempts[ROLE_ATTEMPTS_MAX];
   uint64_t last_sequence; /* of all attempts of this process */
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -2,6 +2,8 @@
 
 #include "../core/eventlog.h"
 
+#include <string.h>
+
 #define ROLE_KEY TEXT ("granter")
 
 static void on_written (void *owner, const store_reply_t *reply);
@@ -204,12 +206,37 @@
 
 static void on_tables (void *owner, const store_reply_t *reply);
 
+static owners_read_t *
+unused_read (role_t *role)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (role->reads); i++)
+    if (!role->reads[i].in_flight)
+      return &role->reads[i];
+  return NULL;
+}
+
+static void
+retry_tables (coordinator_t *self)
+{
+  self->role.needs_tables = true;
+  self->role.next_tables_read = msclock_now (&self->clock) + STORE_RETRY_MS;
+}
+
 /* Reads the rows after the key AFTER. */
 static void
 read_tables (coordinator_t *self, text_t after)
 {
+  owners_read_t *read = unused_read (&self->role);
+
+  if (read == NULL)
+    {
+      retry_tables (self);
+      return;
+    }
   self->role.needs_tables = false;
-  self->store->ops->read (self->store, STORE_KEYS, after, on_tables, self);
+  *read = (owners_read_t){ .coordinator = self, .in_flight = true };
+  name_set (&read->after, (text_t){ after.at, MIN (after.len, NAME_MAX_BYTES) });
+  self->store->ops->read (self->store, STORE_KEYS, after, on_tables, read);
 }
 
 static const store_row_t *
@@ -263,15 +290,26 @@
   key_table_finish (&table);
 }
 
-/* Only the last page shows that a service has no row. */
+/* In the order of the store's keys. */
+static bool
+follows (const name_t *name, const name_t *after)
+{
+  int order = memcmp (name->at, after->at, MIN (name->len, after->len));
+
+  return order > 0 || (order == 0 && name->len > after->len);
+}
+
+/* The page holds rows after the key AFTER.  Only the last page shows that a service has
+ * no row, and only of those that follow AFTER: others may have been configured after
+ * their page was handled. */
 static void
-notify_page (coordinator_t *self, const store_reply_t *reply)
+notify_page (coordinator_t *self, const store_reply_t *reply, const name_t *after)
 {
   for (guint i = 0; i < self->keyed_services->len; i++)
     {
       const name_t *service = &g_array_index (self->keyed_services, name_t, i);
       const store_row_t *row = find_row (reply, service);
-      if (row != NULL || !reply->has_more)
+      if (row != NULL || (!reply->has_more && follows (service, after)))
         notify_table (self, service, row);
     }
 }
@@ -279,8 +317,11 @@
 static void
 on_tables (void *owner, const store_reply_t *reply)
 {
-  coordinator_t *self = owner;
+  owners_read_t *read = owner;
+  coordinator_t *self = read->coordinator;
+  const name_t after = read->after;
 
+  read->in_flight = false;
   if (self->role.state != ROLE_HELD)
     return;
   bool empty_page = reply->has_more && reply->rows->len == 0;
@@ -296,11 +337,10 @@
                       store_outcome_name (reply->outcome),
                       (unsigned long long)reply->version,
                       (unsigned long long)self->role.acquired_version);
-      self->role.needs_tables = true;
-      self->role.next_tables_read = msclock_now (&self->clock) + STORE_RETRY_MS;
+      retry_tables (self);
       return;
     }
-  notify_page (self, reply);
+  notify_page (self, reply, &after);
   if (reply->has_more)
     {
       const store_row_t *last
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -330,6 +330,7 @@
 #define ROLE_GIVE_WAY_MS 50
 #define ROLE_START_HANDICAPS 5
 #define ROLE_ATTEMPTS_MAX 8 /* writes of the role without an answer yet */
+#define ROLE_READS_MAX 4    /* reads of the owners without an answer yet */
 #define ROLE_MARGIN_MS 100  /* from the check to the grant's last byte */
 
 /* The store's client. */
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -74,7 +74,8 @@
 
 typedef struct
 {
-  /* Reads the rows of TABLE with keys greater than AFTER, as one snapshot. */
+  /* Reads the rows of TABLE with keys greater than AFTER, in the order of their keys'
+   * bytes, as one snapshot. */
   void (*read) (
       store_t *self, store_table_t table, text_t after, store_done_t done, void *owner);
   /* Answers with the rows of TABLE that changed after VERSION as soon as there are any,
