Repeated reports don't displace the reply to a new reporter

Cause: a host that acquires the role repeats its reports to each host that begins to report to it, before the reply to that report. The socket to such a host is new, and holds LINK_QUEUE_MAX messages until it is connected. With as many reports to repeat, the reply, with the table of owners and the rights that the granter counts as given, was dropped.

Change: the reply goes first, and fewer reports are kept than a queue holds. More than that never reached a new reporter.

--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -211,11 +211,11 @@
       return;
     }
   reporter = g_hash_table_lookup (self->reporters, host);
-  if (reporter == NULL)
+  bool is_new = reporter == NULL;
+  if (is_new)
     {
       reporter = g_new0 (reporter_t, 1);
       g_hash_table_insert (self->reporters, g_strdup (host), reporter);
-      repeat_suspects (self, &report->address);
     }
   *reporter = (reporter_t){ report->address, now, report->link_mbps };
   count_hosts (self, now);
@@ -238,6 +238,8 @@
   g_array_unref (grants);
   if (self->role.state == ROLE_HELD)
     rows_send_missing (self, report, now);
+  if (is_new)
+    repeat_suspects (self, &report->address);
   g_free (host);
 }
 
--- /dev/null
+++ b/packages/coordinator/tests/test_peers.c
@@ -0,0 +1,194 @@
+#include "../coordinator_parts.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+
+#define ADDRESS_MAX 32
+#define SETTLE_MS 400 /* all messages have arrived by then */
+
+/* Another host, and what it has received. */
+typedef struct
+{
+  char address[ADDRESS_MAX];
+  link_t link;
+  unsigned updates, suspects;
+} peer_t;
+
+typedef struct
+{
+  router_settings_t settings;
+  coordinator_t granter;
+  char address[ADDRESS_MAX];
+  peer_t other;
+} fixture_t;
+
+static const feed_ops_t no_feed = { 0 };
+static const store_ops_t no_store = { 0 };
+static store_t store = { .ops = &no_store };
+
+static void
+on_message (void *owner, text_t bytes)
+{
+  peer_t *self = owner;
+  link_msg_t msg;
+  fault_t fault;
+
+  assert_int_equal (link_decode (&msg, bytes, &fault), STATUS_OK);
+  self->updates += msg.kind == LINK_UPDATE;
+  self->suspects += msg.kind == LINK_SUSPECT;
+  link_msg_finish (&msg);
+}
+
+static void
+choose_address (char *address)
+{
+  g_snprintf (address, ADDRESS_MAX, "127.0.0.1:%d", g_random_int_range (30000, 32768));
+}
+
+static void
+listen_as (peer_t *self, struct event_base *base)
+{
+  static const link_limits_t limits
+      = { .message_bytes = LINK_MESSAGE_MAX_BYTES, .queue_messages = LINK_QUEUE_MAX };
+
+  for (int tries = 0; tries < 100; tries++)
+    {
+      choose_address (self->address);
+      if (link_init (&self->link,
+                     base,
+                     text_from_c (self->address),
+                     &limits,
+                     on_message,
+                     self))
+        return;
+      link_finish (&self->link);
+    }
+  fail_msg ("no free port");
+}
+
+static void
+init_feed (feed_t *feed, coordinator_t *host)
+{
+  feed_init (feed,
+             host->store,
+             host->base,
+             &host->clock,
+             &host->outage,
+             STORE_TARGETS,
+             "idle",
+             &no_feed,
+             host);
+  feed->watching = true;
+}
+
+static void
+begin (fixture_t *self)
+{
+  coordinator_t *host = &self->granter;
+  fault_t fault;
+
+  *self = (fixture_t){ .settings = { .link_mbps = 1000 } };
+  name_set (&self->settings.host, TEXT ("h"));
+  *host
+      = (coordinator_t){ .settings = &self->settings,
+                         .base = event_base_new (),
+                         .store = &store,
+                         .incarnation = 7,
+                         .has_directory = true,
+                         .host_count = 1,
+                         .key_actions = g_array_new (FALSE, TRUE, sizeof (keys_out_t)) };
+  msclock_init_boot (&host->clock);
+  rng_init (&host->rng, 1);
+  keys_init (&host->keys, 10000);
+  rate_fleet_init (&host->rates);
+  discovery_init (host);
+  init_feed (&host->configuration, host);
+  init_feed (&host->targets, host);
+  init_feed (&host->owners, host);
+  choose_address (self->address);
+  name_set (&self->settings.peers, text_from_c (self->address));
+  assert_int_equal (peers_init (host, &fault), STATUS_OK);
+  host->role.state = ROLE_HELD;
+  host->role.lease_end = msclock_now (&host->clock) + 60 * 1000;
+  listen_as (&self->other, host->base);
+}
+
+static void
+end (fixture_t *self)
+{
+  coordinator_t *host = &self->granter;
+
+  link_finish (&self->other.link);
+  peers_finish (host);
+  owners_finish (host);
+  discovery_finish (host);
+  keys_finish (&host->keys);
+  rate_fleet_finish (&host->rates);
+  g_array_unref (host->key_actions);
+  event_base_free (host->base);
+}
+
+static void
+settle (fixture_t *self)
+{
+  const struct timeval tv = { 0, SETTLE_MS * 1000 };
+
+  event_base_loopexit (self->granter.base, &tv);
+  event_base_dispatch (self->granter.base);
+}
+
+/* Sends BODY, which is freed, to the granter. */
+static void
+send_to_granter (fixture_t *self, peer_t *from, GByteArray *body)
+{
+  GByteArray *message
+      = link_encode_message ((text_t){ (const char *)body->data, body->len }, NULL, 0);
+
+  assert_true (link_send (&from->link,
+                          text_from_c (self->address),
+                          (text_t){ (const char *)message->data, message->len }));
+  g_byte_array_unref (message);
+  g_byte_array_unref (body);
+}
+
+static void
+report (fixture_t *self, peer_t *from, const char *name)
+{
+  GArray *none = g_array_new (FALSE, FALSE, sizeof (key_load_t));
+  link_report_t report = { .incarnation = 3, .sent_at = 1, .loads = none };
+
+  name_set (&report.host, text_from_c (name));
+  name_set (&report.address, text_from_c (from->address));
+  send_to_granter (self, from, link_encode_report (&report));
+  g_array_unref (none);
+}
+
+static void
+test_a_new_reporter_gets_its_reply_besides_repeated_reports (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  for (unsigned i = 0; i < REPORTS_MAX; i++)
+    {
+      const suspect_out_t lost = { .fingerprint = i / 2 + 1, .target = i % 2 + 1 };
+      peers_report_suspect (&fixture.granter, &lost);
+    }
+  report (&fixture, &fixture.other, "a");
+  settle (&fixture);
+  assert_int_equal (fixture.other.updates, 1);
+  assert_int_equal (fixture.other.suspects, REPORTS_MAX);
+  end (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_new_reporter_gets_its_reply_besides_repeated_reports),
+  };
+
+  return cmocka_run_group_tests_name ("peers", tests, NULL, NULL);
+}
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -113,7 +113,7 @@
 #define SUSPECT_MAX 256
 #define SUSPECT_KEEP_MS (60 * 1000)
 #define SUSPECT_TARGETS_MAX 4
-#define REPORTS_MAX 64
+#define REPORTS_MAX 24 /* less than LINK_QUEUE_MAX: repeated at once */
 /* Lost targets after which a request is blocked.  The requirements allow three crashes;
  * with fewer, a popular lookup that merely was in flight at the loss of two targets would
  * be refused. */
