Reports that met no granter are repeated when the same one is back

Cause: reports are repeated to the next granter, known by its incarnation. A host that loses the role, as after a disturbance of the store, and gets it again has the same one, and drops what it got meanwhile.

Change: they are repeated too at the first update after a time without a granter.

Measured: test_reports_that_met_no_granter_are_repeated_when_it_is_back of unit peers failed before (3 messages instead of 6) and passes now, with the address and undefined behaviour sanitizers.

--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -321,7 +321,7 @@
   if (update->report_sent_at > 0)
     self->round_trip_ms = now - update->report_sent_at;
   self->granter = update->address;
-  if (update->incarnation != self->updated_by)
+  if (update->incarnation != self->updated_by || now >= self->granter_update_expires)
     repeat_suspects (self, &self->granter);
   self->updated_by = update->incarnation;
   self->granter_update_expires = now + MIN (update->role_left_ms, UPDATE_VALID_MS);
