An answer from an earlier address doesn't disable a target

Cause: a target whose answer is 421 since another one has its address gets no requests until it is listed at another address. If it was listed there while the request was under way, or the request used an idle connection to the earlier address, the answer was taken for one from the new address, and the target got no requests from this host any more.

Change: such an answer counts only if the request was sent after the address was listed, and idle connections to an earlier address are closed.

Measured: two new tests of unit dispatch failed before (an_answer_from_an_earlier_address_says_nothing_on_the_listed_one, idle_connections_to_an_earlier_address_are_closed) and pass now, with the address and undefined behaviour sanitizers. A connection that is in use when the address changes is still kept after its response.

--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -114,7 +114,8 @@
   DISPATCH_DELIVER, /* forward the received response to the caller */
   DISPATCH_END,     /* end the request without a response from a target */
   DISPATCH_BROADCAST_SUSPECT, /* report or clear a suspect request at all hosts */
-  DISPATCH_CLOSE_IDLE, /* a target is no longer listed: close idle connections to it */
+  DISPATCH_CLOSE_IDLE, /* a target is no longer listed, or at another address: close idle
+                          connections to it */
   DISPATCH_TARGET_LEAVING, /* a target first stated that it leaves */
   DISPATCH_TARGET_PAUSE,   /* a target asked for no requests, or gets them again */
   DISPATCH_SERVICE_PAUSE,  /* all targets of a service asked for that, or one gets them */
@@ -237,6 +238,7 @@
   uint32_t failures;           /* consecutive failed attempts */
   msec_t backoff_until;        /* until then an owner gets no requests, others fewer */
   bool address_reused;         /* another target has its address; it gets no requests */
+  msec_t address_since;        /* when it was listed at another address; 0: never */
   /* Moving average: failed attempts, server errors and ANSWER_FULL per 1000 attempts. */
   uint32_t errors_permille;
   msec_t warm_up_end; /* until then its service time is taken as double */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -135,7 +135,8 @@
       self->samples++;
       self->samples_ms += (uint64_t)planned_time (sample, now - request->sent_at);
     }
-  if (msg->answer == ANSWER_WRONG_TARGET)
+  /* An answer from an earlier address says nothing on the listed one. */
+  if (msg->answer == ANSWER_WRONG_TARGET && request->sent_at > self->address_since)
     self->address_reused = true;
   if (msg->answer != ANSWER_WRONG_TARGET)
     rate_limit_state (&self->rate, msg->rate_limited, msg->rate_limit, now);
@@ -257,6 +258,28 @@
                       : -1;
 }
 
+static void
+close_idle (uint32_t target, GArray *out)
+{
+  const dispatch_out_t close = { .kind = DISPATCH_CLOSE_IDLE, .target = target };
+
+  g_array_append_val (out, close);
+}
+
+static void
+note_new_address (const dispatch_t *self,
+                  dispatch_target_t *target,
+                  msec_t now,
+                  GArray *out)
+{
+  guint i;
+
+  target->address_reused = false;
+  target->address_since = now;
+  if (g_ptr_array_find (self->targets, target, &i))
+    close_idle (i, out);
+}
+
 void
 targets_update (dispatch_t *self, const GArray *entries, msec_t now, GArray *out)
 {
@@ -276,7 +299,7 @@
                                       ? at (self, (uint32_t)known)
                                       : add_target (self, entry, (uint32_t)service, now);
       if (!name_equal (&target->entry.address, &entry->address))
-        target->address_reused = false;
+        note_new_address (self, target, now, out);
       target->entry = *entry;
       target->listed = true;
       leaving_update (&target->leaving, entry, now);
@@ -290,8 +313,7 @@
         continue;
       if (!leaving_is_known (&target->leaving))
         losses_confirm (self, target, now, out);
-      dispatch_out_t close_idle = { .kind = DISPATCH_CLOSE_IDLE, .target = i };
-      g_array_append_val (out, close_idle);
+      close_idle (i, out);
       /* The entry may return, and the pause holds then. */
       target->in_use = target->in_flight > 0 || pause_is_active (&target->pause, now);
     }
--- a/packages/dispatch/targets.h
+++ b/packages/dispatch/targets.h
@@ -30,8 +30,9 @@
 /* An attempt over an established connection got no response in time. */
 void target_timed_out (dispatch_target_t *self, msec_t now);
 
-/* Replaces the list of targets.  For those that are gone, appends DISPATCH_CLOSE_IDLE to
- * OUT, and reports of requests lost there unless the target was leaving. */
+/* Replaces the list of targets.  For those that are gone or at another address, appends
+ * DISPATCH_CLOSE_IDLE to OUT, and for those that are gone reports of requests lost there
+ * unless the target was leaving. */
 void targets_update (dispatch_t *self, const GArray *entries, msec_t now, GArray *out);
 
 /* The target with incarnation STATED has stated that it leaves.  The first time, appends
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -247,6 +247,51 @@
   end (&fixture);
 }
 
+/* Lists the owner of the keys at another address. */
+static void
+move_owner (fixture_t *self)
+{
+  target_entry_t *owner = &g_array_index (self->targets, target_entry_t, 0);
+
+  name_set (&owner->address, TEXT ("127.0.0.1:2"));
+  list_targets (self);
+}
+
+static void
+test_an_answer_from_an_earlier_address_says_nothing_on_the_listed_one (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t earlier, later;
+
+  (void)state;
+  begin (&fixture);
+  arrive (&fixture, &earlier, TEXT ("/keyed/"));
+  fixture.now += 10;
+  move_owner (&fixture);
+  fixture.now += 10;
+  answer (&fixture, &earlier, ANSWER_WRONG_TARGET, 421);
+  arrive (&fixture, &later, TEXT ("/keyed/"));
+  assert_true (text_equal (sent_to (&fixture), TEXT ("k1")));
+  end (&fixture);
+}
+
+static void
+test_idle_connections_to_an_earlier_address_are_closed (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  assert_null (find_out (&fixture, DISPATCH_CLOSE_IDLE));
+  move_owner (&fixture);
+  const dispatch_out_t *close = find_out (&fixture, DISPATCH_CLOSE_IDLE);
+  assert_non_null (close);
+  assert_int_equal (close->target, 0);
+  list_targets (&fixture);
+  assert_null (find_out (&fixture, DISPATCH_CLOSE_IDLE));
+  end (&fixture);
+}
+
 static void
 test_request_without_owner_is_rejected_within_objective (void **state)
 {
@@ -890,6 +935,9 @@
     cmocka_unit_test (test_keyed_request_goes_to_owner_or_waits_for_next_owner),
     cmocka_unit_test (test_older_key_table_is_ignored),
     cmocka_unit_test (test_target_with_reused_address_gets_no_requests),
+    cmocka_unit_test (
+        test_an_answer_from_an_earlier_address_says_nothing_on_the_listed_one),
+    cmocka_unit_test (test_idle_connections_to_an_earlier_address_are_closed),
     cmocka_unit_test (test_request_without_owner_is_rejected_within_objective),
     cmocka_unit_test (test_leaving_target_gets_no_new_requests),
     cmocka_unit_test (test_leaving_owner_gets_no_requests_after_drain_time),
