A new granter passes suspected requests on to hosts that report later

Cause: what a host repeated to a new granter went to the hosts that reported to it by then, came back to the sender, and counted as delivered. Hosts that began to report later never got it.

Change: the granter keeps what it passes on like its own reports, within the same bound, so that each new reporter gets it.

Measured: unit peers, what_a_host_repeats_reaches_those_that_report_later, failed before and passes now, with sanitizers.

--- a/packages/coordinator/peers.c
+++ b/packages/coordinator/peers.c
@@ -347,9 +347,11 @@
   const suspect_out_t suspect = { from->fingerprint, from->target, from->cleared };
   proxy_msg_t *msg = g_new0 (proxy_msg_t, 1);
 
-  reports_confirm (&self->suspects, &suspect);
+  /* The granter keeps it for the hosts that don't report to it yet. */
   if (self->role.state == ROLE_HELD)
-    pass_on_suspect (self, &suspect);
+    peers_report_suspect (self, &suspect);
+  else
+    reports_confirm (&self->suspects, &suspect);
   msg->kind = PROXY_SUSPECT;
   msg->suspect = suspect;
   discovery_post (self, msg);
--- a/packages/suspect/reports.h
+++ b/packages/suspect/reports.h
@@ -23,7 +23,7 @@
 void reports_init (reports_t *self);
 void reports_finish (reports_t *self);
 
-/* This host reports SUSPECT. */
+/* This host reports SUSPECT, or passes it on as the granter. */
 void reports_add (reports_t *self, const suspect_out_t *suspect, msec_t now);
 
 /* SUSPECT has come from the granter, or from a host that reports to this one. */
