A timeout that is set while a response is streamed doesn't limit it

Cause: httpc_set_timeout starts the limit on the whole call again, which a streamed response doesn't have once its head has arrived. By reading; no caller does so today. Change: none is started while a response is streamed. Result: unit httpc, a_streamed_response_has_no_limit_whenever_a_timeout_is_set, failed before (the mutant is that code); 24 tests pass with sanitizers.

--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -325,7 +325,7 @@
 
   conn->timeout = timeout;
   evhttp_connection_set_timeout_tv (conn->evcon, &tv);
-  if (conn->ops != NULL)
+  if (conn->ops != NULL && !conn->streaming)
     evtimer_add (conn->end_timer, &end);
 }
 
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -53,6 +53,8 @@
   msec_t bound;        /* the event loop stops this long after a call's start; 0: never */
   msec_t took, waited; /* by the last call; of that, for a processor */
   bool outlasted;      /* the call had not ended by then */
+  httpc_conn_t *conn;  /* of the last call */
+  msec_t later_timeout; /* set when the first part of a streamed body arrives; 0: not */
 } client_t;
 
 static void *
@@ -149,6 +151,8 @@
 {
   client_t *self = owner;
 
+  if (self->body == 0 && self->later_timeout > 0)
+    httpc_set_timeout (self->conn, self->later_timeout);
   self->body += evbuffer_get_length (data);
   evbuffer_drain (data, evbuffer_get_length (data));
 }
@@ -272,6 +276,7 @@
                                   self,
                                   g_get_monotonic_time () / 1000);
   assert_non_null (conn);
+  self->conn = conn;
   self->reused = httpc_is_reused (conn);
   if (self->timeout > 0)
     httpc_set_timeout (conn, self->timeout);
@@ -528,6 +533,23 @@
   expect_end_at_limit ((client_t){ 0 });
 }
 
+static void
+test_a_streamed_response_has_no_limit_whenever_a_timeout_is_set (void **state)
+{
+  server_t server = { .response = CHUNKED, .repeated = "1\r\nx\r\n", .pause_ms = 20 };
+  client_t client = { .streams = true,
+                      .timeout = 5000,
+                      .limit = 400,
+                      .bound = 1100,
+                      .later_timeout = 5000 };
+
+  (void)state;
+  call_server (&client, &server);
+  assert_true (client.outlasted);
+  assert_false (client.failed);
+  assert_true (client.body > 0);
+}
+
 static void
 test_refused_connection_sends_nothing (void **state)
 {
@@ -955,6 +977,7 @@
     cmocka_unit_test (test_unresponsive_server_times_out),
     cmocka_unit_test (test_a_call_has_its_own_timeout),
     cmocka_unit_test (test_a_call_ends_at_its_limit_whatever_arrives),
+    cmocka_unit_test (test_a_streamed_response_has_no_limit_whenever_a_timeout_is_set),
     cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
     cmocka_unit_test (test_a_call_that_has_failed_cannot_arrive_any_more),
