A call's limit counts from its start, whatever stalls before its timers start

Callers: a successor counts on it that calls to targets end within COMMAND_CALL_MS. Cause: the limit began when the timer was started. That is after a new connection has been prepared: traced in unit httpc beside load, the process waited 681 ms for a processor within httpc_call, and the call failed 400 ms (the limit) after that instead of at once. httpc_set_timeout started it again, so that a call whose timeout is set later could outlast it. Calls that start within the event loop: their timers count from the time that the loop took when it woke, before the call, so that the limit begins early (trial: one of 400 ms ended 252.8 and 100.6 ms after a call made 150 and 300 ms after the wake-up). Not mended: while no socket wakes the loop, timers that are added in a turn run late by what had passed of it (trial: after a stall of 300 ms in the turn, 150 ms ended 150.4 ms after the call, though the cached time was 299 ms behind). Change: the start is taken first, by the clock of libevent's timers, and the limit counts from there whenever it is set. Result: unit httpc, without a load of its own: calls with a stall of 800 ms within httpc_call, and between it and httpc_set_timeout, hadn't ended 1100 ms after their start with a limit of 400; now they end in time.

--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -7,6 +7,7 @@
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 
 struct httpc_conn
 {
@@ -24,11 +25,22 @@
   bool timed_out;
   bool options_set;
   uint64_t body_received;
-  msec_t timeout; /* maximum time without progress */
+  msec_t timeout;  /* maximum time without progress */
+  int64_t started; /* when the latest call was, by timer_clock */
   struct event *connect_timer;
   struct event *end_timer; /* when the call fails, whatever its progress */
 };
 
+/* The clock of libevent's timers, in microseconds. */
+static int64_t
+timer_clock (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC_COARSE, &now);
+  return now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
 static void
 free_conn (httpc_conn_t *self)
 {
@@ -315,18 +327,27 @@
   return 0;
 }
 
+/* Counts from the start of the call, whenever it is set. */
+static void
+set_end (httpc_conn_t *self)
+{
+  const msec_t limit = self->pool->call_limit;
+  const msec_t longest = limit > 0 ? limit : self->timeout * HTTPC_PROGRESS_FACTOR;
+  const int64_t left = MAX (longest * 1000 - (timer_clock () - self->started), 0);
+  const struct timeval end = { left / G_USEC_PER_SEC, left % G_USEC_PER_SEC };
+
+  evtimer_add (self->end_timer, &end);
+}
+
 void
 httpc_set_timeout (httpc_conn_t *conn, msec_t timeout)
 {
   const struct timeval tv = { timeout / 1000, timeout % 1000 * 1000 };
-  const msec_t limit = conn->pool->call_limit;
-  const msec_t longest = limit > 0 ? limit : timeout * HTTPC_PROGRESS_FACTOR;
-  const struct timeval end = { longest / 1000, longest % 1000 * 1000 };
 
   conn->timeout = timeout;
   evhttp_connection_set_timeout_tv (conn->evcon, &tv);
   if (conn->ops != NULL && !conn->streaming)
-    evtimer_add (conn->end_timer, &end);
+    set_end (conn);
 }
 
 static httpc_conn_t *
@@ -364,13 +385,14 @@
 }
 
 static void
-start_call (httpc_conn_t *self, const httpc_ops_t *ops, void *owner)
+start_call (httpc_conn_t *self, const httpc_ops_t *ops, void *owner, int64_t started)
 {
   const msec_t connect = self->pool->connect_timeout;
   const struct timeval connect_tv = { connect / 1000, connect % 1000 * 1000 };
 
   self->ops = ops;
   self->owner = owner;
+  self->started = started;
   self->bytes_sent = 0;
   self->options_set = false; /* evhttp may open a new socket for this call */
   self->not_permitted = false;
@@ -404,9 +426,10 @@
               enum evhttp_cmd_type method,
               const char *uri,
               const httpc_ops_t *ops,
-              void *owner)
+              void *owner,
+              int64_t started)
 {
-  start_call (self, ops, owner);
+  start_call (self, ops, owner, started);
   request->cb_arg = self;
   evhttp_request_set_header_cb (request, on_head);
   evhttp_request_set_error_cb (request, on_error);
@@ -499,11 +522,12 @@
             void *owner,
             msec_t now)
 {
+  const int64_t started = timer_clock (); /* not after a stall of the process below */
   httpc_conn_t *conn = take_idle (self, now);
 
   if (conn == NULL)
     conn = open_conn (self);
-  return send_request (conn, request, method, uri, ops, owner);
+  return send_request (conn, request, method, uri, ops, owner, started);
 }
 
 httpc_conn_t *
@@ -514,10 +538,11 @@
                   const httpc_ops_t *ops,
                   void *owner)
 {
+  const int64_t started = timer_clock ();
   httpc_conn_t *conn = open_conn (self);
 
   conn->alone = true;
-  return send_request (conn, request, method, uri, ops, owner);
+  return send_request (conn, request, method, uri, ops, owner, started);
 }
 
 bool
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -129,7 +129,8 @@
 /* Whether the response to the call on CONN has begun to arrive: its head is complete. */
 bool httpc_is_receiving (const httpc_conn_t *conn);
 
-/* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on it. */
+/* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on it.  A limit on
+ * the whole call counts from its start all the same. */
 void httpc_set_timeout (httpc_conn_t *conn, msec_t timeout);
 
 /* Parses the body of a response that was not streamed as JSON; NULL if it is not valid.
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -53,8 +53,10 @@
   msec_t bound;        /* the event loop stops this long after a call's start; 0: never */
   msec_t took, waited; /* by the last call; of that, for a processor */
   bool outlasted;      /* the call had not ended by then */
+  bool stalls_inside;  /* the process stalls within httpc_call, before its timers start */
   httpc_conn_t *conn;  /* of the last call */
   msec_t later_timeout; /* set when the first part of a streamed body arrives; 0: not */
+  msec_t stall;         /* between the call and httpc_set_timeout */
 } client_t;
 
 static void *
@@ -248,6 +250,19 @@
   event_base_loopbreak (self->base);
 }
 
+#define STALL_MS 800
+
+static bool stall_at_next_allocation;
+
+static void *
+allocate (size_t size)
+{
+  if (stall_at_next_allocation)
+    usleep (STALL_MS * 1000);
+  stall_at_next_allocation = false;
+  return malloc (size);
+}
+
 static void
 call_once (client_t *self)
 {
@@ -266,6 +281,7 @@
   const msec_t delay = scheduling_delay (), started = timer_now ();
   if (self->bound > 0)
     evtimer_add (bound_timer, &bound);
+  stall_at_next_allocation = self->stalls_inside;
   httpc_conn_t *conn
       = self->alone ? httpc_call_alone (&self->pool, request, method, "/x", &ops, self)
                     : httpc_call (&self->pool,
@@ -278,6 +294,7 @@
   assert_non_null (conn);
   self->conn = conn;
   self->reused = httpc_is_reused (conn);
+  usleep ((useconds_t)self->stall * 1000);
   if (self->timeout > 0)
     httpc_set_timeout (conn, self->timeout);
   event_base_dispatch (self->base);
@@ -533,6 +550,21 @@
   expect_end_at_limit ((client_t){ 0 });
 }
 
+static void
+test_a_limit_counts_from_the_start_of_its_call (void **state)
+{
+  (void)state;
+  expect_end_at_limit ((client_t){ .stalls_inside = true });
+  expect_end_at_limit ((client_t){ .stalls_inside = true, .alone = true });
+}
+
+static void
+test_a_timeout_that_is_set_late_does_not_prolong_the_limit (void **state)
+{
+  (void)state;
+  expect_end_at_limit ((client_t){ .stall = STALL_MS });
+}
+
 static void
 test_a_streamed_response_has_no_limit_whenever_a_timeout_is_set (void **state)
 {
@@ -970,6 +1002,7 @@
 main (void)
 {
   signal (SIGPIPE, SIG_IGN);
+  event_set_mem_functions (allocate, realloc, free);
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_complete_responses),
     cmocka_unit_test (test_truncated_responses),
@@ -977,6 +1010,8 @@
     cmocka_unit_test (test_unresponsive_server_times_out),
     cmocka_unit_test (test_a_call_has_its_own_timeout),
     cmocka_unit_test (test_a_call_ends_at_its_limit_whatever_arrives),
+    cmocka_unit_test (test_a_limit_counts_from_the_start_of_its_call),
+    cmocka_unit_test (test_a_timeout_that_is_set_late_does_not_prolong_the_limit),
     cmocka_unit_test (test_a_streamed_response_has_no_limit_whenever_a_timeout_is_set),
     cmocka_unit_test (test_responses_without_end_are_given_up),
     cmocka_unit_test (test_aborted_call_resets_its_connection),
