The result of disconnecting a socket is ignored expressly; the tests of peers are joined

The linter wants the result of connect used; a socket that can't be disconnected is closed next, which resets it.

--- a/packages/coordinator/tests/test_peers.c
+++ b/packages/coordinator/tests/test_peers.c
@@ -18,7 +18,7 @@
 typedef struct
 {
   router_settings_t settings;
-  coordinator_t granter;
+  coordinator_t host;
   char address[ADDRESS_MAX];
   peer_t first, second;
 } fixture_t;
@@ -85,7 +85,7 @@
 static void
 begin (fixture_t *self)
 {
-  coordinator_t *host = &self->granter;
+  coordinator_t *host = &self->host;
   fault_t fault;
 
   *self = (fixture_t){ .settings = { .link_mbps = 1000 } };
@@ -118,7 +118,7 @@
 static void
 end (fixture_t *self)
 {
-  coordinator_t *host = &self->granter;
+  coordinator_t *host = &self->host;
 
   link_finish (&self->first.link);
   link_finish (&self->second.link);
@@ -136,13 +136,13 @@
 {
   const struct timeval tv = { 0, SETTLE_MS * 1000 };
 
-  event_base_loopexit (self->granter.base, &tv);
-  event_base_dispatch (self->granter.base);
+  event_base_loopexit (self->host.base, &tv);
+  event_base_dispatch (self->host.base);
 }
 
-/* Sends BODY, which is freed, to the granter. */
+/* Sends BODY, which is freed, to the host. */
 static void
-send_to_granter (fixture_t *self, peer_t *from, GByteArray *body)
+send_to_host (fixture_t *self, peer_t *from, GByteArray *body)
 {
   GByteArray *message
       = link_encode_message ((text_t){ (const char *)body->data, body->len }, NULL, 0);
@@ -162,7 +162,7 @@
 
   name_set (&report.host, text_from_c (name));
   name_set (&report.address, text_from_c (from->address));
-  send_to_granter (self, from, link_encode_report (&report));
+  send_to_host (self, from, link_encode_report (&report));
   g_array_unref (none);
 }
 
@@ -176,7 +176,7 @@
   for (unsigned i = 0; i < REPORTS_MAX; i++)
     {
       const suspect_out_t lost = { .fingerprint = i / 2 + 1, .target = i % 2 + 1 };
-      peers_report_suspect (&fixture.granter, &lost);
+      peers_report_suspect (&fixture.host, &lost);
     }
   report (&fixture, &fixture.first, "a");
   settle (&fixture);
@@ -197,7 +197,7 @@
   for (unsigned i = 1; i <= 3; i++)
     {
       const link_suspect_t lost = { .fingerprint = 7, .target = i };
-      send_to_granter (&fixture, &fixture.first, link_encode_suspect (&lost));
+      send_to_host (&fixture, &fixture.first, link_encode_suspect (&lost));
     }
   settle (&fixture);
   assert_int_equal (fixture.first.suspects, 3);
@@ -208,11 +208,49 @@
   end (&fixture);
 }
 
+/* The granter INCARNATION sends an update, and has the role for ROLE_LEFT ms. */
+static void
+update (fixture_t *self, uint64_t incarnation, msec_t role_left)
+{
+  link_update_t update = { .incarnation = incarnation, .role_left_ms = role_left };
+
+  name_set (&update.host, TEXT ("a"));
+  name_set (&update.address, text_from_c (self->first.address));
+  send_to_host (self, &self->first, link_encode_update (&update));
+  settle (self);
+}
+
+static void
+test_reports_that_met_no_granter_are_repeated_when_it_is_back (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  fixture.host.role.state = ROLE_NOT_HELD;
+  update (&fixture, 3, SETTLE_MS / 2);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      const suspect_out_t lost = { .fingerprint = 7, .target = i };
+      peers_report_suspect (&fixture.host, &lost);
+    }
+  settle (&fixture);
+  assert_int_equal (fixture.first.suspects, 3);
+  update (&fixture, 3, 10 * SETTLE_MS);
+  assert_int_equal (fixture.first.suspects, 6);
+  update (&fixture, 3, 10 * SETTLE_MS);
+  assert_int_equal (fixture.first.suspects, 6);
+  update (&fixture, 4, 10 * SETTLE_MS);
+  assert_int_equal (fixture.first.suspects, 9);
+  end (&fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_new_reporter_gets_its_reply_besides_repeated_reports),
+    cmocka_unit_test (test_reports_that_met_no_granter_are_repeated_when_it_is_back),
     cmocka_unit_test (test_what_a_host_repeats_reaches_those_that_report_later),
   };
 
--- a/packages/http/sockets.c
+++ b/packages/http/sockets.c
@@ -34,7 +34,7 @@
   const struct sockaddr none = { .sa_family = AF_UNSPEC };
 
   if (fd >= 0)
-    connect (fd, &none, sizeof none);
+    (void)connect (fd, &none, sizeof none);
 }
 
 int
