--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -318,7 +318,7 @@
         reader, writer = await asyncio.open_connection(sock=sock, limit=1 << 16)
         return cls(case, router, reader, writer)
 
-    async def send(self, route, request_id, method="GET", body=None, deadline_ms=3000):
+    def _encode(self, route, request_id, method, body, deadline_ms):
         head = "%s /%s/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n" % (
             method,
             route,
@@ -328,7 +328,17 @@
         if body is not None:
             head += "Content-Length: %d\r\n" % len(body)
         self.case.record("sent", request=request_id, route=route, bytes=len(body or b""))
-        self.writer.write(head.encode() + b"\r\n" + (body or b""))
+        return head.encode() + b"\r\n" + (body or b"")
+
+    async def send(self, route, request_id, method="GET", body=None, deadline_ms=3000):
+        self.writer.write(self._encode(route, request_id, method, body, deadline_ms))
+        await self.writer.drain()
+
+    async def send_together(self, route, request_ids, deadline_ms):
+        """Pipelines GET requests with one write."""
+        self.writer.write(
+            b"".join(self._encode(route, i, "GET", None, deadline_ms) for i in request_ids)
+        )
         await self.writer.drain()
 
     async def receive(self, bytes_per_s=None):
@@ -469,10 +479,10 @@
         self.record("run", instance=instance.name, request=request_id)
         self.runs.setdefault(request_id, []).append(instance.name)
 
-    def configuration(self):
+    def configuration(self, version="00000001"):
         return json.dumps(
             {
-                "version": "00000001",
+                "version": version,
                 "routes": {
                     "cols": [
                         "name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "attempts",
