--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -510,6 +510,9 @@
         ).encode()
 
     async def run(self):
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
         started = []
@@ -542,7 +545,7 @@
     case = case_class(os.path.dirname(os.path.abspath(file)))
     try:
         code = asyncio.run(case.run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # says nothing about the rule
         case.record("cannot_run", why=repr(error))
         print("cannot run:", repr(error), file=sys.stderr)
         code = NOT_RUN
