--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -964,5 +964,15 @@
         start, headers, body, self.rest = message
         return Response(int(start.split(" ")[1]), headers, body)
 
+    def is_closed(self):
+        """Whether the router has closed the connection."""
+        self.sock.settimeout(0.1)
+        try:
+            return self.sock.recv(1) == b""
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
     def close(self):
         self.sock.close()
