Log requests without an answer, and what decided a request

New: proxy unanswered and unread with what the request awaits and the state of its connection, two metrics, in_force and for_ms in the lines of requests, store versions_lost when the store's newest version falls below one that the host had.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -8,7 +8,8 @@
 {
   feed_t *feed; /* NULL: the call was abandoned */
   msec_t started;
-  msec_t wait; /* of a watch: how long the store waits for a change */
+  msec_t wait;      /* of a watch: how long the store waits for a change */
+  uint64_t version; /* of the feed when it was started */
 } feed_call_t;
 
 static void on_reply (void *owner, const store_reply_t *reply);
@@ -25,7 +26,7 @@
   const store_ops_t *ops = self->store->ops;
 
   self->call = g_new (feed_call_t, 1);
-  *self->call = (feed_call_t){ self, msclock_now (self->clock), 0 };
+  *self->call = (feed_call_t){ self, msclock_now (self->clock), 0, self->version };
 
   if (self->watching)
     {
@@ -110,9 +111,27 @@
                      + (msec_t)rng_below (&self->rng, self->retry_delay));
 }
 
+/* The store has lost versions that this host had before CALL. */
 static void
-handle_success (feed_t *self, const store_reply_t *reply)
+log_lost_versions (const feed_t *self,
+                   const feed_call_t *call,
+                   const store_reply_t *reply)
 {
+  if (reply->version >= call->version)
+    return;
+  eventlog_write (EVENT_STATE,
+                  "store",
+                  "versions_lost",
+                  "feed=%s version=%llu newest=%llu",
+                  self->name,
+                  (unsigned long long)call->version,
+                  (unsigned long long)reply->version);
+}
+
+static void
+handle_success (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
+{
+  log_lost_versions (self, call, reply);
   outage_note_answer (self->outage, msclock_now (self->clock));
   if (self->retry_delay == 0)
     return;
@@ -246,7 +265,7 @@
       handle_failure (self, call, reply);
       return;
     }
-  handle_success (self, reply);
+  handle_success (self, call, reply);
   log_duration (self, call, reply);
   if (self->watching)
     handle_changes (self, call, reply);
--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -61,6 +61,8 @@
   add_number (page, "repeats_left", counts->retries_left);
   add_number (page, "target_connections_total", counts->target_connections);
   add_number (page, "stray_answers_total", counts->stray_responses);
+  add_number (page, "unanswered_total", counts->unanswered);
+  add_number (page, "unread_connections_total", counts->unread);
   add_number (page, "target_pauses_total", counts->target_pauses);
   add_number (page, "service_pauses_total", counts->service_pauses);
   add_number (page, "caller_connections", counts->caller_connections);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -235,6 +235,8 @@
 #define PROXY_SKIPPED_RESPONSES_MAX 16  /* interim or to earlier requests, before ours */
 #define PROXY_HEAD_MAX_BYTES (64 * 1024) /* until a configuration sets it */
 #define PROXY_IDLE_MS 15000     /* without a request, until a configuration sets it */
+/* After the time-out of its route, a request without an answer is logged. */
+#define PROXY_UNANSWERED_MS 400
 #define PROXY_LINGER_MS 1000    /* time to read the rest of a closed connection */
 #define TARGET_CONNECT_MS 400   /* two round trips within a region and a lost packet */
 #define POOL_IDLE_MS 8000       /* for targets that send no Keep-Alive time */
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -298,6 +298,9 @@
  * unanswered. */
 bool dispatch_may_pipeline (const dispatch_t *self, text_t host, text_t path);
 
+/* The time-out of the route of HOST and PATH, in ms; MSEC_NEVER if there is no route. */
+msec_t dispatch_time_limit (const dispatch_t *self, text_t host, text_t path);
+
 void dispatch_request_init (dispatch_request_t *self);
 
 const dispatch_target_t *dispatch_target (const dispatch_t *self, uint32_t target);
--- a/packages/dispatch/services.c
+++ b/packages/dispatch/services.c
@@ -110,15 +110,29 @@
   return names[reason];
 }
 
-bool
-dispatch_may_pipeline (const dispatch_t *self, text_t host, text_t path)
+static const route_entry_t *
+find_route (const dispatch_t *self, text_t host, text_t path)
 {
   int i = self->directory == NULL ? -1
                                   : directory_match_route (self->directory, host, path);
 
-  return i >= 0
-         && request_kind_may_repeat (
-             g_array_index (self->directory->routes, route_entry_t, (guint)i).kind);
+  return i < 0 ? NULL : &g_array_index (self->directory->routes, route_entry_t, (guint)i);
+}
+
+bool
+dispatch_may_pipeline (const dispatch_t *self, text_t host, text_t path)
+{
+  const route_entry_t *route = find_route (self, host, path);
+
+  return route != NULL && request_kind_may_repeat (route->kind);
+}
+
+msec_t
+dispatch_time_limit (const dispatch_t *self, text_t host, text_t path)
+{
+  const route_entry_t *route = find_route (self, host, path);
+
+  return route != NULL ? route->timeout : MSEC_NEVER;
 }
 
 const dispatch_target_t *
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -43,6 +43,7 @@
   bool response_ready;     /* RESPONSE is final and can be written to the caller */
   bool close;              /* the caller's connection is closed after the response */
   unsigned status;         /* HTTP status of the response */
+  bool logged_unanswered;  /* that it is late was logged */
   /* Serial numbers of the connections on which a target rejected the request. */
   uint64_t rejected_on[DISPATCH_ATTEMPTS_MAX];
   uint32_t n_rejected;
@@ -64,6 +65,7 @@
   bool no_more_requests; /* no further request is read */
   bool closing;          /* no more responses; the connection is being closed */
   bool advancing;        /* caller_advance is on the stack */
+  bool logged_unread;    /* that it isn't read, with nothing pending, was logged */
   struct event *timer;
   TAILQ_ENTRY (caller) link;
 };
@@ -114,6 +116,12 @@
 /* Logs and counts a DISPATCH_TARGET_PAUSE or DISPATCH_SERVICE_PAUSE. */
 void report_pause (proxy_t *self, const dispatch_out_t *out);
 
+/* unanswered.c */
+
+/* Logs and counts requests without an answer PROXY_UNANSWERED_MS after the time-out of
+ * their route, and connections that aren't read although nothing is pending on them. */
+void unanswered_review (proxy_t *self, msec_t now);
+
 /* stream.c */
 
 /* Forwards PART of the response body to the caller.  FROM: the target's connection. */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -28,7 +28,8 @@
       "dispatch",
       served ? "served" : "ended",
       "request=%.*s status=%u reason=%s service=%.*s key=%d target=%.*s sends=%u runs=%u "
-      "ms=%lld wait_ms=%lld config=%llx keys=%llu retry_after_ms=%lld",
+      "ms=%lld wait_ms=%lld config=%llx in_force=%llx for_ms=%lld keys=%llu "
+      "retry_after_ms=%lld",
       NAME_ARG (self->id),
       self->status,
       dispatch_reason_name (out->reason),
@@ -40,6 +41,10 @@
       (long long)(msclock_now (&proxy->clock) - request->arrived),
       (long long)(request->deadline - request->arrived),
       (unsigned long long)request->directory_version,
+      (unsigned long long)(proxy->dispatch.directory != NULL
+                               ? proxy->dispatch.directory->version
+                               : 0),
+      (long long)(msclock_now (&proxy->clock) - proxy->directory_at),
       (unsigned long long)request->key_table_version,
       (long long)out->retry_after);
 }
@@ -316,6 +321,7 @@
     {
     case PROXY_DIRECTORY:
       log_in_force (self, msg);
+      self->directory_at = msclock_now (&self->clock);
       self->limits = msg->directory->limits;
       dispatch_msg.kind = DISPATCH_DIRECTORY;
       dispatch_msg.directory = g_steal_pointer (&msg->directory);
@@ -464,6 +470,7 @@
   (void)fd;
   (void)what;
   note_tick (self, now);
+  unanswered_review (self, now);
   report_post_counts (self);
   if (self->draining)
     drain_step (self, now);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -66,7 +66,7 @@
 typedef struct
 {
   uint64_t requests, callers_left, attempts, retries, target_connections, bad_requests,
-      stray_responses, target_pauses, service_pauses;
+      stray_responses, target_pauses, service_pauses, unanswered, unread;
   uint64_t caller_connections; /* gauge: open connections of callers */
   uint64_t queued;             /* gauge: requests queued at this host */
   uint64_t retries_left;       /* gauge: retries left in the budgets of all services */
@@ -124,6 +124,7 @@
   uint32_t caller_count;
   uint64_t connections_opened; /* to targets */
   GPtrArray *idle; /* by target: target_conn_list, the most recently used first */
+  msec_t directory_at; /* when the present configuration came into force here */
   bool targets_known, draining;
   uint32_t host_count; /* that share the retry budget and the idle connections */
   router_bounds_t bounds;
