--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -35,6 +35,7 @@
         self.log = []
         self.ver = 0
         self.compacted = 0  # changes up to this version can't be watched any more
+        self.era = 1  # rises with each return from an older copy
         self.unavailable = False  # requests are answered with 503
         self.unresponsive = False  # requests are accepted and never answered
         self.n_calls = 0
@@ -58,6 +59,19 @@
             self.delete(table, key)
             self.compacted = self.ver
 
+    def copy(self):
+        with self.changed:
+            return dict(self.rows), list(self.log), self.ver
+
+    def restore(self, copy):
+        """Returns from an older copy: what was written since is gone, and its versions are given
+        out again."""
+        with self.changed:
+            self.rows, self.log, self.ver = dict(copy[0]), list(copy[1]), copy[2]
+            self.compacted = min(self.compacted, self.ver)
+            self.era += 1
+            self.changed.notify_all()
+
     def _set(self, table, key, value):
         self.rows[(table, key)] = (value, self.ver)
         self.log.append((self.ver, table, key, value))
@@ -109,7 +123,7 @@
                 ]
                 if self.unresponsive:
                     rows = []
-                if after < self.compacted:
+                if after < self.compacted or after > self.ver:
                     return 410, self._reply()
                 left = until - time.monotonic()
                 if rows or left <= 0:
@@ -120,6 +134,9 @@
 class JsonHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
+    def more_headers(self):
+        return {}
+
     def log_message(self, *args):
         pass
 
@@ -128,6 +145,8 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
+        for name, value in self.more_headers().items():
+            self.send_header(name, value)
         self.end_headers()
         self.wfile.write(data)
 
@@ -159,6 +178,9 @@
 
 def serve_store(store, access=None):
     class Handler(JsonHandler):
+        def more_headers(self):
+            return {} if store.era is None else {"Store-Era": str(store.era)}
+
         def is_unresponsive(self):
             store.n_calls += 1
             self.close_connection = store.unresponsive or self.is_silent()
@@ -185,6 +207,8 @@
             data = json.dumps(body).encode()
             self.send_response(status)
             self.send_header("Content-Length", str(len(data)))
+            for name, value in self.more_headers().items():
+                self.send_header(name, value)
             self.end_headers()
             piece = max(access.bytes_per_s // 20, 1)
             for at in range(0, len(data), piece):
