Each caller's connection goes on by its state

Cause: reading, parsing and starting the next request were stopped in one place and resumed by an event in another file (caller_resume, target_conn_resume, the next read), which doesn't come in these states; the timer of a head or body began anew with each byte.

Now a slice without I/O, flow, decides from the state of a connection whether it is parsed and read and what is due when; caller_advance asks it after each event until nothing more can be done, and target_conn_update does the same for a target's connection, also when it returns to the pool. A connection holds 128 unanswered requests and 64 KiB unparsed (unbounded before); the time-out of a body that arrives counts from the request's first byte (arrivals). Answers that are taken are delivered whole after the last one of a closing connection, and a streamed one isn't ended by a target's silence before the deadline, since both timers are gone with the events that set them.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -221,7 +221,10 @@
 
 /* The proxy's connections. */
 #define PROXY_LISTEN_BACKLOG 1024 /* all callers of a failed host reconnect at once */
-#define PROXY_PIPELINE_MAX 32     /* pipelined requests per connection */
+#define PROXY_PIPELINE_MAX 128    /* unanswered requests per connection */
+/* Received and not parsed, while there are as many. */
+#define PROXY_UNPARSED_MAX_BYTES (64 * 1024)
+#define ARRIVALS_MERGE_MS 10 /* between bytes whose times of arrival are told apart */
 #define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024)   /* until a configuration sets it */
 #define PROXY_BODY_BUFFER_BYTES (256 * 1024)      /* larger request bodies are streamed */
 #define PROXY_RESPONSE_BUFFER_BYTES (1024 * 1024) /* larger responses are streamed */
@@ -230,14 +233,16 @@
 #define BUFFERS_MEMORY_PERCENT 25
 /* Of what is left of that: the part of one message. */
 #define BUFFERS_PARTS 32
-#define BUFFERS_LEAST_BYTES (16 * 1024) /* what one read from a socket takes */
-#define PROXY_PROGRESS_MS 5000          /* the longest pause within a streamed response */
-#define PROXY_SKIPPED_RESPONSES_MAX 16  /* interim or to earlier requests, before ours */
+#define BUFFERS_LEAST_BYTES (16 * 1024)  /* what one read from a socket takes */
+#define PROXY_SKIPPED_RESPONSES_MAX 16   /* interim or to earlier requests, before ours */
 #define PROXY_HEAD_MAX_BYTES (64 * 1024) /* until a configuration sets it */
-#define PROXY_IDLE_MS 15000     /* without a request, until a configuration sets it */
+#define PROXY_IDLE_MS 15000 /* without a request, until a configuration sets it */
 /* After the time-out of its route, a request without an answer is logged. */
 #define PROXY_UNANSWERED_MS 400
-#define PROXY_LINGER_MS 1000    /* time to read the rest of a closed connection */
+#define PROXY_LINGER_MS 1000 /* time to read the rest of a closed connection */
+/* A connection that is being closed ends when no byte of its answers was taken for this
+ * long. */
+#define PROXY_STALLED_MS 5000
 #define TARGET_CONNECT_MS 400   /* two round trips within a region and a lost packet */
 #define POOL_IDLE_MS 8000       /* for targets that send no Keep-Alive time */
 #define POOL_IDLE_MARGIN_MS 700 /* before the end of the target's Keep-Alive time */
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -4,12 +4,22 @@
 
 #include <string.h>
 
-static void
-set_timer (caller_t *self, msec_t wait)
+static struct evbuffer *
+input_of (const caller_t *self)
 {
-  const struct timeval after = { wait / 1000, wait % 1000 * 1000 };
+  return bufferevent_get_input (self->bev);
+}
+
+static struct evbuffer *
+output_of (const caller_t *self)
+{
+  return bufferevent_get_output (self->bev);
+}
 
-  evtimer_add (self->timer, &after);
+static msec_t
+now_of (const caller_t *self)
+{
+  return msclock_now (&self->proxy->clock);
 }
 
 /* Shuts down the sending side.  Bytes that the caller still sends are read and discarded,
@@ -21,10 +31,9 @@
   if (self->closing)
     return;
   self->closing = true;
-  bufferevent_enable (self->bev, EV_READ); /* may be paused within a body */
-  if (evbuffer_get_length (bufferevent_get_output (self->bev)) == 0)
+  self->times.closing_at = now_of (self);
+  if (evbuffer_get_length (output_of (self)) == 0)
     shutdown (bufferevent_getfd (self->bev), SHUT_WR);
-  set_timer (self, PROXY_LINGER_MS);
 }
 
 static msec_t
@@ -59,11 +68,12 @@
     }
 }
 
-/* Writes responses in the order of their requests. */
-static void
+/* Writes responses in the order of their requests.  Returns whether there were any. */
+static bool
 write_responses (caller_t *self)
 {
   exchange_t *exchange;
+  bool written = false;
 
   while ((exchange = TAILQ_FIRST (&self->pipeline)) != NULL && exchange->response_ready
          && !self->closing)
@@ -77,10 +87,12 @@
       exchange_free (exchange);
       if (close)
         close_gracefully (self);
+      written = true;
     }
   /* A large response waits for its turn. */
-  if (exchange != NULL && exchange->connection != NULL && !exchange->response_streaming)
-    target_conn_resume (exchange->connection);
+  if (exchange != NULL && exchange->connection != NULL)
+    target_conn_update (exchange->connection);
+  return written;
 }
 
 /* Rejects a request that cannot be forwarded.  No further requests are read. */
@@ -154,11 +166,12 @@
   TAILQ_INSERT_TAIL (&self->pipeline, exchange, link);
   self->pipeline_len++;
   self->receiving = exchange;
+  self->times.received_at = now_of (self);
   exchange->body_max = body_limit (self->proxy);
-  if (http_list_has (http_head_get (&self->reader.head, TEXT ("expect")),
-                     TEXT ("100-continue"))
-      && exchange == TAILQ_FIRST (&self->pipeline) && !is_too_large (exchange))
-    bufferevent_write (self->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  exchange->expects_invitation
+      = http_list_has (http_head_get (&self->reader.head, TEXT ("expect")),
+                       TEXT ("100-continue"))
+        && !is_too_large (exchange);
   if (exchange->close)
     self->no_more_requests = true;
   return true;
@@ -174,6 +187,7 @@
   if (exchange == NULL || exchange->response_ready)
     return; /* the response was prepared early; the rest is discarded */
   exchange->body_received += bytes.len;
+  self->times.received_at = now_of (self);
   if (is_too_large (exchange))
     return; /* read_requests rejects it */
   size_t part = buffers_part (&self->proxy->buffers, PROXY_BODY_BUFFER_BYTES);
@@ -184,64 +198,183 @@
     return;
   if (exchange->connection != NULL)
     target_conn_write_body (exchange->connection);
-  else if (evbuffer_get_length (exchange->body) > 2 * part)
-    bufferevent_disable (self->bev, EV_READ); /* until the request is sent */
 }
 
 static const http_reader_ops_t reader_ops = { on_head, on_body };
 
+/* What of the body that arrives waits for a target. */
+static flow_queue_t
+body_queue (const caller_t *self)
+{
+  const exchange_t *exchange = self->receiving;
+  bool paused = (bufferevent_get_enabled (self->bev) & EV_READ) == 0;
+
+  if (exchange == NULL || exchange->response_ready || !exchange->request_streaming)
+    return (flow_queue_t){ 0 };
+  if (exchange->connection != NULL)
+    return target_conn_request_queue (exchange->connection, paused);
+  return (flow_queue_t){
+    .held = evbuffer_get_length (exchange->body),
+    .held_max = 2 * buffers_part (&self->proxy->buffers, PROXY_BODY_BUFFER_BYTES),
+    .paused = paused,
+  };
+}
+
+static flow_caller_t
+describe (const caller_t *self)
+{
+  return (flow_caller_t){
+    .unanswered = self->pipeline_len,
+    .unparsed = evbuffer_get_length (input_of (self)),
+    .unsent = evbuffer_get_length (output_of (self)),
+    .in_head = self->receiving == NULL && self->reader.in_message,
+    .in_body = self->receiving != NULL,
+    .body_dispatched = self->receiving != NULL && self->receiving->dispatched,
+    .last_request = self->no_more_requests,
+    .closing = self->closing,
+    .body = body_queue (self),
+  };
+}
+
+/* When the request whose body arrives has to be answered. */
+static msec_t
+body_until (const caller_t *self)
+{
+  const exchange_t *exchange = self->receiving;
+
+  if (exchange == NULL)
+    return MSEC_NEVER;
+  msec_t limit = dispatch_time_limit (&self->proxy->dispatch,
+                                      (text_t){ exchange->host, exchange->host_len },
+                                      (text_t){ exchange->path, exchange->path_len });
+  if (exchange->facts.timeout >= 0)
+    limit = MIN (limit, exchange->facts.timeout);
+  return limit == MSEC_NEVER ? MSEC_NEVER : exchange->received_at + limit;
+}
+
 static void
-read_requests (caller_t *self)
+complete_request (caller_t *self)
 {
-  struct evbuffer *in = bufferevent_get_input (self->bev);
+  exchange_t *exchange = self->receiving;
 
-  while (!self->no_more_requests && self->pipeline_len < PROXY_PIPELINE_MAX
-         && evbuffer_get_length (in) > 0)
-    {
-      http_progress_t progress = http_reader_consume (&self->reader, in);
-      if (progress == HTTP_TOO_LARGE)
-        reject_request (self, 431, TEXT ("The headers are too large."));
-      else if (progress == HTTP_MALFORMED)
-        reject_request (self, 400, TEXT ("The request is malformed."));
-      else if (self->receiving != NULL && is_too_large (self->receiving))
-        reject_request (self, 413, EXCHANGE_TOO_LARGE_NOT_RUN);
-      else if (progress == HTTP_COMPLETE)
-        {
-          g_assert (self->receiving != NULL);
-          exchange_t *exchange = self->receiving;
-          self->receiving = NULL;
-          exchange->request_complete = true;
-          if (exchange->request_streaming && exchange->connection != NULL)
-            target_conn_write_body (exchange->connection);
-        }
-      else
-        break;
-    }
-  if (self->no_more_requests && self->receiving == NULL)
-    evbuffer_drain (in, evbuffer_get_length (in));
+  g_assert (exchange != NULL);
+  self->receiving = NULL;
+  exchange->request_complete = true;
+  if (exchange->request_streaming && exchange->connection != NULL)
+    target_conn_write_body (exchange->connection);
+}
+
+/* Parses what has arrived, up to the end of one request.  Returns false if the state of
+ * the connection doesn't allow it. */
+static bool
+read_request (caller_t *self)
+{
+  struct evbuffer *in = input_of (self);
+  const flow_caller_t state = describe (self);
+  size_t before = state.unparsed;
+
+  if (!flow_caller_parses (&state))
+    return false;
+  if (!self->reader.in_message)
+    self->times.head_since = arrivals_next (&self->arrivals, now_of (self));
+  http_progress_t progress = http_reader_consume (&self->reader, in);
+  arrivals_take (&self->arrivals, before - evbuffer_get_length (in));
+  if (progress == HTTP_TOO_LARGE)
+    reject_request (self, 431, TEXT ("The headers are too large."));
+  else if (progress == HTTP_MALFORMED)
+    reject_request (self, 400, TEXT ("The request is malformed."));
+  else if (self->receiving != NULL && is_too_large (self->receiving))
+    reject_request (self, 413, EXCHANGE_TOO_LARGE_NOT_RUN);
+  else if (progress == HTTP_COMPLETE)
+    complete_request (self);
+  return true;
+}
+
+static void
+discard_input (caller_t *self)
+{
+  size_t len = evbuffer_get_length (input_of (self));
+
+  evbuffer_drain (input_of (self), len);
+  arrivals_take (&self->arrivals, len);
+}
+
+/* The caller sends the body when it is told to, once earlier responses are out. */
+static void
+invite_body (caller_t *self)
+{
+  exchange_t *exchange = self->receiving;
+
+  if (exchange == NULL || !exchange->expects_invitation || exchange->response_ready
+      || exchange != TAILQ_FIRST (&self->pipeline))
+    return;
+  exchange->expects_invitation = false;
+  self->times.received_at = now_of (self);
+  bufferevent_write (self->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void
+set_timer (caller_t *self, msec_t at)
+{
+  msec_t wait = MAX (at - now_of (self), 0);
+  const struct timeval after = { wait / 1000, wait % 1000 * 1000 };
+
+  if (at == self->timer_at)
+    return;
+  self->timer_at = at;
+  if (at == MSEC_NEVER)
+    evtimer_del (self->timer);
+  else
+    evtimer_add (self->timer, &after);
+}
+
+static flow_due_t
+find_due (caller_t *self, msec_t *at)
+{
+  const flow_caller_t state = describe (self);
+
+  self->times.head_limit = self->proxy->limits.head_timeout_ms;
+  self->times.idle_limit = idle_limit (self->proxy);
+  self->times.body_until = body_until (self);
+  return flow_caller_due (&state, &self->times, at);
+}
+
+void
+caller_update (caller_t *self)
+{
+  const flow_caller_t state = describe (self);
+  msec_t due_at;
+
+  if (self->aborted)
+    return; /* it is closed by its timer */
+  if (flow_caller_reads (&state))
+    bufferevent_enable (self->bev, EV_READ);
+  else
+    bufferevent_disable (self->bev, EV_READ);
+  find_due (self, &due_at);
+  set_timer (self, due_at);
 }
 
 void
 caller_advance (caller_t *self)
 {
+  self->advance_again = true;
   if (self->advancing)
-    return; /* the outer call continues with the new state */
+    return; /* the outer call goes on with the new state */
   self->advancing = true;
-  start_ready_requests (self);
-  write_responses (self);
-  /* The next request may have had to wait until it was the first one. */
-  start_ready_requests (self);
-  write_responses (self);
+  while (self->advance_again && !self->closing)
+    {
+      self->advance_again = read_request (self);
+      start_ready_requests (self);
+      if (write_responses (self))
+        self->advance_again = true;
+      invite_body (self);
+    }
   self->advancing = false;
-  if (self->closing)
-    return;
-  bool reading = self->receiving != NULL || !self->no_more_requests;
-  if (reading && self->reader.in_message && self->proxy->limits.head_timeout_ms > 0)
-    set_timer (self, self->proxy->limits.head_timeout_ms);
-  else if (TAILQ_EMPTY (&self->pipeline))
-    set_timer (self, idle_limit (self->proxy));
-  else
-    evtimer_del (self->timer);
+  if (self->closing || (self->no_more_requests && self->receiving == NULL))
+    discard_input (self);
+  self->times.idle_since = now_of (self);
+  caller_update (self);
 }
 
 static void
@@ -249,23 +382,9 @@
 {
   caller_t *self = arg;
 
-  if (self->closing)
-    {
-      struct evbuffer *in = bufferevent_get_input (bev);
-      evbuffer_drain (in, evbuffer_get_length (in));
-      return;
-    }
-  /* Completed responses may make room in the pipeline for requests that were received but
-   * not parsed yet. */
-  do
-    {
-      read_requests (self);
-      caller_advance (self);
-    }
-  while (!self->closing && !self->no_more_requests
-         && self->pipeline_len < PROXY_PIPELINE_MAX && self->receiving == NULL
-         && !self->reader.in_message
-         && evbuffer_get_length (bufferevent_get_input (bev)) > 0);
+  (void)bev;
+  arrivals_note (&self->arrivals, evbuffer_get_length (input_of (self)), now_of (self));
+  caller_advance (self);
 }
 
 static void
@@ -274,10 +393,23 @@
   caller_t *self = arg;
   const exchange_t *first = TAILQ_FIRST (&self->pipeline);
 
-  if (first != NULL && first->response_streaming && first->connection != NULL)
-    target_conn_resume (first->connection);
+  if (first != NULL && first->connection != NULL)
+    target_conn_update (first->connection);
   if (self->closing && evbuffer_get_length (bufferevent_get_output (bev)) == 0)
     shutdown (bufferevent_getfd (self->bev), SHUT_WR);
+  caller_update (self);
+}
+
+static void
+on_output_changed (struct evbuffer *output,
+                   const struct evbuffer_cb_info *info,
+                   void *arg)
+{
+  caller_t *self = arg;
+
+  (void)output;
+  if (info->n_deleted > 0)
+    self->times.taken_at = now_of (self);
 }
 
 static void
@@ -292,25 +424,20 @@
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
   caller_t *self = arg;
+  msec_t due_at;
+  flow_due_t due = find_due (self, &due_at);
 
   (void)fd;
   (void)what;
-  if (self->closing || TAILQ_EMPTY (&self->pipeline))
+  self->timer_at = MSEC_NEVER;
+  if (self->aborted || (due == FLOW_CLOSE && due_at <= now_of (self)))
     {
       caller_free (self);
       return;
     }
-  if ((bufferevent_get_enabled (self->bev) & EV_READ) == 0)
-    {
-      /* Paused: the target is slow, not the caller. */
-      set_timer (self, self->proxy->limits.head_timeout_ms);
-      return;
-    }
-  if (self->receiving != NULL || self->reader.in_message)
-    {
-      reject_request (self, 408, TEXT ("The request took too long to arrive."));
-      caller_advance (self);
-    }
+  if (due == FLOW_REJECT && due_at <= now_of (self))
+    reject_request (self, 408, TEXT ("The request took too long to arrive."));
+  caller_advance (self);
 }
 
 void
@@ -327,11 +454,17 @@
   TAILQ_INIT (&self->pipeline);
   http_reader_init (&self->reader, HTTP_REQUESTS, head_max, &reader_ops, self);
   self->timer = evtimer_new (proxy->base, on_timer, self);
+  self->timer_at = MSEC_NEVER;
+  self->times = (flow_times_t){ .linger_limit = PROXY_LINGER_MS,
+                                .stalled_limit = PROXY_STALLED_MS,
+                                .idle_since = now_of (self) };
+  arrivals_init (&self->arrivals);
   TAILQ_INSERT_TAIL (&proxy->callers, self, link);
   proxy->caller_count++;
+  evbuffer_add_cb (output_of (self), on_output_changed, self);
   bufferevent_setcb (self->bev, on_read, on_written, on_event, self);
-  bufferevent_enable (self->bev, EV_READ | EV_WRITE);
-  set_timer (self, idle_limit (proxy));
+  bufferevent_enable (self->bev, EV_WRITE);
+  caller_update (self);
 }
 
 void
@@ -348,6 +481,8 @@
     }
   event_free (self->timer);
   http_reader_finish (&self->reader);
+  arrivals_finish (&self->arrivals);
+  evbuffer_remove_cb (output_of (self), on_output_changed, self);
   buffers_forget_output (&self->proxy->buffers, self->bev);
   bufferevent_free (self->bev);
   g_free (self);
@@ -363,14 +498,8 @@
 void
 caller_abort (caller_t *self)
 {
+  self->aborted = true;
   self->closing = true;
   self->no_more_requests = true;
-  set_timer (self, 0);
-}
-
-void
-caller_resume (caller_t *self)
-{
-  if (!self->closing)
-    bufferevent_enable (self->bev, EV_READ);
+  set_timer (self, now_of (self));
 }
--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -78,7 +78,7 @@
   dispatch_request_init (&self->request);
   self->proxy = proxy;
   self->caller = caller;
-  self->head_received_at = msclock_now (&proxy->clock);
+  self->received_at = caller->times.head_since;
   self->host = g_memdup2 (host.at, host.len);
   self->host_len = host.len;
   self->path = g_memdup2 (path.at, path.len);
@@ -124,7 +124,7 @@
 void
 exchange_dispatch (exchange_t *self)
 {
-  msec_t receive_time = msclock_now (&self->proxy->clock) - self->head_received_at;
+  msec_t receive_time = msclock_now (&self->proxy->clock) - self->received_at;
   dispatch_msg_t msg
       = { .kind = DISPATCH_ARRIVED,
           .request = &self->request,
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -3,6 +3,8 @@
 #include "proxy.h"
 
 #include "../buffers/buffers_watch.h"
+#include "../flow/arrivals.h"
+#include "../flow/flow.h"
 #include "../http/sockets.h"
 
 #include <event2/bufferevent.h>
@@ -30,7 +32,8 @@
   uint64_t body_received; /* bytes of the request body received from the caller */
   uint64_t body_max;      /* bytes that the configuration allowed when the head arrived */
   request_facts_t facts;  /* its id is not valid after exchange_new: ID holds a copy */
-  msec_t head_received_at;
+  msec_t received_at;     /* its first byte */
+  bool expects_invitation; /* the caller waits for an interim response before the body */
   bool no_response_body;   /* the request is HEAD */
   bool http10;             /* the caller uses HTTP/1.0 */
   uint64_t content_length; /* of the request body; UINT64_MAX if the caller gave none */
@@ -64,8 +67,13 @@
   exchange_t *receiving; /* the exchange whose request is incomplete, or NULL */
   bool no_more_requests; /* no further request is read */
   bool closing;          /* no more responses; the connection is being closed */
+  bool aborted;          /* its timer closes it, whatever is unsent */
   bool advancing;        /* caller_advance is on the stack */
-  bool logged_unread;    /* that it isn't read, with nothing pending, was logged */
+  bool advance_again;    /* the state has changed since it looked */
+  arrivals_t arrivals;   /* of the unparsed bytes */
+  flow_times_t times;
+  msec_t timer_at;    /* MSEC_NEVER: it isn't set */
+  bool logged_unread; /* that it isn't read, with nothing pending, was logged */
   struct event *timer;
   TAILQ_ENTRY (caller) link;
 };
@@ -77,9 +85,14 @@
 /* Whether no request is in progress and all output was written. */
 bool caller_is_idle (const caller_t *self);
 
-/* Dispatches the requests that can start, and writes finished responses in order. */
+/* Does all that the state of the connection allows: parses requests, dispatches those
+ * that can start, writes finished responses in order, and reads on or pauses.  To be
+ * called after each change of that state. */
 void caller_advance (caller_t *self);
 
+/* Reads on or pauses, and sets the timer, as the state of the connection says. */
+void caller_update (caller_t *self);
+
 /* exchange.c */
 exchange_t *exchange_new (caller_t *caller, const http_head_t *head);
 void exchange_free (exchange_t *self);
@@ -100,9 +113,6 @@
 /* Closes the connection from the event loop; a response in progress stays incomplete. */
 void caller_abort (caller_t *self);
 
-/* Resumes reading after the target has accepted the buffered part of the body. */
-void caller_resume (caller_t *self);
-
 /* report.c: counters, and reports to the coordinator */
 service_counts_t *report_service_counts (proxy_t *self,
                                          const dispatch_request_t *request);
@@ -124,14 +134,17 @@
 
 /* stream.c */
 
-/* Forwards PART of the response body to the caller.  FROM: the target's connection. */
-void stream_response (exchange_t *self, struct evbuffer *part, struct bufferevent *from);
+/* Forwards PART of the response body to the caller. */
+void stream_response (exchange_t *self, struct evbuffer *part);
 void stream_response_end (exchange_t *self);
 
 /* Forwards the part of the request body that was received.  TO: the target's connection.
  */
 void stream_request (exchange_t *self, struct bufferevent *to);
 
+/* What waits for TO, whose sender was PAUSED or not. */
+flow_queue_t stream_queue (const proxy_t *proxy, struct bufferevent *to, bool paused);
+
 /* target_conn.c */
 
 /* Sends what was received of a streamed request body. */
@@ -140,8 +153,11 @@
 /* The caller disconnected before its request was complete, so the attempt fails. */
 void target_conn_abort (target_conn_t *self);
 
-/* Resumes reading after the caller has accepted the buffered part of the response. */
-void target_conn_resume (target_conn_t *self);
+/* Reads on or pauses, as the state of the connection says. */
+void target_conn_update (target_conn_t *self);
+
+/* What of the request waits for the target, whose sender was PAUSED or not. */
+flow_queue_t target_conn_request_queue (const target_conn_t *self, bool paused);
 
 /* Sends EXCHANGE to TARGET, which may work on it for WAIT milliseconds. */
 void
--- a/packages/proxy/pool.c
+++ b/packages/proxy/pool.c
@@ -79,6 +79,7 @@
       return;
     }
   const struct timeval after = { timeout / 1000, timeout % 1000 * 1000 };
+  target_conn_update (self);
   self->idle_timeout = timeout;
   self->idle_until = msclock_now (&proxy->clock) + timeout;
   TAILQ_INSERT_HEAD (list, self, link);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -123,7 +123,7 @@
   struct caller_list callers;
   uint32_t caller_count;
   uint64_t connections_opened; /* to targets */
-  GPtrArray *idle; /* by target: target_conn_list, the most recently used first */
+  GPtrArray *idle;     /* by target: target_conn_list, the most recently used first */
   msec_t directory_at; /* when the present configuration came into force here */
   bool targets_known, draining;
   uint32_t host_count; /* that share the retry budget and the idle connections */
--- a/packages/proxy/stream.c
+++ b/packages/proxy/stream.c
@@ -5,8 +5,8 @@
 /*
  * STREAM: forwards bodies that are too large to be buffered, as they arrive.
  *
- * Flow control: reading from the sender pauses while too much output is queued for a
- * slower receiver.  Forwarded data is not kept, so it cannot be requested or sent
+ * Flow control: the sender is not read while too much output is queued for a slower
+ * receiver (flow.h).  Forwarded data is not kept, so it cannot be requested or sent
  * again.
  */
 
@@ -24,26 +24,31 @@
     evbuffer_add (out, "\r\n", 2);
 }
 
-/* Stops reading FROM if more than a part of the memory is queued for writing to TO.  TO's
- * write callback, called at a quarter of that, resumes it. */
-static void
-pause_if_full (const exchange_t *self, struct bufferevent *from, struct bufferevent *to)
+flow_queue_t
+stream_queue (const proxy_t *proxy, struct bufferevent *to, bool paused)
 {
-  size_t high = buffers_part (&self->proxy->buffers, STREAM_HIGH_BYTES);
+  return (flow_queue_t){ .held = evbuffer_get_length (bufferevent_get_output (to)),
+                         .held_max = buffers_part (&proxy->buffers, STREAM_HIGH_BYTES),
+                         .paused = paused };
+}
 
-  if (evbuffer_get_length (bufferevent_get_output (to)) <= high)
-    return;
-  bufferevent_setwatermark (to, EV_WRITE, high / 4, 0);
-  bufferevent_disable (from, EV_READ);
+/* TO's write callback is called when so little is left that its sender is read again. */
+static void
+tell_when_taken (const exchange_t *self, struct bufferevent *to)
+{
+  bufferevent_setwatermark (to,
+                            EV_WRITE,
+                            stream_queue (self->proxy, to, true).held_max / 4,
+                            0);
 }
 
 void
-stream_response (exchange_t *self, struct evbuffer *part, struct bufferevent *from)
+stream_response (exchange_t *self, struct evbuffer *part)
 {
   struct bufferevent *to = self->caller->bev;
 
   write_part (bufferevent_get_output (to), part, self->response_chunked);
-  pause_if_full (self, from, to);
+  tell_when_taken (self, to);
 }
 
 void
@@ -59,6 +64,5 @@
   write_part (bufferevent_get_output (to), self->body, self->request_chunked);
   if (self->request_complete && self->request_chunked)
     bufferevent_write (to, "0\r\n\r\n", 5);
-  if (self->caller != NULL && !self->request_complete)
-    pause_if_full (self, self->caller->bev, to);
+  tell_when_taken (self, to);
 }
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -220,17 +220,38 @@
   proxy_dispatch (self->proxy, &msg);
 }
 
-static void
-start_progress_timer (target_conn_t *self)
+/* Whether the answer fills its buffer and is held back by earlier ones. */
+static bool
+awaits_turn (const target_conn_t *self)
 {
-  const struct timeval timeout
-      = { PROXY_PROGRESS_MS / 1000, PROXY_PROGRESS_MS % 1000 * 1000 };
+  size_t part = buffers_part (&self->proxy->buffers, PROXY_RESPONSE_BUFFER_BYTES);
 
-  evtimer_add (self->timer, &timeout);
+  return evbuffer_get_length (self->body) > part && may_stream (self)
+         && !is_next_response (self->exchange);
+}
+
+void
+target_conn_update (target_conn_t *self)
+{
+  const exchange_t *exchange = self->exchange;
+  flow_target_t state = { .in_use = exchange != NULL };
+
+  if (exchange != NULL && exchange->response_streaming && exchange->caller != NULL)
+    {
+      bool paused = (bufferevent_get_enabled (self->bev) & EV_READ) == 0;
+      state.streaming = true;
+      state.answer = stream_queue (self->proxy, exchange->caller->bev, paused);
+    }
+  else if (exchange != NULL)
+    state.awaits_turn = awaits_turn (self);
+  if (flow_target_reads (&state))
+    bufferevent_enable (self->bev, EV_READ);
+  else
+    bufferevent_disable (self->bev, EV_READ);
 }
 
-/* Forwards a large response as it arrives; reading pauses until it is its turn.  False if
- * it is too large to be buffered and can't be forwarded. */
+/* Forwards a large response as it arrives, when it is its turn.  False if it is too large
+ * to be buffered and can't be forwarded. */
 static bool
 forward_part (target_conn_t *self)
 {
@@ -244,14 +265,10 @@
       if (!may_stream (self))
         return len <= PROXY_RESPONSE_BUFFER_BYTES;
       if (!is_next_response (exchange))
-        {
-          bufferevent_disable (self->bev, EV_READ);
-          return true;
-        }
+        return true;
       start_streaming (self);
     }
-  stream_response (exchange, self->body, self->bev);
-  start_progress_timer (self);
+  stream_response (exchange, self->body);
   return true;
 }
 
@@ -295,7 +312,7 @@
     }
   if (exchange->response_streaming)
     {
-      stream_response (exchange, self->body, self->bev);
+      stream_response (exchange, self->body);
       stream_response_end (exchange);
       new_response_buffer (exchange);
     }
@@ -327,6 +344,8 @@
             fail (self, "stray_response");
           else if (evbuffer_get_length (self->body) > 0 && !forward_part (self))
             fail (self, "response_too_large");
+          else
+            target_conn_update (self);
           return;
         }
       if (progress != HTTP_COMPLETE)
@@ -374,9 +393,8 @@
   target_conn_t *self = arg;
 
   (void)bev;
-  if (self->exchange != NULL && self->exchange->request_streaming
-      && self->exchange->caller != NULL)
-    caller_resume (self->exchange->caller);
+  if (self->exchange != NULL && self->exchange->caller != NULL)
+    caller_update (self->exchange->caller);
 }
 
 static void
@@ -431,12 +449,8 @@
   (void)what;
   if (self->exchange == NULL)
     pool_close (self);
-  else if (!self->connected)
-    fail (self, "connect_timeout");
-  else if ((bufferevent_get_enabled (self->bev) & EV_READ) == 0)
-    start_progress_timer (self); /* paused: waits for the caller, not the target */
   else
-    fail (self, "no_progress");
+    fail (self, "connect_timeout");
 }
 
 static target_conn_t *
@@ -513,7 +527,7 @@
     {
       target_conn_write_body (conn);
       if (exchange->caller != NULL)
-        caller_resume (exchange->caller);
+        caller_update (exchange->caller);
     }
   else if (body > 0)
     {
@@ -542,10 +556,10 @@
   fail (self, "upload_aborted");
 }
 
-void
-target_conn_resume (target_conn_t *self)
+flow_queue_t
+target_conn_request_queue (const target_conn_t *self, bool paused)
 {
-  bufferevent_enable (self->bev, EV_READ);
+  return stream_queue (self->proxy, self->bev, paused);
 }
 
 void
--- a/packages/proxy/unanswered.c
+++ b/packages/proxy/unanswered.c
@@ -64,7 +64,7 @@
       msec_t limit = dispatch_time_limit (&proxy->dispatch,
                                           (text_t){ exchange->host, exchange->host_len },
                                           (text_t){ exchange->path, exchange->path_len });
-      msec_t late = limit == MSEC_NEVER ? 0 : now - exchange->head_received_at - limit;
+      msec_t late = limit == MSEC_NEVER ? 0 : now - exchange->received_at - limit;
       if (late < PROXY_UNANSWERED_MS || exchange->logged_unanswered)
         continue;
       exchange->logged_unanswered = true;
