The time-out of a request counts from its first byte

Cause: the route's time-out began when the request was given to dispatch; the time in which it arrived or waited came on top. Only the caller's own deadline had been reduced by it.

dispatch is told how long the request has waited since its first byte, and takes that off both. Requests whose time is over when their turn comes are rejected at once, as not run.

--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -234,7 +234,7 @@
   dispatch_request_t *request = msg->request;
 
   request->arrived = now;
-  request->deadline = now + (msg->timeout >= 0 ? msg->timeout : 0);
+  request->deadline = now + (msg->timeout >= 0 ? msg->timeout - msg->waited : 0);
   if (self->directory == NULL)
     {
       end (self, request, REASON_NO_CONFIGURATION, now, out);
@@ -259,7 +259,8 @@
       end (self, request, REASON_UNSUPPORTED, now, out);
       return;
     }
-  msec_t wait = msg->timeout >= 0 ? MIN (msg->timeout, route->timeout) : route->timeout;
+  msec_t limit = msg->timeout >= 0 ? MIN (msg->timeout, route->timeout) : route->timeout;
+  msec_t wait = MAX (limit - msg->waited, 0);
   request->service = services_select (self, route);
   dispatch_service_t *service = service_at (self, request->service);
   request->kind = route->kind;
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -88,6 +88,7 @@
   bool outdated;         /* DISPATCH_CURRENCY */
   bool not_replayable;   /* DISPATCH_ARRIVED: the body cannot be sent again */
   msec_t timeout; /* DISPATCH_ARRIVED: the caller's timeout in ms; -1: none given */
+  msec_t waited;  /* DISPATCH_ARRIVED: ms since its first byte arrived */
   dispatch_answer_t answer; /* DISPATCH_ANSWERED */
   unsigned status;          /* DISPATCH_ANSWERED: HTTP status */
   load_report_t load;       /* DISPATCH_ANSWERED */
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -28,6 +28,34 @@
   end (&fixture);
 }
 
+static void
+test_time_limit_counts_from_the_first_byte (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request;
+  dispatch_msg_t msg = { .kind = DISPATCH_ARRIVED,
+                         .request = &request,
+                         .host = TEXT ("h"),
+                         .path = TEXT ("/read/"),
+                         .timeout = TIMEOUT_MS + 2000,
+                         .waited = 1000 };
+
+  (void)state;
+  begin (&fixture);
+  dispatch_request_init (&request);
+  handle_msg (&fixture, &msg);
+  assert_int_equal (request.deadline, START_MS + TIMEOUT_MS - 1000);
+  assert_int_equal (find_out (&fixture, DISPATCH_SEND)->timeout, TIMEOUT_MS - 1000);
+  end (&fixture);
+  begin (&fixture);
+  msg.waited = TIMEOUT_MS;
+  dispatch_request_init (&request);
+  handle_msg (&fixture, &msg);
+  assert_null (find_out (&fixture, DISPATCH_SEND));
+  assert_ended (&fixture, OUTCOME_NOT_RUN, REASON_DEADLINE);
+  end (&fixture);
+}
+
 /* Routes whose requests may run once at most. */
 static const text_t once_paths[] = { TEXT ("/order/"), TEXT ("/upload/") };
 
@@ -923,6 +951,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_missing_configuration_or_route_ends_request),
+    cmocka_unit_test (test_time_limit_counts_from_the_first_byte),
     cmocka_unit_test (test_mutating_request_is_not_retried_after_bytes_were_sent),
     cmocka_unit_test (test_overdue_uploads_are_not_cancelled),
     cmocka_unit_test (test_upload_of_a_caller_that_left_goes_on),
--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -124,18 +124,17 @@
 void
 exchange_dispatch (exchange_t *self)
 {
-  msec_t receive_time = msclock_now (&self->proxy->clock) - self->received_at;
-  dispatch_msg_t msg
-      = { .kind = DISPATCH_ARRIVED,
-          .request = &self->request,
-          .host = { self->host, self->host_len },
-          .path = { self->path, self->path_len },
-          .has_key = self->facts.has_key,
-          .key = self->facts.key,
-          .fingerprint = request_fingerprint (self),
-          .not_replayable = self->request_streaming,
-          .timeout
-          = self->facts.timeout < 0 ? -1 : MAX (self->facts.timeout - receive_time, 0) };
+  msec_t waited = msclock_now (&self->proxy->clock) - self->received_at;
+  dispatch_msg_t msg = { .kind = DISPATCH_ARRIVED,
+                         .request = &self->request,
+                         .host = { self->host, self->host_len },
+                         .path = { self->path, self->path_len },
+                         .has_key = self->facts.has_key,
+                         .key = self->facts.key,
+                         .fingerprint = request_fingerprint (self),
+                         .not_replayable = self->request_streaming,
+                         .waited = waited,
+                         .timeout = self->facts.timeout };
 
   self->dispatched = true;
   self->proxy->counts.requests++;
