Versions of the configuration and of the targets carry the store's era

Cause: the store may come back from an older copy and then gives versions out again. Hosts compare bare version numbers: once these had passed the ones they knew, a watch from there returned nothing of what was written in between, and nothing showed that a change was missing.

A version of the two tables that others write is its era times 10^12 plus its number, so that all comparisons, also between hosts, order versions of a later era after those of an earlier one. A watch from an earlier era ends as if history were gone; calls that wait in the earlier era are repeated as soon as another feed or host shows the later one. A target that leaves stays so although the copy lists it as ready. Messages between hosts of this and of earlier builds are dropped, as their versions can't be compared (codec 8).

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -283,6 +283,9 @@
     }
   target = find_or_add_target (self, row->key->str);
   target_entry_t before = target->entry;
+  /* An older copy of the store may list it as it was before. */
+  entry.leaving
+      = entry.leaving || (before.leaving && before.started_at == entry.started_at);
   if (entry.leaving)
     entry.leaving_for = before.leaving ? before.leaving_for : longest_since_change (self);
   target->entry = entry;
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -30,8 +30,9 @@
 
   if (self->watching)
     {
-      bool urgent
-          = self->behind_since != MSEC_NEVER || self->confirmed_at < self->confirm_after;
+      bool urgent = self->behind_since != MSEC_NEVER
+                    || self->confirmed_at < self->confirm_after
+                    || store_is_earlier (self->store, self->table, self->version);
       self->call->wait = urgent ? 0 : MAX (max_age (self) - feed_age (self), 0);
       ops->watch (self->store,
                   self->table,
@@ -333,6 +334,9 @@
 
   if (self->suspended && self->ops->should_watch (self->owner))
     feed_resume (self);
+  else if (call != NULL && call->wait > 0
+           && store_is_earlier (self->store, self->table, call->version))
+    feed_restart_call (self, MSEC_NEVER); /* the version is of no use in this era */
   else if (call != NULL && self->watching && call->started + call->wait > latest_end)
     feed_restart_call (self, MSEC_NEVER);
 }
--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -119,6 +119,8 @@
   add_number (page, "granter_round_trip_ms", (uint64_t)self->round_trip_ms);
   add_number (page, "store_calls_total", self->store->calls);
   add_number (page, "store_away", self->store_unreachable);
+  add_number (page, "store_era", self->store->era);
+  add_number (page, "store_answers_rejected_total", self->store->rejected);
   add_number (page, "granter", self->role.state == ROLE_HELD);
   add_number (page,
               "granter_lease_left_ms",
--- a/packages/coordinator/outdated.c
+++ b/packages/coordinator/outdated.c
@@ -114,4 +114,7 @@
                   (long long)feed_age (feed),
                   (long long)feed_call_duration (feed));
   handle_currency (feed, currency, &newer);
+  /* A call that waits for changes after a version of an earlier era may wait for long. */
+  if (store_version_era (version) > store_version_era (feed->version))
+    feed_requery (feed, msclock_now (feed->clock));
 }
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -462,11 +462,52 @@
   assert_int_equal (outage_end (&outage, 7200 + STORE_RECOVERY_MS), 6200);
 }
 
+static void
+test_call_is_repeated_when_another_host_is_in_a_later_era (void **state)
+{
+  fixture_t fixture;
+  coordinator_t *host = &fixture.coordinator;
+  link_update_t update = { .report_sent_at = 20000,
+                           .configuration = { STORE_ERA_STEP + 3, 0 },
+                           .targets = { 5, 0 } };
+
+  (void)state;
+  setup (&fixture);
+  host->granter_update_expires = 0;
+  discovery_step (host);
+  unsigned watches = fixture.fake.watches[STORE_CONFIGURATION];
+  void *abandoned = fixture.fake.owner[STORE_CONFIGURATION];
+  pass_time (&fixture, 1, 0);
+  discovery_handle_update (host, &update);
+  assert_int_equal (fixture.fake.watches[STORE_CONFIGURATION], watches + 1);
+  g_free (abandoned);
+  teardown (&fixture);
+}
+
+static void
+test_target_that_leaves_stays_so_when_an_older_copy_lists_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  relay (&fixture, 5, 7, "leaving");
+  feed_resume (&fixture.coordinator.targets);
+  reply (&fixture, STORE_TARGETS, STORE_HISTORY_GONE, 0, NULL);
+  reply (&fixture, STORE_TARGETS, STORE_DONE, STORE_ERA_STEP + 5, "ready");
+  assert_true (find_target (&fixture)->entry.leaving);
+  relay (&fixture, STORE_ERA_STEP + 5, STORE_ERA_STEP + 6, "restarted");
+  assert_false (find_target (&fixture)->entry.leaving);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_host_watches_the_store_when_the_granters_word_is_old),
+    cmocka_unit_test (test_call_is_repeated_when_another_host_is_in_a_later_era),
+    cmocka_unit_test (test_target_that_leaves_stays_so_when_an_older_copy_lists_it),
     cmocka_unit_test (test_slow_read_of_a_newer_version_is_not_abandoned),
     cmocka_unit_test (test_watch_that_misses_a_newer_version_is_restarted_once),
     cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -384,6 +384,33 @@
   teardown (&fixture);
 }
 
+static void
+test_watch_of_an_earlier_era_does_not_wait (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  fixture.fake.store.era = 1;
+  reply (&fixture, STORE_DONE, STORE_ERA_STEP + 50);
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  assert_true (fixture.fake.wait > 0);
+  void *abandoned = fixture.fake.owner;
+  fixture.fake.store.era = 2; /* as another feed was told */
+  feed_step (&fixture.feed);
+  assert_int_equal (fixture.fake.watches, 2);
+  assert_int_equal (fixture.fake.wait, 0);
+  feed_step (&fixture.feed);
+  assert_int_equal (fixture.fake.watches, 2);
+  reply (&fixture, STORE_HISTORY_GONE, 0);
+  reply (&fixture, STORE_DONE, 2 * STORE_ERA_STEP + 9);
+  assert_int_equal (fixture.rows, 2);
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  assert_true (fixture.fake.wait > 0);
+  g_free (abandoned);
+  teardown (&fixture);
+}
+
 /* A host that has never reached the store applies rows from other hosts, and doesn't
  * request them again. */
 static void
@@ -430,6 +457,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_reads_table_then_watches),
     cmocka_unit_test (test_rereads_table_when_history_is_gone),
+    cmocka_unit_test (test_watch_of_an_earlier_era_does_not_wait),
     cmocka_unit_test (test_watch_is_suspended_while_rows_are_relayed),
     cmocka_unit_test (test_hanging_watch_is_restarted),
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
--- a/packages/link/link_codec.c
+++ b/packages/link/link_codec.c
@@ -9,7 +9,7 @@
  * header claims.
  */
 
-#define LINK_CODEC_VERSION 7
+#define LINK_CODEC_VERSION 8
 #define LOADS_MAX 8192
 #define RANGES_MAX 8192
 #define ROWS_MAX 8192
--- a/packages/store/store.c
+++ b/packages/store/store.c
@@ -13,3 +13,21 @@
 
   return names[outcome];
 }
+
+bool
+store_has_eras (store_table_t table)
+{
+  return table == STORE_CONFIGURATION || table == STORE_TARGETS;
+}
+
+uint64_t
+store_version_era (uint64_t version)
+{
+  return version / STORE_ERA_STEP;
+}
+
+bool
+store_is_earlier (const store_t *self, store_table_t table, uint64_t version)
+{
+  return store_has_eras (table) && store_version_era (version) < self->era;
+}
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -12,8 +12,17 @@
  * The store has versioned rows in a few tables.  A table can be read in full and
  * watched for changes; a commit applies only if one row is unchanged.  Calls don't
  * block; each ends in exactly one call of its `done`.
+ *
+ * The store may come back from an older copy: a new history of it begins, its era, in
+ * which version numbers are given out again.  A version of the configuration or of the
+ * targets is the number of its era times STORE_ERA_STEP, plus its number in that history,
+ * so that versions of a later era are higher.  Those of the keys and of the role are
+ * numbers alone.
  */
 
+#define STORE_ERA_STEP 1000000000000u /* versions of one era are below it */
+#define STORE_ERA_MAX 1000000u
+
 typedef enum
 {
   STORE_CONFIGURATION, /* written by the operator */
@@ -27,7 +36,8 @@
 {
   STORE_DONE,
   STORE_CONFLICT,     /* the condition didn't hold; nothing was changed */
-  STORE_HISTORY_GONE, /* changes since that version were discarded: reread the table */
+  STORE_HISTORY_GONE, /* changes since that version were discarded, or it is of an earlier
+                         era: reread the table */
   STORE_REFUSED,      /* the call failed; nothing was changed */
   STORE_UNKNOWN,      /* no answer: the call may have taken effect or still do so */
 } store_outcome_t;
@@ -100,6 +110,18 @@
 {
   const store_ops_t *ops;
   uint64_t calls;
+  uint64_t era;      /* the latest that an answer was of; 0: none has stated it */
+  uint64_t rejected; /* answers of an earlier era, or without one though others had it */
 };
 
+/* Whether versions of TABLE tell their era: others than the router write it, and write it
+ * again after a loss. */
+bool store_has_eras (store_table_t table);
+
+/* The era that VERSION tells; 0: none. */
+uint64_t store_version_era (uint64_t version);
+
+/* Whether VERSION of TABLE is of an earlier era than the latest. */
+bool store_is_earlier (const store_t *self, store_table_t table, uint64_t version);
+
 const char *store_outcome_name (store_outcome_t outcome);
