A read that is older than the last one confirms nothing

The host counted it as complete up to the start of the read, and the granter passed that on, so that other hosts didn't ask the store themselves.

A read whose version is below the newest change that the host has, leaves the age of its copy as it is.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -214,7 +214,8 @@
     return;
   g_string_truncate (self->last_key, 0);
   self->watching = true;
-  feed_confirm (self, self->read_started);
+  if (self->version >= self->newest_change)
+    feed_confirm (self, self->read_started);
   finish_batch (self, true);
 }
 
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -411,6 +411,21 @@
   teardown (&fixture);
 }
 
+static void
+test_read_older_than_the_last_one_confirms_nothing (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  msec_t age = feed_age (&fixture.feed);
+  reply (&fixture, STORE_HISTORY_GONE, 0);
+  pass_time (&fixture, 300);
+  reply (&fixture, STORE_DONE, 4);
+  assert_int_equal (feed_age (&fixture.feed), age + 300);
+  teardown (&fixture);
+}
+
 /* A host that has never reached the store applies rows from other hosts, and doesn't
  * request them again. */
 static void
@@ -458,6 +473,7 @@
     cmocka_unit_test (test_reads_table_then_watches),
     cmocka_unit_test (test_rereads_table_when_history_is_gone),
     cmocka_unit_test (test_watch_of_an_earlier_era_does_not_wait),
+    cmocka_unit_test (test_read_older_than_the_last_one_confirms_nothing),
     cmocka_unit_test (test_watch_is_suspended_while_rows_are_relayed),
     cmocka_unit_test (test_hanging_watch_is_restarted),
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
