A row beside the configuration doesn't hide a change of it

Cause: rows of the operator's table that the granter relays were applied as if the host had all changes before them, since a configuration is complete in itself. Of another row of that table this isn't true: the host's version rose above that of a configuration whose message it had missed, and it counted as up to date.

Only rows with the configuration itself are applied so; others ask the store.

Evidence: a unit test of discovery that failed before (version 9 instead of 5), and a mutant.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -530,6 +530,20 @@
   outdated_review (self);
 }
 
+/* A configuration is complete in itself, whatever was missed before it. */
+static bool
+has_configuration (const coordinator_t *self, const GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const GString *key = g_array_index (rows, store_row_t, i).key;
+      if (text_equal ((text_t){ key->str, key->len },
+                      self->deployment->configuration_key))
+        return true;
+    }
+  return false;
+}
+
 void
 discovery_apply_rows (coordinator_t *self,
                       store_table_t table,
@@ -551,7 +565,10 @@
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
     feed_apply_rows (&self->configuration, rows);
   else if (table == STORE_CONFIGURATION)
-    feed_apply_delta (&self->configuration, rows->len > 0 ? 0 : before, after, rows);
+    feed_apply_delta (&self->configuration,
+                      has_configuration (self, rows) ? 0 : before,
+                      after,
+                      rows);
   else if (table == STORE_TARGETS)
     feed_apply_delta (&self->targets, before, after, rows);
   outdated_review (self);
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -484,6 +484,25 @@
   teardown (&fixture);
 }
 
+static void
+test_row_beside_the_configuration_hides_no_change_of_it (void **state)
+{
+  fixture_t fixture;
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (store_row_t));
+  store_row_t other = { g_string_new ("other"), g_string_new ("v"), 9, false };
+
+  (void)state;
+  setup (&fixture);
+  g_array_append_val (rows, other);
+  discovery_apply_rows (&fixture.coordinator, STORE_CONFIGURATION, 8, 9, rows);
+  assert_int_equal (fixture.coordinator.configuration.version, 5);
+  assert_int_equal (fixture.fake.watches[STORE_CONFIGURATION], 1);
+  g_string_free (other.key, TRUE);
+  g_string_free (other.value, TRUE);
+  g_array_unref (rows);
+  teardown (&fixture);
+}
+
 static void
 test_target_that_leaves_stays_so_when_an_older_copy_lists_it (void **state)
 {
@@ -508,6 +527,7 @@
     cmocka_unit_test (test_host_watches_the_store_when_the_granters_word_is_old),
     cmocka_unit_test (test_call_is_repeated_when_another_host_is_in_a_later_era),
     cmocka_unit_test (test_target_that_leaves_stays_so_when_an_older_copy_lists_it),
+    cmocka_unit_test (test_row_beside_the_configuration_hides_no_change_of_it),
     cmocka_unit_test (test_slow_read_of_a_newer_version_is_not_abandoned),
     cmocka_unit_test (test_watch_that_misses_a_newer_version_is_restarted_once),
     cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
