The time by which a request has to be answered is looked up once

flow asks for it at each event while a body arrives, and the review of late requests twice a second for each request; a route is found by a scan of those of its host, 3,000 on the largest configurations.

--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -236,22 +236,6 @@
   };
 }
 
-/* When the request whose body arrives has to be answered. */
-static msec_t
-body_until (const caller_t *self)
-{
-  const exchange_t *exchange = self->receiving;
-
-  if (exchange == NULL)
-    return MSEC_NEVER;
-  msec_t limit = dispatch_time_limit (&self->proxy->dispatch,
-                                      (text_t){ exchange->host, exchange->host_len },
-                                      (text_t){ exchange->path, exchange->path_len });
-  if (exchange->facts.timeout >= 0)
-    limit = MIN (limit, exchange->facts.timeout);
-  return limit == MSEC_NEVER ? MSEC_NEVER : exchange->received_at + limit;
-}
-
 static void
 complete_request (caller_t *self)
 {
@@ -335,7 +319,8 @@
 
   self->times.head_limit = self->proxy->limits.head_timeout_ms;
   self->times.idle_limit = idle_limit (self->proxy);
-  self->times.body_until = body_until (self);
+  self->times.body_until
+      = self->receiving != NULL ? exchange_until (self->receiving) : MSEC_NEVER;
   return flow_caller_due (&state, &self->times, at);
 }
 
--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -141,6 +141,20 @@
   proxy_dispatch (self->proxy, &msg);
 }
 
+msec_t
+exchange_until (exchange_t *self)
+{
+  if (self->answer_until != 0)
+    return self->answer_until;
+  msec_t limit = dispatch_time_limit (&self->proxy->dispatch,
+                                      (text_t){ self->host, self->host_len },
+                                      (text_t){ self->path, self->path_len });
+  if (self->facts.timeout >= 0)
+    limit = MIN (limit, self->facts.timeout);
+  self->answer_until = limit == MSEC_NEVER ? MSEC_NEVER : self->received_at + limit;
+  return self->answer_until;
+}
+
 void
 exchange_caller_left (exchange_t *self)
 {
--- a/packages/proxy/unanswered.c
+++ b/packages/proxy/unanswered.c
@@ -61,10 +61,8 @@
 
   TAILQ_FOREACH (exchange, &self->pipeline, link)
     {
-      msec_t limit = dispatch_time_limit (&proxy->dispatch,
-                                          (text_t){ exchange->host, exchange->host_len },
-                                          (text_t){ exchange->path, exchange->path_len });
-      msec_t late = limit == MSEC_NEVER ? 0 : now - exchange->received_at - limit;
+      msec_t until = exchange_until (exchange);
+      msec_t late = until == MSEC_NEVER ? 0 : now - until;
       if (late < PROXY_UNANSWERED_MS || exchange->logged_unanswered)
         continue;
       exchange->logged_unanswered = true;
