Requests of a caller that takes no answers are not parsed

What other callers would see: a host that runs out of memory.

flow parses no further request while a caller has not taken 1 MiB; what arrives then is bounded by 64 KiB, and the connection ends by its idle time-out. Writing goes on by state too: each write asks caller_advance.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -224,6 +224,9 @@
 #define PROXY_PIPELINE_MAX 128    /* unanswered requests per connection */
 /* Received and not parsed, while there are as many. */
 #define PROXY_UNPARSED_MAX_BYTES (64 * 1024)
+/* Answers that the caller hasn't taken, beyond which no further request of it is parsed.
+ */
+#define PROXY_UNSENT_MAX_BYTES (1024 * 1024)
 #define ARRIVALS_MERGE_MS 10 /* between bytes whose times of arrival are told apart */
 #define PROXY_BODY_MAX_BYTES (16 * 1024 * 1024)   /* until a configuration sets it */
 #define PROXY_BODY_BUFFER_BYTES (256 * 1024)      /* larger request bodies are streamed */
--- a/packages/flow/flow.c
+++ b/packages/flow/flow.c
@@ -15,7 +15,9 @@
 {
   if (self->closing || self->unparsed == 0)
     return false;
-  return self->in_body || (!self->last_request && self->unanswered < PROXY_PIPELINE_MAX);
+  return self->in_body
+         || (!self->last_request && self->unanswered < PROXY_PIPELINE_MAX
+             && self->unsent <= PROXY_UNSENT_MAX_BYTES);
 }
 
 bool
--- a/packages/flow/tests/test_flow.c
+++ b/packages/flow/tests/test_flow.c
@@ -68,6 +68,20 @@
   assert_false (flow_caller_reads (&caller));
 }
 
+static void
+test_caller_that_takes_no_answers_gets_no_more (void **state)
+{
+  flow_caller_t caller = { .unparsed = 1, .unsent = PROXY_UNSENT_MAX_BYTES + 1 };
+
+  (void)state;
+  assert_false (flow_caller_parses (&caller));
+  caller.in_body = true;
+  assert_true (flow_caller_parses (&caller));
+  caller.in_body = false;
+  caller.unsent--;
+  assert_true (flow_caller_parses (&caller));
+}
+
 static void
 test_reading_is_off_only_while_a_body_waits (void **state)
 {
@@ -206,6 +220,7 @@
     cmocka_unit_test (test_bytes_are_parsed_as_soon_as_there_is_room_for_a_request),
     cmocka_unit_test (test_rest_of_a_body_is_parsed_whatever_is_unanswered),
     cmocka_unit_test (test_unparsed_bytes_are_bounded),
+    cmocka_unit_test (test_caller_that_takes_no_answers_gets_no_more),
     cmocka_unit_test (test_reading_is_off_only_while_a_body_waits),
     cmocka_unit_test (test_end_of_a_caller_is_noticed_when_no_request_is_read),
     cmocka_unit_test (test_head_has_its_time_from_its_first_byte),
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -382,7 +382,7 @@
     target_conn_update (first->connection);
   if (self->closing && evbuffer_get_length (bufferevent_get_output (bev)) == 0)
     shutdown (bufferevent_getfd (self->bev), SHUT_WR);
-  caller_update (self);
+  caller_advance (self);
 }
 
 static void
