--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -327,18 +327,24 @@
   start_call (self);
 }
 
-void
-feed_step (feed_t *self)
+/* Whether the watch in flight ends too late, or asks for changes after a version that the
+ * store may have given out again. */
+static bool
+watch_is_of_no_use (const feed_t *self, const feed_call_t *call)
 {
-  const feed_call_t *call = self->call;
   msec_t latest_end = msclock_now (self->clock) + max_age (self);
 
+  return call->started + call->wait > latest_end
+         || (call->wait > 0
+             && store_is_earlier (self->store, self->table, call->version));
+}
+
+void
+feed_step (feed_t *self)
+{
   if (self->suspended && self->ops->should_watch (self->owner))
     feed_resume (self);
-  else if (call != NULL && call->wait > 0
-           && store_is_earlier (self->store, self->table, call->version))
-    feed_restart_call (self, MSEC_NEVER); /* the version is of no use in this era */
-  else if (call != NULL && self->watching && call->started + call->wait > latest_end)
+  else if (self->call != NULL && self->watching && watch_is_of_no_use (self, self->call))
     feed_restart_call (self, MSEC_NEVER);
 }
 
