--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -148,7 +148,7 @@
   store_done_t done = self->fake.done;
   void *owner = self->fake.owner;
 
-  assert_non_null (done);
+  g_assert (done != NULL);
   if (version > 0)
     g_array_append_val (rows, row);
   self->fake.done = NULL;
