Corrections of the flow of connections, from its review

Also: a body that waits for the invitation of its caller has no such limit before it; a head has a limit before the first configuration; a caller's connection that is being freed does nothing more for its requests; a request without a host is compared without a call on no bytes, which GLib reported on each line.

--- a/packages/directory/directory.c
+++ b/packages/directory/directory.c
@@ -57,7 +57,9 @@
 static int
 compare_hosts (text_t a, text_t b)
 {
-  int order = g_ascii_strncasecmp (a.at, b.at, MIN (a.len, b.len));
+  int order = a.len == 0 || b.len == 0
+                  ? 0
+                  : g_ascii_strncasecmp (a.at, b.at, MIN (a.len, b.len));
 
   return order != 0 ? order : (int)a.len - (int)b.len;
 }
--- a/packages/flow/flow.c
+++ b/packages/flow/flow.c
@@ -43,7 +43,7 @@
   msec_t next = MSEC_NEVER;
 
   /* While reading is paused, the target is slow, not the caller. */
-  if (times->head_limit > 0 && flow_caller_reads (self))
+  if (times->head_limit > 0 && !self->uninvited && flow_caller_reads (self))
     next = times->received_at + times->head_limit;
   if (!self->body_dispatched)
     next = MIN (next, times->body_until);
@@ -62,9 +62,10 @@
   if (self->in_body)
     return body_due (self, times, at);
   if (self->in_head && !self->last_request)
-    return times->head_limit > 0
-               ? due (FLOW_REJECT, times->head_since + times->head_limit, at)
-               : FLOW_WAIT;
+    return due (FLOW_REJECT,
+                times->head_since
+                    + (times->head_limit > 0 ? times->head_limit : times->idle_limit),
+                at);
   if (self->unanswered == 0)
     return due (FLOW_CLOSE,
                 MAX (times->idle_since, times->taken_at) + times->idle_limit,
--- a/packages/flow/flow.h
+++ b/packages/flow/flow.h
@@ -34,6 +34,7 @@
   size_t unsent;        /* bytes of answers that the caller has not taken */
   bool in_head;         /* the head of a request has begun and is not complete */
   bool in_body;         /* the same of its body */
+  bool uninvited;       /* its caller hasn't been told yet to send the body */
   bool body_dispatched; /* the request whose body arrives is being sent to a target */
   bool last_request;    /* no further request is read */
   bool closing;         /* no further answer is written */
@@ -52,7 +53,7 @@
 {
   msec_t head_since;    /* of the first byte of the head that arrives */
   msec_t body_until;    /* the time-out of the request whose body arrives; MSEC_NEVER */
-  msec_t received_at;   /* bytes of the body arrived last */
+  msec_t received_at;   /* bytes of the body arrived last, or could again */
   msec_t taken_at;      /* bytes of an answer were taken last */
   msec_t idle_since;    /* no request is on the connection since */
   msec_t closing_at;    /* it is being closed since */
--- a/packages/flow/tests/test_flow.c
+++ b/packages/flow/tests/test_flow.c
@@ -121,6 +121,32 @@
   check_due (&caller, FLOW_REJECT, START + 1000);
 }
 
+static void
+test_head_has_a_time_before_the_first_configuration (void **state)
+{
+  const flow_caller_t caller = { .in_head = true };
+  flow_times_t unlimited = times;
+  msec_t at;
+
+  (void)state;
+  unlimited.head_limit = 0;
+  assert_int_equal (flow_caller_due (&caller, &unlimited, &at), FLOW_REJECT);
+  assert_int_equal (at, START + 5000);
+}
+
+static void
+test_body_that_was_not_invited_may_wait (void **state)
+{
+  flow_caller_t caller = { .in_body = true, .unanswered = 2, .uninvited = true };
+  flow_times_t slow = times;
+  msec_t at;
+
+  (void)state;
+  slow.body_until = START + 9000;
+  assert_int_equal (flow_caller_due (&caller, &slow, &at), FLOW_REJECT);
+  assert_int_equal (at, START + 9000);
+}
+
 static void
 test_body_has_the_time_of_its_route_and_has_to_go_on (void **state)
 {
@@ -224,6 +250,8 @@
     cmocka_unit_test (test_reading_is_off_only_while_a_body_waits),
     cmocka_unit_test (test_end_of_a_caller_is_noticed_when_no_request_is_read),
     cmocka_unit_test (test_head_has_its_time_from_its_first_byte),
+    cmocka_unit_test (test_head_has_a_time_before_the_first_configuration),
+    cmocka_unit_test (test_body_that_was_not_invited_may_wait),
     cmocka_unit_test (test_body_has_the_time_of_its_route_and_has_to_go_on),
     cmocka_unit_test (test_body_that_waits_for_its_target_is_not_its_callers_delay),
     cmocka_unit_test (test_connection_without_a_request_ends_when_it_was_idle),
--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -229,6 +229,7 @@
     .unsent = evbuffer_get_length (output_of (self)),
     .in_head = self->receiving == NULL && self->reader.in_message,
     .in_body = self->receiving != NULL,
+    .uninvited = self->receiving != NULL && self->receiving->expects_invitation,
     .body_dispatched = self->receiving != NULL && self->receiving->dispatched,
     .last_request = self->no_more_requests,
     .closing = self->closing,
@@ -332,10 +333,14 @@
 
   if (self->aborted)
     return; /* it is closed by its timer */
-  if (flow_caller_reads (&state))
-    bufferevent_enable (self->bev, EV_READ);
-  else
+  bool was_reading = (bufferevent_get_enabled (self->bev) & EV_READ) != 0;
+  if (!flow_caller_reads (&state))
     bufferevent_disable (self->bev, EV_READ);
+  else if (!was_reading)
+    {
+      self->times.received_at = now_of (self);
+      bufferevent_enable (self->bev, EV_READ);
+    }
   find_due (self, &due_at);
   set_timer (self, due_at);
 }
@@ -452,11 +457,21 @@
   caller_update (self);
 }
 
+void
+caller_abort (caller_t *self)
+{
+  self->aborted = true;
+  self->closing = true;
+  self->no_more_requests = true;
+  set_timer (self, now_of (self));
+}
+
 void
 caller_free (caller_t *self)
 {
   exchange_t *exchange;
 
+  caller_abort (self); /* nothing more is done for it while its requests end */
   TAILQ_REMOVE (&self->proxy->callers, self, link);
   self->proxy->caller_count--;
   while ((exchange = TAILQ_FIRST (&self->pipeline)) != NULL)
@@ -479,12 +494,3 @@
   return TAILQ_EMPTY (&self->pipeline) && !self->reader.in_message && !self->closing
          && evbuffer_get_length (bufferevent_get_output (self->bev)) == 0;
 }
-
-void
-caller_abort (caller_t *self)
-{
-  self->aborted = true;
-  self->closing = true;
-  self->no_more_requests = true;
-  set_timer (self, now_of (self));
-}
