Corrections of the store's eras, from their review

By reading, for each a unit test: a watch that was answered as the store was before the last read confirmed the copy; the pages of one read could be of two eras and counted as a table; a feed that isn't watched while the granter is live stayed in the earlier era.

The fake store of unit feed states its newest version in answers without a row, as the store does; it stated 0.

--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -192,9 +192,22 @@
     self->ops->batch_done (self->owner, full_read);
 }
 
+/* Whether the store came back from an older copy between this page and the first one. */
+static bool
+is_page_of_a_later_era (const feed_t *self, const store_reply_t *reply)
+{
+  return self->last_key->len > 0
+         && store_version_era (reply->version) > store_version_era (self->version);
+}
+
 static void
 handle_page (feed_t *self, const feed_call_t *call, const store_reply_t *reply)
 {
+  if (is_page_of_a_later_era (self, reply))
+    {
+      g_string_truncate (self->last_key, 0);
+      return; /* the next call reads the first page */
+    }
   if (self->last_key->len == 0)
     {
       /* Later pages may reflect a later version, so the watch starts from the first
@@ -239,7 +252,8 @@
   deliver_newer_rows (self, reply->rows);
   self->version = MAX (self->version, reply->version);
   /* Without a change, the store answered at the end of the wait. */
-  feed_confirm (self, call->started + (reply->rows->len > 0 ? 0 : call->wait));
+  if (reply->version >= self->newest_change)
+    feed_confirm (self, call->started + (reply->rows->len > 0 ? 0 : call->wait));
   if (reply->rows->len == 0)
     return;
   if (self->ops->changed != NULL)
@@ -342,7 +356,9 @@
 void
 feed_step (feed_t *self)
 {
-  if (self->suspended && self->ops->should_watch (self->owner))
+  if (self->suspended
+      && (self->ops->should_watch (self->owner)
+          || store_is_earlier (self->store, self->table, self->version)))
     feed_resume (self);
   else if (self->call != NULL && self->watching && watch_is_of_no_use (self, self->call))
     feed_restart_call (self, MSEC_NEVER);
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -12,8 +12,10 @@
   store_done_t done;
   void *owner;
   unsigned reads, watches;
-  msec_t wait;   /* of the last watch */
-  bool arriving; /* the reply to the pending call */
+  msec_t wait;     /* of the last watch */
+  bool arriving;   /* the reply to the pending call */
+  bool has_more;   /* in the next reply */
+  uint64_t newest; /* its newest version, as the last reply with a row stated */
 } fake_store_t;
 
 typedef struct
@@ -145,6 +147,9 @@
   store_row_t row = { g_string_new ("a"), g_string_new ("v"), version, false };
   store_reply_t answer
       = { .outcome = outcome, .rows = rows, .version = version, .reason = "test" };
+  answer.has_more = self->fake.has_more;
+  self->fake.newest = version > 0 ? version : self->fake.newest;
+  answer.version = self->fake.newest;
   store_done_t done = self->fake.done;
   void *owner = self->fake.owner;
 
@@ -412,6 +417,39 @@
   teardown (&fixture);
 }
 
+static void
+test_suspended_feed_of_an_earlier_era_asks_again (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, false);
+  assert_int_equal (fixture.fake.watches, 0);
+  fixture.fake.store.era = 1;
+  feed_step (&fixture.feed);
+  assert_int_equal (fixture.fake.watches, 1);
+  assert_int_equal (fixture.fake.wait, 0);
+  teardown (&fixture);
+}
+
+static void
+test_pages_of_two_eras_are_no_table (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  fixture.fake.has_more = true;
+  reply (&fixture, STORE_DONE, STORE_ERA_STEP + 50);
+  fixture.fake.has_more = false;
+  reply (&fixture, STORE_DONE, 2 * STORE_ERA_STEP + 9);
+  assert_int_equal (fixture.full_reads, 0);
+  assert_int_equal (fixture.fake.reads, 3);
+  reply (&fixture, STORE_DONE, 2 * STORE_ERA_STEP + 9);
+  assert_int_equal (fixture.full_reads, 1);
+  teardown (&fixture);
+}
+
 static void
 test_read_older_than_the_last_one_confirms_nothing (void **state)
 {
@@ -424,6 +462,9 @@
   pass_time (&fixture, 300);
   reply (&fixture, STORE_DONE, 4);
   assert_int_equal (feed_age (&fixture.feed), age + 300);
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  reply (&fixture, STORE_DONE, 0); /* as old, and without a change */
+  assert_int_equal (feed_age (&fixture.feed), age + 300 + FEED_BATCH_MS + 20);
   teardown (&fixture);
 }
 
@@ -474,6 +515,8 @@
     cmocka_unit_test (test_reads_table_then_watches),
     cmocka_unit_test (test_rereads_table_when_history_is_gone),
     cmocka_unit_test (test_watch_of_an_earlier_era_does_not_wait),
+    cmocka_unit_test (test_suspended_feed_of_an_earlier_era_asks_again),
+    cmocka_unit_test (test_pages_of_two_eras_are_no_table),
     cmocka_unit_test (test_read_older_than_the_last_one_confirms_nothing),
     cmocka_unit_test (test_watch_is_suspended_while_rows_are_relayed),
     cmocka_unit_test (test_hanging_watch_is_restarted),
