An older copy of the store brings no target back

Cause: after the store's return its rows replaced what the host knew, and what had been removed was not known any more.

Processes that left are remembered for a minute (departed), and a row of a later era that lists them, or an earlier process than the known one, is not taken.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -5,6 +5,7 @@
 #include "../keys/keys.h"
 #include "../proxy/proxy.h"
 #include "../suspect/reports.h"
+#include "departed.h"
 #include "deployment.h"
 #include "feed.h"
 #include "outbox.h"
@@ -26,6 +27,7 @@
   bool parsed;         /* an entry was parsed successfully */
   bool seen;           /* during the current full read */
   bool stated_leaving; /* this process of it stated, to any host, that it leaves */
+  uint64_t row_version;
   msec_t expires_at; /* when a target without a row is dropped; MSEC_NEVER: it has one */
 } known_target_t;
 
@@ -144,6 +146,7 @@
   msec_t next_configuration_send; /* to a host that lacks it */
   GArray *keyed_services;         /* name_t: services with key owners */
   GHashTable *targets_by_id;      /* id to known_target_t */
+  departed_t departed;            /* targets that left and are not listed any more */
   GHashTable *rejected_keys;      /* ids of invalid entries, each logged once */
   bool targets_changed;
   msec_t relay_max_age; /* the oldest knowledge of the granter that this host goes by */
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -251,6 +251,22 @@
   g_free (key);
 }
 
+/* Whether ROW, of a later era than what is known of the target, is from the copy of the
+ * store that the era began with: it lists a process that left, or an earlier one. */
+static bool
+is_from_before (const coordinator_t *self,
+                const store_row_t *row,
+                const target_entry_t *entry)
+{
+  const known_target_t *known = g_hash_table_lookup (self->targets_by_id, row->key->str);
+  uint64_t era = store_version_era (row->version);
+
+  if (known == NULL || !known->parsed)
+    return departed_has (&self->departed, row->key->str, entry->started_at, era);
+  return era > store_version_era (known->row_version)
+         && entry->started_at < known->entry.started_at;
+}
+
 static void
 on_target_row (void *owner, const store_row_t *row)
 {
@@ -281,6 +297,20 @@
       log_rejected_entry (self, row, fault_text (&fault));
       return;
     }
+  if (is_from_before (self, row, &entry))
+    {
+      eventlog_write (EVENT_STATE,
+                      "targets",
+                      "entry_from_before",
+                      "target=%.*s born=%llu row_version=%llu",
+                      NAME_ARG (entry.id),
+                      (unsigned long long)entry.started_at,
+                      (unsigned long long)row->version);
+      target = g_hash_table_lookup (self->targets_by_id, row->key->str);
+      if (target != NULL)
+        target->seen = true;
+      return;
+    }
   target = find_or_add_target (self, row->key->str);
   target_entry_t before = target->entry;
   /* An older copy of the store may list it as it was before. */
@@ -289,6 +319,7 @@
   if (entry.leaving)
     entry.leaving_for = before.leaving ? before.leaving_for : longest_since_change (self);
   target->entry = entry;
+  target->row_version = row->version;
   target->stated_leaving
       = target->stated_leaving && entry.started_at == before.started_at;
   target->seen = true;
@@ -340,13 +371,21 @@
 {
   msec_t now = msclock_now (&self->clock);
   GHashTableIter iter;
-  gpointer value;
+  gpointer id, value;
 
+  departed_step (&self->departed, now);
   g_hash_table_iter_init (&iter, self->targets_by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, &id, &value))
     {
-      if (now < ((known_target_t *)value)->expires_at)
+      const known_target_t *target = value;
+      if (now < target->expires_at)
         continue;
+      if (target->entry.leaving || target->stated_leaving)
+        departed_note (&self->departed,
+                       id,
+                       target->entry.started_at,
+                       store_version_era (target->row_version),
+                       now);
       g_hash_table_iter_remove (&iter);
       self->targets_changed = true;
     }
@@ -606,6 +645,7 @@
   self->configuration_row.bytes = g_string_new (NULL);
   self->previous_row.bytes = g_string_new (NULL);
   relay_init (&self->relayed_targets);
+  departed_init (&self->departed);
   outbox_init (&self->outbox);
   self->keyed_services = g_array_new (FALSE, FALSE, sizeof (name_t));
   self->targets_by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -656,6 +696,7 @@
   g_string_free (self->configuration_row.bytes, TRUE);
   g_string_free (self->previous_row.bytes, TRUE);
   relay_finish (&self->relayed_targets);
+  departed_finish (&self->departed);
   outbox_finish (&self->outbox);
   g_array_unref (self->keyed_services);
   g_hash_table_unref (self->targets_by_id);
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -503,6 +503,48 @@
   teardown (&fixture);
 }
 
+/* The host reads the table again, which is of a later era. */
+static void
+read_copy (fixture_t *self, const char *value)
+{
+  feed_resume (&self->coordinator.targets);
+  reply (self, STORE_TARGETS, STORE_HISTORY_GONE, 0, NULL);
+  reply (self, STORE_TARGETS, STORE_DONE, STORE_ERA_STEP + 5, value);
+}
+
+static void
+test_target_that_left_is_not_used_when_an_older_copy_lists_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  relay (&fixture, 5, 7, "leaving");
+  relay (&fixture, 7, 8, NULL);
+  pass_time (&fixture, STORE_ENTRY_RENEWAL_MS, 0);
+  discovery_step (&fixture.coordinator);
+  assert_null (find_target (&fixture));
+  read_copy (&fixture, "ready");
+  assert_null (find_target (&fixture));
+  relay (&fixture, STORE_ERA_STEP + 5, STORE_ERA_STEP + 6, "restarted");
+  assert_non_null (find_target (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_earlier_process_is_not_used_when_an_older_copy_lists_it (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  relay (&fixture, 5, 7, "restarted");
+  read_copy (&fixture, "ready");
+  assert_int_equal (find_target (&fixture)->entry.started_at, 1);
+  assert_true (find_target (&fixture)->expires_at == MSEC_NEVER);
+  teardown (&fixture);
+}
+
 static void
 test_target_that_leaves_stays_so_when_an_older_copy_lists_it (void **state)
 {
@@ -528,6 +570,8 @@
     cmocka_unit_test (test_call_is_repeated_when_another_host_is_in_a_later_era),
     cmocka_unit_test (test_target_that_leaves_stays_so_when_an_older_copy_lists_it),
     cmocka_unit_test (test_row_beside_the_configuration_hides_no_change_of_it),
+    cmocka_unit_test (test_target_that_left_is_not_used_when_an_older_copy_lists_it),
+    cmocka_unit_test (test_earlier_process_is_not_used_when_an_older_copy_lists_it),
     cmocka_unit_test (test_slow_read_of_a_newer_version_is_not_abandoned),
     cmocka_unit_test (test_watch_that_misses_a_newer_version_is_restarted_once),
     cmocka_unit_test (test_updates_confirm_only_what_the_host_has),
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -404,6 +404,9 @@
  * than what a host takes to read the same from the store. */
 #define SPREAD_BUSY_MS 400
 
+/* Targets that left are remembered for this long; copies of the store are seconds old. */
+#define DEPARTED_KEEP_MS 60000
+
 /* Feeds of the store's tables. */
 #define FEED_BATCH_MS 150 /* changes within this come in one answer */
 #define FEED_LAG_MS 400   /* a feed that lags for this long queries the store */
