An earlier configuration of an older copy is not relayed

By reading, the granter had replaced the newer one's bytes by the copy's, so that it could not even send it.

The newest row is kept by the operator's version first.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -100,13 +100,15 @@
 
   if (row->removed || !text_equal (key, self->deployment->configuration_key))
     return;
-  keep_configuration_row (self, row);
   directory = g_new (directory_t, 1);
   directory_init (directory);
   status_t status
       = self->deployment->read_directory ((text_t){ row->value->str, row->value->len },
                                           directory,
                                           &fault);
+  /* An older copy of the store may have an earlier configuration, which isn't relayed. */
+  if (status != STATUS_OK || directory->version >= self->directory_version)
+    keep_configuration_row (self, row);
   if (status != STATUS_OK
       || (self->has_directory && directory->version <= self->directory_version))
     {
