--- a/packages/proxy/exchange.c
+++ b/packages/proxy/exchange.c
@@ -141,18 +141,24 @@
   proxy_dispatch (self->proxy, &msg);
 }
 
+msec_t
+exchange_time_limit (exchange_t *self)
+{
+  if (self->time_limit == 0)
+    self->time_limit = dispatch_time_limit (&self->proxy->dispatch,
+                                            (text_t){ self->host, self->host_len },
+                                            (text_t){ self->path, self->path_len });
+  return self->time_limit;
+}
+
 msec_t
 exchange_until (exchange_t *self)
 {
-  if (self->answer_until != 0)
-    return self->answer_until;
-  msec_t limit = dispatch_time_limit (&self->proxy->dispatch,
-                                      (text_t){ self->host, self->host_len },
-                                      (text_t){ self->path, self->path_len });
+  msec_t limit = exchange_time_limit (self);
+
   if (self->facts.timeout >= 0)
     limit = MIN (limit, self->facts.timeout);
-  self->answer_until = limit == MSEC_NEVER ? MSEC_NEVER : self->received_at + limit;
-  return self->answer_until;
+  return limit == MSEC_NEVER ? MSEC_NEVER : self->received_at + limit;
 }
 
 void
--- a/packages/proxy/exchange.h
+++ b/packages/proxy/exchange.h
@@ -32,7 +32,7 @@
   uint64_t body_received; /* bytes of the request body received from the caller */
   uint64_t body_max;      /* bytes that the configuration allowed when the head arrived */
   request_facts_t facts;  /* its id is not valid after exchange_new: ID holds a copy */
-  msec_t answer_until;    /* exchange_until; 0: not looked up */
+  msec_t time_limit;      /* exchange_time_limit; 0: not looked up */
   msec_t received_at;     /* its first byte */
   bool expects_invitation; /* the caller waits for an interim response before the body */
   bool no_response_body;   /* the request is HEAD */
@@ -99,6 +99,9 @@
 void exchange_free (exchange_t *self);
 void exchange_dispatch (exchange_t *self);
 
+/* The time-out of the request's route, in ms; MSEC_NEVER if it has no route. */
+msec_t exchange_time_limit (exchange_t *self);
+
 /* When the request has to be answered, by its route and by its caller; MSEC_NEVER:
  * neither says. */
 msec_t exchange_until (exchange_t *self);
--- a/packages/proxy/unanswered.c
+++ b/packages/proxy/unanswered.c
@@ -61,8 +61,8 @@
 
   TAILQ_FOREACH (exchange, &self->pipeline, link)
     {
-      msec_t until = exchange_until (exchange);
-      msec_t late = until == MSEC_NEVER ? 0 : now - until;
+      msec_t limit = exchange_time_limit (exchange);
+      msec_t late = limit == MSEC_NEVER ? 0 : now - exchange->received_at - limit;
       if (late < PROXY_UNANSWERED_MS || exchange->logged_unanswered)
         continue;
       exchange->logged_unanswered = true;
