The soak changes routes that callers use

Change: routes that callers use are moved between two services, get other time-outs, and added ones are dropped and brought back, singly and in series, during the faults and in the quiet time after them. The rule CONFIG now judges each request by all versions that were in force when it was sent or written until its answer: by the service that ran it, the time that its target was left, and 404. It takes the place of the check that an added route is served in time, and holds for more requests: a host is quiet if no fault affected it from 3 s before the request on, not from 3 s before the acknowledgement. A process that has served a route still mustn't lose it, until the route is first dropped. Versions are written under a lock; two operations at once could give the later one the older content.

--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -827,7 +827,8 @@
 ]
 
 
-def configuration(version, routes, max_body_bytes=5000000):
+def configuration(version, routes, max_body_bytes=5000000, services=()):
+    """SERVICES: names of more services without keys."""
     return json.dumps(
         {
             "version": "%08x" % version,
@@ -844,6 +845,7 @@
                     ["keyed", "/healthz", 50, True, 1.0],
                     ["plain", "/healthz", 50, None, None],
                     ["empty", "/healthz", 50, None, None],
+                    *([name, "/healthz", 50, None, None] for name in services),
                 ],
             },
             "limits": {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,15 +48,26 @@
 LIMIT_TOLD_MS = 500  # a host counts this long after it passed on the first limit
 # How a target leaves; each life of a target in another way.
 LEAVES_BY = ("row", "both", "header")
+# Routes that are moved between these services, and get these time-outs.
+MOVING = ("read", "order")
+MOVES_BETWEEN = ("plain", "other")
+TIMEOUTS_MS = (700, 1500, 2500)
+CALLER_DEADLINE_MS = 5000  # beyond all time-outs, so that a route's own decides
+CONFIGURATION_CHANGES = ("add_route", "add_routes_in_series", "add_many_routes", "change_route",
+                         "change_routes_in_series")
 # The time limits of some checks hold during these.
-OPERATIONS = ("stop_router", "reload", "add_route", "drain_target", "add_routes_in_series",
-              "add_many_routes", "signals_in_series", "limit_target", "slow_store_link",
-              "delay_grants")
+OPERATIONS = CONFIGURATION_CHANGES + (
+    "stop_router", "reload", "drain_target", "signals_in_series", "limit_target",
+    "slow_store_link", "delay_grants")
+
+# A configuration takes effect in time all the same during these.
+CONFIG_CHECKED_DURING = CONFIGURATION_CHANGES + (
+    "reload", "drain_target", "limit_target", "slow_store_link")
 
 # A target's wish to get no requests holds all the same during these.
-PAUSE_CHECKED_DURING = ("reload", "add_route", "drain_target", "add_routes_in_series",
-                        "add_many_routes", "limit_target", "slow_store_link",
-                        "disturb_store_link", "inject_store_fault", "reset_connections")
+PAUSE_CHECKED_DURING = CONFIGURATION_CHANGES + (
+    "reload", "drain_target", "limit_target", "slow_store_link", "disturb_store_link",
+    "inject_store_fault", "reset_connections")
 
 
 def now_ms():
@@ -156,12 +167,18 @@
             stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
         self.store_port = int(self.store.stdout.readline())
         self.version = 0
-        self.routes = list(ROUTES)
+        self.configuring = threading.RLock()  # of the attributes until the next empty line
+        self.routes = [list(route) for route in ROUTES]
         self.added = []  # (path, ms of the acknowledgement)
-        self.configure(ROUTES)
+        self.dropped = {}  # by name: routes that can be brought back
+        self.first_drops = {}  # by path: when the first configuration without it was sent
+        # Of each version: when it was sent and acknowledged, and its routes' (service, time-out).
+        self.versions = []
+
+        self.configure(self.routes)
         self.targets = [
             TargetProcess(self, "%s%d" % (service[0], i), service)
-            for service in ("keyed", "plain") for i in range(args.targets)
+            for service in ("keyed", "plain", "other") for i in range(args.targets)
         ]
         self.store_proxies = [self.proxies.open(self.store_port) for _ in range(args.hosts)]
         self.routers = [
@@ -173,6 +190,7 @@
         self.terminated_at = [None] * args.hosts  # when SIGTERM was sent; None if it wasn't
         self.results, self.violations = [], []
         self.pauses, self.late_arrivals = 0, 0  # stated to hosts; requests during them
+        self.versions_checked = self.changes_checked = 0  # requests; those behind a change
         self.routes_seen = collections.defaultdict(set)  # by host and start: added routes served
         self.stopping = threading.Event()
 
@@ -185,9 +203,13 @@
             return json.load(response)["ver"]
 
     def configure(self, routes):
-        self.version += self.rng.randint(1, 5)
-        text = configuration(self.version, routes).decode()
-        self.control(put=["op", "config", text])
+        with self.configuring:
+            self.version += self.rng.randint(1, 5)
+            text = configuration(self.version, routes, services=["other"]).decode()
+            sent = now_ms()
+            self.control(put=["op", "config", text])
+            self.versions.append(
+                (sent, now_ms(), {route[2]: (route[9], route[4]) for route in routes}))
 
     # Faults. Each returns a function that ends it, and the host if it affects that one alone.
 
@@ -300,11 +322,41 @@
         return lambda: None, None
 
     def add_route(self):
-        path = "/r%d/" % self.version
-        self.routes.append(
-            ["r%d" % self.version, "t.example", path, "idempotent", 1500, 500, 1, None, 2, "plain"])
-        self.configure(self.routes)
-        self.added.append((path, now_ms()))
+        with self.configuring:
+            path = "/r%d/" % self.version
+            self.routes.append(["r%d" % self.version, "t.example", path, "idempotent", 1500, 500,
+                                1, None, 2, "plain"])
+            self.configure(self.routes)
+            self.added.append((path, now_ms()))
+        return lambda: None, None
+
+    def change_route(self):
+        """Moves a route to another service, changes its time-out, drops one that was added, or
+        brings that back."""
+        with self.configuring:
+            route = self.rng.choice([r for r in self.routes if r[0] in MOVING])
+            added = [r for r in self.routes if r[2] in dict(self.added)]
+            change = self.rng.choice(["move", "move", "time", "drop", "drop", "return", "return"])
+            if change == "return" and self.dropped:
+                name = self.rng.choice(list(self.dropped))
+                self.routes.append(self.dropped.pop(name))
+            elif change == "drop" and added:
+                # Often the same ones, so that callers use those that change.
+                route = self.rng.choice(added[-3:])
+                self.routes.remove(route)
+                self.dropped[route[0]] = route
+                self.first_drops.setdefault(route[2], now_ms())
+            elif change == "time":
+                route[4] = self.rng.choice([t for t in TIMEOUTS_MS if t != route[4]])
+            else:
+                route[9] = next(s for s in MOVES_BETWEEN if s != route[9])
+            self.configure(self.routes)
+        return lambda: None, None
+
+    def change_routes_in_series(self):
+        for _ in range(self.rng.randint(2, 6)):
+            self.change_route()
+            time.sleep(self.rng.uniform(0, 0.4))
         return lambda: None, None
 
     def add_routes_in_series(self):
@@ -315,15 +367,16 @@
 
     def add_many_routes(self):
         """The configuration grows and shrinks by many routes; one of them is looked up later."""
-        base = "m%d" % self.version
-        many = [
-            ["%s-%d" % (base, i), "t.example", "/%s/%d/" % (base, i), "idempotent", 1500, 500, 1,
-             None, 2, "plain"]
-            for i in range(MANY_ROUTES)
-        ]
-        self.routes.append(many[-1])
-        self.configure(self.routes + many[:-1])
-        self.added.append((many[-1][2], now_ms()))
+        with self.configuring:
+            base = "m%d" % self.version
+            many = [
+                ["%s-%d" % (base, i), "t.example", "/%s/%d/" % (base, i), "idempotent", 1500, 500,
+                 1, None, 2, "plain"]
+                for i in range(MANY_ROUTES)
+            ]
+            self.routes.append(many[-1])
+            self.configure(self.routes + many[:-1])
+            self.added.append((many[-1][2], now_ms()))
         return self.add_route, None
 
     def signals_in_series(self):
@@ -407,8 +460,9 @@
         request_id = "c%d-%d" % (n, count)
         kind = rng.choice(["keyed", "keyed", "keyed", "read", "order", "order", "upload"])
         path = "/%s/work" % kind
-        if rng.random() < 0.05 and self.added:
-            kind, path = "added", rng.choice(self.added)[0] + "work"
+        if rng.random() < 0.1 and self.added:
+            kind = "added"
+            path = rng.choice(rng.choice([self.added, self.added[-3:]]))[0] + "work"
         begun, started_at = now_ms(), self.started_at[i]
         caller, used_at = connections.pop(i, (None, 0))
         if caller is not None and time.monotonic() - used_at > REUSE_IDLE_S:
@@ -418,7 +472,8 @@
         try:
             caller = caller or Caller(self.routers[i])
             caller.send(path, request_id, "POST" if kind in ONCE_KINDS else "GET",
-                        rng.choice(BODIES.get(kind, [None])), key=rng.choice(KEYS))
+                        rng.choice(BODIES.get(kind, [None])), key=rng.choice(KEYS),
+                        deadline_ms=CALLER_DEADLINE_MS)
             response = caller.receive()
             if response is not None:
                 status, body = response.status, response.body
@@ -465,14 +520,22 @@
         for thread in running:
             thread.join()
         last_fault_end = now_ms()
-        time.sleep(RECOVERY_S)
+        self.change_routes_for(RECOVERY_S)
         recovered_by = now_ms()
-        time.sleep(3)
+        self.change_routes_for(3)
         self.stopping.set()
         for caller in callers:
             caller.join(20)
         self.check(last_fault_end, recovered_by)
 
+    def change_routes_for(self, seconds):
+        """The configuration changes on while no fault excuses a late one."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            pause = self.rng.choice([self.rng.uniform(0, 1), self.rng.uniform(2.5, 4.5)])
+            time.sleep(min(pause, max(until - time.monotonic(), 0)))
+            self.rng.choice([self.change_route, self.change_routes_in_series])()
+
     def start_action(self, action, busy):
         duration_s = self.rng.uniform(0.3, 5)
         span = self.fault_log.begin(action.__name__)
@@ -511,6 +574,7 @@
         self.check_drains(lines)
         statements = self.check_statements(lines)
         self.check_configurations()
+        self.check_versions(executions)
         self.check_limits(lines)
         self.check_pauses(lines)
         late = [r for r in self.results if r[5] > recovered_by and r[1] != "added"]
@@ -518,10 +582,13 @@
         if not late or served < 0.9 * len(late):
             self.report("RECOVER", "%d of %d served %d ms after the last fault"
                         % (served, len(late), recovered_by - last_fault_end))
-        self.summary = "%d requests, %d served, %d executions, %s, %d late of %d pauses" % (
+        self.summary = (
+            "%d requests, %d served, %d executions, %s, %d late of %d pauses, %d configurations, %d "
+            "requests checked by them, %d of routes that the latest one had changed") % (
             len(self.results), sum(r[7] == 200 for r in self.results),
             sum(len(r) for r in executions.values()), statements,
-            self.late_arrivals, self.pauses)
+            self.late_arrivals, self.pauses, len(self.versions), self.versions_checked,
+            self.changes_checked)
 
     def check_requests(self, executions):
         for request_id, kind, _path, i, _started_at, begun, ended, status, _reused in self.results:
@@ -580,8 +647,8 @@
                             and line["id"] in hosts
                             and self.fault_log.is_quiet(
                                 hosts[line["id"]], announced, line["ms"],
-                                ("drain_target", "add_route", "add_routes_in_series",
-                                 "add_many_routes", "limit_target", "slow_store_link"))):
+                                CONFIGURATION_CHANGES + (
+                                    "drain_target", "limit_target", "slow_store_link"))):
                         self.report(
                             "DRAIN", "%s got %s from h%d %d ms after it announced that it drains" % (
                                 target.name, line["id"], hosts[line["id"]],
@@ -636,9 +703,8 @@
                 if (ms > told.setdefault(host, ms) + LIMIT_TOLD_MS
                         and ms > since + QUIET_MS
                         and self.fault_log.is_quiet(
-                            host, ms, ms, ("reload", "add_route", "drain_target", "limit_target",
-                                           "add_routes_in_series", "add_many_routes",
-                                           "slow_store_link"))):
+                            host, ms, ms, CONFIGURATION_CHANGES + (
+                                "reload", "drain_target", "limit_target", "slow_store_link"))):
                     counted = [at for at in counted if at > ms - LIMIT_WINDOW_MS] + [ms]
                 if len(counted) > 1.5 * limit * LIMIT_WINDOW_MS / 1000 + 5:
                     self.report("LIMIT", "%s got %d requests in %d ms under a limit of %d" % (
@@ -673,22 +739,46 @@
                             " none" % (line["target"], len(late), host, line["pause_ms"]))
 
     def check_configurations(self):
-        acknowledged = dict(self.added)
-        for request_id, kind, path, i, started_at, begun, ended, status, _reused in self.results:
-            if kind != "added" or status is None:
+        """A route that was added and not dropped stays, on each process of a host."""
+        for request_id, kind, path, i, started_at, _begun, ended, status, _reused in self.results:
+            route = path.rsplit("/", 1)[0] + "/"
+            if kind != "added" or status is None or ended >= self.first_drops.get(route, 1e18):
                 continue
-            route = path[: -len("work")]
             if status != 404:
                 self.routes_seen[i, started_at].add(route)
             elif route in self.routes_seen[i, started_at]:
                 self.report("CONFIG", "%s: h%d no longer serves %s" % (request_id, i, route))
-            elif (begun > acknowledged[route] + CONFIG_APPLY_MAX_MS
-                  and self.fault_log.is_quiet(
-                      i, acknowledged[route], ended,
-                      ("add_route", "reload", "add_routes_in_series", "add_many_routes",
-                       "drain_target", "limit_target", "slow_store_link"))):
-                self.report("CONFIG", "%s: h%d doesn't serve %s after %d ms" % (
-                    request_id, i, route, begun - acknowledged[route]))
+
+    def check_versions(self, executions):
+        """A request that was sent more than CONFIG_APPLY_MAX_MS after the acknowledgement of a
+        version, to a host that is quiet, isn't handled as only an older one allows."""
+        services = {target.name: target.service for target in self.targets}
+        for request_id, _kind, path, i, _started_at, begun, ended, status, _reused in self.results:
+            oldest = max((n for n, version in enumerate(self.versions)
+                          if version[1] < begun - CONFIG_APPLY_MAX_MS), default=None)
+            if oldest is None or not self.fault_log.is_quiet(
+                    i, begun, ended, CONFIG_CHECKED_DURING):
+                continue
+            route = path.rsplit("/", 1)[0] + "/"
+            allowed = {version[2].get(route) for version in self.versions[oldest:]
+                       if version[0] <= ended}
+            self.versions_checked += 1
+            self.changes_checked += self.versions[oldest][2].get(route) != self.versions[
+                max(oldest - 1, 0)][2].get(route)
+            wrong = [
+                "run by %s of %s with %d ms left" % (
+                    run["target"], services[run["target"]], run["deadline_ms"])
+                for run in executions[request_id]
+                if not any(version and version[0] == services[run["target"]]
+                           and run["deadline_ms"] <= version[1] for version in allowed)
+            ]
+            if status == 404 and None not in allowed:
+                wrong.append("rejected with 404")
+            for what in wrong:
+                self.report(
+                    "CONFIG", "%s for %s, sent to h%d at %.0f: %s; allowed: %s, the first for %d ms"
+                    % (request_id, route, i, begun, what, sorted(allowed, key=str),
+                       begun - self.versions[oldest][1]))
 
     def finish(self):
         for router in self.routers:
@@ -706,7 +796,7 @@
     parser.add_argument(
         "--seconds", type=float, default=20, help="duration of fault injection for each seed")
     parser.add_argument("--hosts", type=int, default=4)
-    parser.add_argument("--targets", type=int, default=3, help="for each of the two services")
+    parser.add_argument("--targets", type=int, default=3, help="for each of the three services")
     parser.add_argument("--build", default=os.environ.get("BUILD", "build"))
     parser.add_argument("--verbose", action="store_true")
     args = parser.parse_args()
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -4,8 +4,8 @@
 the port that it listens on, a log file, and how it leaves: "row" (its row says so), "header" (its
 responses do) or "both". The log has a JSON line for each grant, release
 and started request; a request's line has the time (ms of the monotonic clock, which all
-processes share), the request's id, its key and the fence under which the target holds the
-key. A line with "told" is written after a response that states that the target leaves, to the
+processes share), the request's id, its key, the fence under which the target holds the
+key, and the time that is left for it. A line with "told" is written after a response that states that the target leaves, to the
 request of that id. On SIGUSR1 the target begins to leave; on SIGUSR2 its responses state a limit
 of LIMIT requests per second, or no longer do so; on SIGRTMIN it begins or ceases to leave some
 grants without an answer and to apply them late. On SIGALRM it rejects all requests for some
@@ -155,7 +155,8 @@
                     + b"Content-Length: 0\r\n\r\n"
                 )
                 return True
-            self._write(id=request_id, key=key, fence=fence)
+            self._write(id=request_id, key=key, fence=fence,
+                        deadline_ms=int(headers["deadline-ms"]))
         time.sleep(random.uniform(0.005, 0.03))
         leaving = self.leaving
         sock.sendall(self._ok_response(request_id, (request_id + ":" + "x" * 200).encode()))
