The soak sends pipelined look-ups and checks that they are answered in time

Change: two more callers send series of 1 to 100 look-ups on kept connections, in one write or in up to 21 pieces; a fifth of the series has a request that its target leaves without an answer. The rule ANSWER: on a quiet host each one has its answer, or its connection ends, within 0.5 s of its route's time-out, or of the longest one of those before it on the connection, as answers come in order. Caller.send of the process tests can now return what it would send.

--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -962,8 +962,9 @@
         self.sock.settimeout(10)
         self.rest = b""
 
-    def send(
-        self, path, request_id, method="GET", body=None, chunked=False, key=7, deadline_ms=1500
+    @staticmethod
+    def serialize(
+        path, request_id, method="GET", body=None, chunked=False, key=7, deadline_ms=1500
     ):
         head = "%s %s HTTP/1.1\r\nHost: t.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n" % (
             method, path, request_id, deadline_ms,
@@ -977,7 +978,10 @@
         elif body is not None:
             head += "Content-Length: %d\r\n" % len(body)
             data = body
-        self.sock.sendall(head.encode() + b"\r\n" + data)
+        return head.encode() + b"\r\n" + data
+
+    def send(self, *args, **options):
+        self.sock.sendall(self.serialize(*args, **options))
 
     def receive(self):
         """None if the connection was closed before a complete response."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,10 @@
 BODIES = {"order": [b"order"], "upload": [b"u" * 100_000, b"U" * 400_000]}
 ONCE_KINDS = tuple(BODIES)  # requests that may run once at most
 N_CALLERS = 10
+N_SERIES_CALLERS = 2  # each sends up to SERIES_MAX pipelined look-ups at once
+SERIES_MAX = 100
+SILENT_SHARE = 0.2  # of the series: one of their requests gets no answer from its target
+ANSWER_LATE_MS = 500  # after its route's time-out, a request has its answer
 # Of the configuration's idle time-out: callers don't use a connection that was idle for longer.
 REUSE_IDLE_S = 0.8 * 5
 MANY_ROUTES = 3000  # a configuration of some 300 KB
@@ -189,6 +193,8 @@
         self.started_at = [now_ms()] * args.hosts
         self.terminated_at = [None] * args.hosts  # when SIGTERM was sent; None if it wasn't
         self.results, self.violations = [], []
+        # Of each pipelined look-up: id, paths up to its own, host, sent, ended, status.
+        self.series = []
         self.pauses, self.late_arrivals = 0, 0  # stated to hosts; requests during them
         self.versions_checked = self.changes_checked = 0  # requests; those behind a change
         self.routes_seen = collections.defaultdict(set)  # by host and start: added routes served
@@ -455,6 +461,11 @@
     def report(self, rule, what):
         self.violations.append((rule, what))
 
+    def check_body(self, request_id, response):
+        if (response is not None and response.status == 200
+                and response.body != (request_id + ":" + "x" * 200).encode()):
+            self.report("MIXED", "%s got %r" % (request_id, response.body[:40]))
+
     def call(self, rng, n, count, connections):
         i = rng.randrange(len(self.routers))
         request_id = "c%d-%d" % (n, count)
@@ -468,7 +479,7 @@
         if caller is not None and time.monotonic() - used_at > REUSE_IDLE_S:
             caller.close()
             caller = None
-        status, body, reused = None, b"", caller is not None
+        status, response, reused = None, None, caller is not None
         try:
             caller = caller or Caller(self.routers[i])
             caller.send(path, request_id, "POST" if kind in ONCE_KINDS else "GET",
@@ -476,16 +487,68 @@
                         deadline_ms=CALLER_DEADLINE_MS)
             response = caller.receive()
             if response is not None:
-                status, body = response.status, response.body
+                status = response.status
                 if response.headers.get("connection") != "close":
                     connections[i] = caller, time.monotonic()
         except (OSError, ValueError):
             pass
         ended = now_ms()
-        if status == 200 and body != (request_id + ":" + "x" * 200).encode():
-            self.report("MIXED", "%s got %r" % (request_id, body[:40]))
+        self.check_body(request_id, response)
         self.results.append((request_id, kind, path, i, started_at, begun, ended, status, reused))
 
+    def call_in_series(self, rng, n, count, connections):
+        """Sends up to SERIES_MAX look-ups in one write or some, and then reads the answers."""
+        i, length = rng.randrange(len(self.routers)), rng.randint(1, SERIES_MAX)
+        paths = ["/%s/work" % rng.choice(["read", "keyed"]) for _ in range(length)]
+        if rng.random() < SILENT_SHARE:
+            paths[rng.randrange(min(length, 3))] = "/read/silent"
+        ids = ["s%d-%d-%d" % (n, count, k) for k in range(length)]
+        data = b"".join(
+            Caller.serialize(path, request_id, key=rng.choice(KEYS),
+                             deadline_ms=CALLER_DEADLINE_MS)
+            for path, request_id in zip(paths, ids))
+        cuts = sorted(rng.randrange(len(data)) for _ in range(rng.choice([0, 0, 1, 5, 20])))
+        started_at, begun, statuses, sent = self.started_at[i], now_ms(), [], None
+        caller, used_at = connections.pop(i, (None, 0))
+        if caller is not None and time.monotonic() - used_at > REUSE_IDLE_S:
+            caller.close()
+            caller = None
+        reused = caller is not None
+        try:
+            caller = caller or Caller(self.routers[i])
+            for first, last in zip([0, *cuts], [*cuts, len(data)]):
+                caller.sock.sendall(data[first:last])
+                time.sleep(rng.uniform(0, 0.005) if cuts else 0)
+            sent = now_ms()
+            while len(statuses) < length:
+                response = caller.receive()
+                if response is None:
+                    break
+                statuses.append((response.status, now_ms()))
+                self.check_body(ids[len(statuses) - 1], response)
+                if response.headers.get("connection") == "close":
+                    break
+            else:
+                connections[i] = caller, time.monotonic()
+        except (OSError, ValueError):
+            pass
+        ended = now_ms()  # of the connection or of the wait, for those without an answer
+        statuses += [(None, ended)] * (length - len(statuses))
+        before = set()
+        for request_id, path, (status, at) in zip(ids, paths, statuses):
+            before.add(path)
+            self.results.append(
+                (request_id, "series", path, i, started_at, begun, at, status, reused))
+            if sent is not None:
+                self.series.append((request_id, {*before}, i, sent, at, status))
+
+    def series_loop(self, n, seed):
+        rng, count, connections = random.Random(seed), 0, {}
+        while not self.stopping.is_set():
+            self.call_in_series(rng, n, count, connections)
+            count += 1
+            time.sleep(rng.uniform(0, 0.6))
+
     def caller_loop(self, n, seed):
         rng, count, connections = random.Random(seed), 0, {}
         while not self.stopping.is_set():
@@ -505,6 +568,9 @@
         callers = [
             threading.Thread(target=self.caller_loop, args=(n, self.rng.random()), daemon=True)
             for n in range(N_CALLERS)
+        ] + [
+            threading.Thread(target=self.series_loop, args=(n, self.rng.random()), daemon=True)
+            for n in range(N_SERIES_CALLERS)
         ]
         for caller in callers:
             caller.start()
@@ -575,20 +641,21 @@
         statements = self.check_statements(lines)
         self.check_configurations()
         self.check_versions(executions)
+        answers = self.check_answers()
         self.check_limits(lines)
         self.check_pauses(lines)
-        late = [r for r in self.results if r[5] > recovered_by and r[1] != "added"]
+        late = [r for r in self.results if r[5] > recovered_by and r[1] not in ("added", "series")]
         served = sum(r[7] == 200 for r in late)
         if not late or served < 0.9 * len(late):
             self.report("RECOVER", "%d of %d served %d ms after the last fault"
                         % (served, len(late), recovered_by - last_fault_end))
         self.summary = (
             "%d requests, %d served, %d executions, %s, %d late of %d pauses, %d configurations, %d "
-            "requests checked by them, %d of routes that the latest one had changed") % (
+            "requests checked by them, %d of routes that the latest one had changed, %s") % (
             len(self.results), sum(r[7] == 200 for r in self.results),
             sum(len(r) for r in executions.values()), statements,
             self.late_arrivals, self.pauses, len(self.versions), self.versions_checked,
-            self.changes_checked)
+            self.changes_checked, answers)
 
     def check_requests(self, executions):
         for request_id, kind, _path, i, _started_at, begun, ended, status, _reused in self.results:
@@ -749,19 +816,29 @@
             elif route in self.routes_seen[i, started_at]:
                 self.report("CONFIG", "%s: h%d no longer serves %s" % (request_id, i, route))
 
+    def oldest_version(self, begun):
+        """The index of the oldest version that may be in force for a request sent then; callers
+        start when the first one is."""
+        return max((n for n, version in enumerate(self.versions)
+                    if version[1] < begun - CONFIG_APPLY_MAX_MS), default=0)
+
+    def allowed_routes(self, path, begun, ended):
+        """What the route of PATH may be for a request sent at BEGUN: (service, time-out), or None
+        if there may be none."""
+        route = path.rsplit("/", 1)[0] + "/"
+        return {version[2].get(route) for version in self.versions[self.oldest_version(begun):]
+                if version[0] <= ended}
+
     def check_versions(self, executions):
         """A request that was sent more than CONFIG_APPLY_MAX_MS after the acknowledgement of a
         version, to a host that is quiet, isn't handled as only an older one allows."""
         services = {target.name: target.service for target in self.targets}
         for request_id, _kind, path, i, _started_at, begun, ended, status, _reused in self.results:
-            oldest = max((n for n, version in enumerate(self.versions)
-                          if version[1] < begun - CONFIG_APPLY_MAX_MS), default=None)
-            if oldest is None or not self.fault_log.is_quiet(
-                    i, begun, ended, CONFIG_CHECKED_DURING):
+            if not self.fault_log.is_quiet(i, begun, ended, CONFIG_CHECKED_DURING):
                 continue
             route = path.rsplit("/", 1)[0] + "/"
-            allowed = {version[2].get(route) for version in self.versions[oldest:]
-                       if version[0] <= ended}
+            oldest = self.oldest_version(begun)
+            allowed = self.allowed_routes(path, begun, ended)
             self.versions_checked += 1
             self.changes_checked += self.versions[oldest][2].get(route) != self.versions[
                 max(oldest - 1, 0)][2].get(route)
@@ -780,6 +857,26 @@
                     % (request_id, route, i, begun, what, sorted(allowed, key=str),
                        begun - self.versions[oldest][1]))
 
+    def check_answers(self):
+        """A pipelined look-up that is unanswered at its route's time-out has its answer, or its
+        connection ends, within ANSWER_LATE_MS, on a host that is quiet.  As answers come in the
+        order of the requests, the longest time-out up to its own counts."""
+        checked = reached = 0
+        for request_id, paths, i, sent, ended, status in self.series:
+            if not self.fault_log.is_quiet(i, sent, ended, CONFIG_CHECKED_DURING):
+                continue
+            checked += 1
+            timeout_ms = max(route[1] for path in paths
+                             for route in self.allowed_routes(path, sent, ended))
+            reached += ended - sent >= timeout_ms
+            if ended - sent > timeout_ms + ANSWER_LATE_MS:
+                self.report(
+                    "ANSWER", "%s, sent to h%d at %.0f, got %s after %d ms; the routes of %s allow "
+                    "%d ms" % (request_id, i, sent, status, ended - sent, sorted(paths),
+                               timeout_ms))
+        return "%d pipelined look-ups, %d checked, %d of them reached their time-out" % (
+            len(self.series), checked, reached)
+
     def finish(self):
         for router in self.routers:
             router.kill()
