The soak's store can come back from an older copy

Its versions are past the old ones at once or not; the operator and the targets write their rows again before it is reached or right after. The soak's store now states its era with each answer.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,8 @@
 QUIET_MS = 3000  # time limits hold again this long after the last fault
 REQUEST_TRANSIT_MS = 250  # for a request's way from its caller to a target
 HOLD_OVERLAP_MAX_MS = 500  # two targets may hold a key while a grant is in transit
+STORE_AWAY_S = 1.5  # before it comes back from a copy
+REWRITE_S = 0.6  # for targets to write their rows again
 RECOVERY_S = 15  # before the share of successful requests is checked
 KEYS = [0, 7, 9000, 20000, 33000, 50000, 65535]
 ROUTES = [
@@ -295,6 +297,29 @@
         self.control(fault=fault)
         return lambda: self.control(fault={}), None
 
+    def restore_store(self):
+        """The store goes away and comes back from the copy that was made at the begin."""
+        self.control(fault={"copy": True})
+        return self.return_store, None
+
+    def return_store(self):
+        """The operator and the targets write again what the copy lacks, before or soon after the
+        store is reached again."""
+        self.control(fault={"unavailable": True})
+        time.sleep(STORE_AWAY_S)
+        past, early = self.rng.random() < 0.5, self.rng.random() < 0.5
+        if self.args.verbose:
+            print("%.0f the store returns, versions %s the old ones, rows written %s" % (
+                now_ms(), "past" if past else "not past", "before" if early else "after"),
+                  flush=True)
+        with self.configuring:
+            self.control(fault={"restore": True, "past": past, "unavailable": early})
+            self.configure(self.routes)
+        for target in self.targets:
+            self.signal_target(target, signal.SIGHUP)
+        time.sleep(REWRITE_S)
+        self.control(fault={})
+
     # Operations. They return the same.
 
     def signal_router(self, i, number):
@@ -562,6 +587,8 @@
         faults = [self.kill_router, self.freeze_router, self.kill_target, self.freeze_target,
                   self.disturb_target_link, self.disturb_store_link, self.reset_connections,
                   self.inject_store_fault, self.kill_all_routers]
+        if self.args.drills:
+            faults.append(self.restore_store)
         operations = [getattr(self, name) for name in OPERATIONS]
         for router in self.routers:
             router.wait_ready()
@@ -585,6 +612,8 @@
                 running.append(self.start_action(action, busy))
         for thread in running:
             thread.join()
+        if self.args.drills:
+            self.start_action(self.restore_store, busy).join()
         last_fault_end = now_ms()
         self.change_routes_for(RECOVERY_S)
         recovered_by = now_ms()
@@ -895,6 +924,10 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--targets", type=int, default=3, help="for each of the three services")
     parser.add_argument("--build", default=os.environ.get("BUILD", "build"))
+    parser.add_argument(
+        "--drills", action="store_true",
+        help="the store also comes back from older copies; granting keys after that is an open "
+        "issue (43), so that OWNER may be reported")
     parser.add_argument("--verbose", action="store_true")
     args = parser.parse_args()
     seeds = (args.seed or []) + [random.randrange(10**6) for _ in range(args.fresh)]
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -4,7 +4,9 @@
 body: {"put": [table, key, text]}, {"delete": [table, key]} or {"fault": {...}}. The fields of
 "fault" are "unavailable" (respond with 503), "slow_ms" (delay of each request), "lose_share"
 (share of transactions that are applied without a response), "apply_delay_ms" (delay until
-those are applied) and "compact" (discard the change history).
+those are applied), "compact" (discard the change history), "copy" (keep a copy of the rows) and
+"restore" (return to that copy, with "past" giving out versions beyond all old ones before any
+other row is written).
 """
 
 import os
@@ -24,19 +26,21 @@
     def __init__(self, seed):
         super().__init__()
         self.fault = dict(FAULTS)
-        self.compacted_version = 0
+        self.kept = None
         self.rng = random.Random(seed)
 
     def compact(self):
         with self.changed:
-            self.compacted_version = self.ver
+            self.compacted = self.ver
             self.log.clear()
             self.changed.notify_all()
 
-    def feed(self, query):
-        if int(query["after"][0]) < self.compacted_version:
-            return 410, self._reply(rows=[])
-        return super().feed(query)
+    def restore_kept(self, past):
+        with self.changed:
+            newest = self.ver
+            self.restore(self.kept)
+            while past and self.ver <= newest:
+                self.put("notes", "n", b"x")
 
     def control(self, command):
         if "put" in command:
@@ -47,12 +51,19 @@
         fault = command["fault"]
         if fault.get("compact"):
             self.compact()
+        if fault.get("copy"):
+            self.kept = self.copy()
+        if fault.get("restore"):
+            self.restore_kept(fault["past"])
         self.fault = {**FAULTS, **fault}
         return None
 
 
 def serve(store):
     class Handler(JsonHandler):
+        def more_headers(self):
+            return {"Store-Era": str(store.era)}
+
         def is_unavailable(self):
             time.sleep(store.fault["slow_ms"] / 1000)
             if store.fault["unavailable"]:
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -9,7 +9,7 @@
 request of that id. On SIGUSR1 the target begins to leave; on SIGUSR2 its responses state a limit
 of LIMIT requests per second, or no longer do so; on SIGRTMIN it begins or ceases to leave some
 grants without an answer and to apply them late. On SIGALRM it rejects all requests for some
-seconds and says so; a rejection's line has for how long it wants no requests, and each request's
+seconds and says so; on SIGHUP it writes its row again within ANNOUNCE_INTERVAL_S; a rejection's line has for how long it wants no requests, and each request's
 arrival has a line too.
 """
 
@@ -177,8 +177,9 @@
     signal.signal(signal.SIGUSR1, leave)
     signal.signal(signal.SIGRTMIN, lambda *args: setattr(
         target, "delays_grants", not target.delays_grants))
-    toggles = [0]
+    toggles, lost = [0], [False]
     signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
+    signal.signal(signal.SIGHUP, lambda *args: lost.__setitem__(0, True))
     signal.signal(signal.SIGALRM, lambda *args: target.stay_away())
     print("ready", flush=True)
     announced = "ready"
@@ -187,13 +188,16 @@
         while toggles[0] > 0:
             toggles[0] -= 1
             target.toggle_limit()
-        if announced == state[0]:
+        if announced == state[0] and not lost[0]:
             continue
         try:
+            lost[0] = False
             target.announce(state[0])
+            if announced != state[0]:
+                print("announced", time.monotonic() * 1000, flush=True)
             announced = state[0]
-            print("announced", time.monotonic() * 1000, flush=True)
         except OSError:
+            lost[0] = True
             pass  # the store is unavailable: retried in the next round
 
 
