A rate limit that has ended doesn't stop a host

Cause: the limit of a target hadn't admitted a request, which went on to wait for others; then the limit ended. The check of candidates takes such a target again, since it has no limit; the admission still refused the request by the bit of that time, and targets_select asked for the cheapest one again, which was the same. The bits are shared by the targets of each 64th index, so that in a fleet of more than 64 targets one that never had a limit does it, at once.

Both ask the same function now: a bit counts only while the target has a limit.

--- a/packages/dispatch/admission.c
+++ b/packages/dispatch/admission.c
@@ -14,10 +14,15 @@
   return service->max_connections == 0 || target->in_flight < MAX (share, 1);
 }
 
+/* Whether the rate limit that TARGET has now didn't admit the request, or that of another
+ * target with the same bit. */
 static bool
-was_rejected_by_rate (const dispatch_request_t *request, uint32_t target)
+was_rejected_by_rate (const dispatch_t *self,
+                      const dispatch_request_t *request,
+                      uint32_t target)
 {
-  return (request->not_admitted & 1ull << target % 64) != 0;
+  return target_at (self, target)->rate.limited
+         && (request->not_admitted & 1ull << target % 64) != 0;
 }
 
 /* Whether the target is expected to end a request that is sent now before the process
@@ -44,7 +49,7 @@
     return ADMISSION_BACK_OFF;
   if (!ends_in_time (self, candidate, now))
     return ADMISSION_STOPPING;
-  if (candidate->rate.limited && was_rejected_by_rate (request, target)
+  if (was_rejected_by_rate (self, request, target)
       && request->rate_target != (int32_t)target
       && request->admitted_to != (int32_t)target)
     return ADMISSION_RATE_LIMIT;
@@ -106,7 +111,7 @@
   if (request->rate_target == (int32_t)i)
     return is_admitted_at_last (self, request, i, now);
   admission_leave_rate (self, request);
-  if ((request->not_admitted & 1ull << i % 64) != 0)
+  if (was_rejected_by_rate (self, request, i))
     return false;
   if (rate_limit_admit (&target_at (self, i)->rate, self->bounds.hosts, now))
     {
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -1,6 +1,8 @@
 #include "../targets.h"
 #include "dispatch_fixture.h"
 
+#include <unistd.h>
+
 /* Routing, retry and key owner decisions of one host. */
 
 static void
@@ -946,6 +948,29 @@
   end (&fixture);
 }
 
+static void
+test_request_that_waits_is_sent_when_a_rate_limit_ends (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request;
+
+  (void)state;
+  begin (&fixture);
+  fixture.dispatch.bounds.hosts = 8;
+  limit_target (&fixture, TEXT ("p1"));
+  dispatch_target_t *other = target_named (&fixture, TEXT ("p2"));
+  other->other_load = 100;
+  other->reported_at = fixture.now;
+  arrive (&fixture, &request, TEXT ("/read/"));
+  assert_int_equal (request.state, REQUEST_WAITING);
+  limit_target (&fixture, TEXT_NONE);
+  alarm (5); /* it used to look for a target without end */
+  fire_timer (&fixture, &request, fixture.now + DISPATCH_POLL_MS);
+  alarm (0);
+  assert_int_equal (request.state, REQUEST_SENT);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -989,6 +1014,7 @@
     cmocka_unit_test (test_requests_with_a_body_beyond_the_limit_end_at_once),
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
+    cmocka_unit_test (test_request_that_waits_is_sent_when_a_rate_limit_ends),
     cmocka_unit_test (test_request_waits_for_a_right_of_its_owner),
     cmocka_unit_test (
         test_request_that_got_its_right_while_its_owner_was_full_is_sent_later),
