A status that is none is no answer

After a 101 a request waited for another response until its deadline and got 504.

Cause: the parser takes any number up to 999 for a status, and nobody looked at it; a 101 counted as interim, though no request asks for an upgrade. evhttp, which makes the calls to the store, the grants and the calls of the other program to its targets, takes any number but 0, and each interim response but 100 for the final one. A call to the store that was answered so counted as not applied below 500, which is not known.

The reader of responses takes 100 to 599 without 101; else the response is malformed. An idempotent request is tried at another target as after any lost answer, an order ends with 502 at once, without a promise that it did not run. The client of httpc takes 200 to 599 (and skips 100); else the call has failed after it was sent, whose effect is unknown.

Evidence: the process case failed before for all but 2000 (7 statuses, lookups and orders). Unit http failed before at 000. Unit httpc failed before: 20, 099, 600, 999, 2000, -1, and 101 and 103 without a body were taken. A mutant for each of the two places. The other program as a whole was not run against such a target. Open: leading zeros before three digits (0200) are read as 200.

--- a/packages/http/http_reader.c
+++ b/packages/http/http_reader.c
@@ -97,6 +97,13 @@
   return false;
 }
 
+/* Not 101: no request asks for an upgrade. */
+static bool
+is_status (unsigned status)
+{
+  return status >= 100 && status <= 599 && status != 101;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -115,6 +122,8 @@
     }
   if (has_space_in_name (head))
     return -1;
+  if (parser->type == HTTP_RESPONSE && !is_status (parser->status_code))
+    return -1;
   head->method = parser->method;
   head->status = parser->status_code;
   head->http10 = parser->http_major == 1 && parser->http_minor == 0;
--- a/packages/http/http_reader.h
+++ b/packages/http/http_reader.h
@@ -51,7 +51,7 @@
 {
   HTTP_INCOMPLETE, /* all bytes were consumed; the message is not complete yet */
   HTTP_COMPLETE,   /* one message is complete; bytes after it stay in the buffer */
-  HTTP_MALFORMED,  /* the bytes are not valid HTTP */
+  HTTP_MALFORMED,  /* the bytes are not valid HTTP, or the status is none of a response */
   HTTP_TOO_LARGE,  /* the head exceeds head_max */
 } http_progress_t;
 
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -269,6 +269,41 @@
     }
 }
 
+static void
+test_a_status_outside_the_protocol_is_no_response (void **state)
+{
+  static const char *const statuses[]
+      = { "000",  "0",   "20",  "099", "600", "999", "1000",
+          "2000", "101", "020", "",    "-1",  "2x0" };
+  static const char *const valid[]
+      = { "100", "102", "103", "199", "200", "299", "304", "404", "503", "599" };
+
+  (void)state;
+  for (int bytewise = 0; bytewise < 2; bytewise++)
+    for (size_t i = 0; i < G_N_ELEMENTS (statuses) + G_N_ELEMENTS (valid); i++)
+      {
+        bool is_valid = i >= G_N_ELEMENTS (statuses);
+        const char *status = is_valid ? valid[i - G_N_ELEMENTS (statuses)] : statuses[i];
+        char *bytes = g_strdup_printf ("HTTP/1.1 %s Unknown\r\nContent-Length: 0\r\n\r\n",
+                                       status);
+        fixture_t fixture;
+        setup (&fixture, HTTP_RESPONSES);
+        http_progress_t progress
+            = bytewise ? feed_bytewise (&fixture, bytes) : feed (&fixture, bytes);
+        if (progress != (is_valid ? HTTP_COMPLETE : HTTP_MALFORMED)
+            || fixture.heads != is_valid)
+          print_error ("status \"%s\", bytewise %d: progress %d, %u heads\n",
+                       status,
+                       bytewise,
+                       (int)progress,
+                       fixture.heads);
+        assert_int_equal (progress, is_valid ? HTTP_COMPLETE : HTTP_MALFORMED);
+        assert_int_equal (fixture.heads, is_valid);
+        teardown (&fixture);
+        g_free (bytes);
+      }
+}
+
 int
 main (void)
 {
@@ -282,6 +317,7 @@
     cmocka_unit_test (test_pipelined_requests_are_read_one_at_a_time),
     cmocka_unit_test (test_oversized_head_is_rejected),
     cmocka_unit_test (test_response_to_head_has_no_body),
+    cmocka_unit_test (test_a_status_outside_the_protocol_is_no_response),
     cmocka_unit_test (test_header_lists_and_hop_by_hop_headers),
   };
 
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -309,6 +309,13 @@
   self->ops->data (self->owner, part);
 }
 
+/* evhttp skips 100, and takes the other interim responses for final ones. */
+static bool
+is_status (int status)
+{
+  return status == 100 || (status >= 200 && status <= 599);
+}
+
 static int
 on_head (struct evhttp_request *response, void *arg)
 {
@@ -317,6 +324,8 @@
   if (self->ops == NULL)
     return -1;
   self->head_received = true;
+  if (!is_status (evhttp_request_get_response_code (response)))
+    return -1;
   self->streaming = self->ops->head != NULL && self->ops->head (self->owner, response);
   if (self->streaming)
     {
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -33,7 +33,7 @@
 {
   HTTPC_UNREACHABLE,     /* no connection was established */
   HTTPC_CONNECTION_LOST, /* the connection was lost before the head of a response */
-  HTTPC_TRUNCATED,       /* the response was truncated, or has no explicit end */
+  HTTPC_TRUNCATED,       /* the response is cut, or has no explicit end or no status */
   HTTPC_TIMED_OUT,       /* no progress within the timeout, or not complete in time */
   HTTPC_NOT_PERMITTED,   /* `may_send` returned false; nothing was sent */
 } httpc_failure_t;
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -360,6 +360,8 @@
   expect_complete (SIZED "hello", 5, true);
   expect_complete (CHUNKED "3\r\nabc\r\n0\r\n\r\n", 3, false);
   expect_complete (CHUNKED "3\r\nabc\r\n0\r\n\r\n", 3, true);
+  expect_complete ("HTTP/1.1 100 Continue\r\n\r\n" SIZED "hello", 5, false);
+  expect_complete ("HTTP/1.1 599 Error\r\nContent-Length: 5\r\n\r\nhello", 5, false);
 }
 
 static void
@@ -998,6 +1000,43 @@
   assert_int_equal (client.arrived, 1); /* before the event loop's next event */
 }
 
+static void
+test_a_status_outside_the_protocol_is_no_response (void **state)
+{
+  static const char *const statuses[]
+      = { "000", "0", "20", "099", "600", "999", "2000", "101", "103", "-1" };
+  uint32_t n_taken = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    for (int variant = 0; variant < 4; variant++)
+      {
+        bool streams = (variant & 1) != 0;
+        const char *body = (variant & 2) != 0 ? "hello" : "";
+        char *response
+            = g_strdup_printf ("HTTP/1.1 %s Unknown\r\nContent-Length: %zu\r\n\r\n%s",
+                               statuses[i],
+                               strlen (body),
+                               body);
+        server_t server = { .response = response, .stays_open = true };
+        client_t client = { .streams = streams };
+        call_server (&client, &server);
+        if (client.done || client.body > 0)
+          {
+            print_error ("status %s, variant %d: taken\n", statuses[i], variant);
+            n_taken++;
+          }
+        else
+          {
+            assert_true (client.failed && client.sent);
+            assert_true (client.failure == HTTPC_TRUNCATED
+                         || client.failure == HTTPC_CONNECTION_LOST);
+          }
+        g_free (response);
+      }
+  assert_int_equal (n_taken, 0);
+}
+
 int
 main (void)
 {
@@ -1006,6 +1045,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_complete_responses),
     cmocka_unit_test (test_truncated_responses),
+    cmocka_unit_test (test_a_status_outside_the_protocol_is_no_response),
     cmocka_unit_test (test_connection_lost_before_the_head),
     cmocka_unit_test (test_unresponsive_server_times_out),
     cmocka_unit_test (test_a_call_has_its_own_timeout),
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -321,6 +321,17 @@
     return handle
 
 
+def answer_with(status):
+    """The handler of a request that runs and is answered with STATUS, signed and whole."""
+
+    def handle(self, sock, request_id, _body, _headers):
+        self.executed.append(request_id)
+        sock.sendall(self._head(request_id, status) + b"Content-Length: 5\r\n\r\nhello")
+        return True
+
+    return handle
+
+
 class Target:
     """An instance of a service.
 
@@ -725,6 +736,15 @@
         b"Content-Encoding: gzip\r\n\r\n", b"x" * 65536
     )
 
+    _handle_status_000 = answer_with("000 Unknown")
+    _handle_status_0 = answer_with("0 Unknown")
+    _handle_status_20 = answer_with("20 Unknown")
+    _handle_status_099 = answer_with("099 Unknown")
+    _handle_status_600 = answer_with("600 Unknown")
+    _handle_status_999 = answer_with("999 Unknown")
+    _handle_status_2000 = answer_with("2000 Unknown")
+    _handle_status_101 = answer_with("101 Switching Protocols")
+
     def _handle_garbage(self, sock, request_id, body, headers):
         self.executed.append(request_id)
         sock.sendall(b"\x00\x01 what\r\n\r\n")
@@ -743,6 +763,13 @@
         sock.sendall(self._ok_response(request_id) + self._ok_response(request_id, b"again"))
         return True
 
+    def _handle_interim(self, sock, request_id, body, headers):
+        """Sends two interim responses ahead of the final one."""
+        self.executed.append(request_id)
+        sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+        sock.sendall(self._ok_response(request_id))
+        return True
+
     def _handle_late_extra(self, sock, request_id, body, headers):
         """Sends a second response when the next request arrives, ahead of that one's response."""
         self.executed.append(request_id)
