The soak's drill shows configurations that stay outdated after a return

Cause: in its first form the operator wrote what hosts knew already, versions passed the old ones before that write, and the next change made hosts read again.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -313,8 +313,9 @@
                 now_ms(), "past" if past else "not past", "before" if early else "after"),
                   flush=True)
         with self.configuring:
-            self.control(fault={"restore": True, "past": past, "unavailable": early})
-            self.configure(self.routes)
+            self.control(fault={"restore": True, "unavailable": early})
+            self.change_route()  # what hosts know isn't the latest one
+            self.control(fault={"pass_newest": past, "unavailable": early})
         for target in self.targets:
             self.signal_target(target, signal.SIGHUP)
         time.sleep(REWRITE_S)
@@ -614,6 +615,7 @@
             thread.join()
         if self.args.drills:
             self.start_action(self.restore_store, busy).join()
+            time.sleep(QUIET_MS / 1000 + 2)  # a change would make hosts read again
         last_fault_end = now_ms()
         self.change_routes_for(RECOVERY_S)
         recovered_by = now_ms()
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -4,9 +4,9 @@
 body: {"put": [table, key, text]}, {"delete": [table, key]} or {"fault": {...}}. The fields of
 "fault" are "unavailable" (respond with 503), "slow_ms" (delay of each request), "lose_share"
 (share of transactions that are applied without a response), "apply_delay_ms" (delay until
-those are applied), "compact" (discard the change history), "copy" (keep a copy of the rows) and
-"restore" (return to that copy, with "past" giving out versions beyond all old ones before any
-other row is written).
+those are applied), "compact" (discard the change history), "copy" (keep a copy of the rows),
+"restore" (return to that copy) and "pass_newest" (give out versions until they are beyond those
+before the return).
 """
 
 import os
@@ -26,7 +26,7 @@
     def __init__(self, seed):
         super().__init__()
         self.fault = dict(FAULTS)
-        self.kept = None
+        self.kept, self.newest = None, 0
         self.rng = random.Random(seed)
 
     def compact(self):
@@ -35,11 +35,14 @@
             self.log.clear()
             self.changed.notify_all()
 
-    def restore_kept(self, past):
+    def restore_kept(self):
         with self.changed:
-            newest = self.ver
+            self.newest = max(self.newest, self.ver)
             self.restore(self.kept)
-            while past and self.ver <= newest:
+
+    def pass_newest(self):
+        with self.changed:
+            while self.ver <= self.newest:
                 self.put("notes", "n", b"x")
 
     def control(self, command):
@@ -54,7 +57,9 @@
         if fault.get("copy"):
             self.kept = self.copy()
         if fault.get("restore"):
-            self.restore_kept(fault["past"])
+            self.restore_kept()
+        if fault.get("pass_newest"):
+            self.pass_newest()
         self.fault = {**FAULTS, **fault}
         return None
 
