--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -971,6 +971,38 @@
   end (&fixture);
 }
 
+/* Rejections are remembered by the index of the target modulo 64. */
+static void
+test_rate_limit_binds_no_target_64_places_on (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t requests[3];
+  char id[8];
+
+  (void)state;
+  begin (&fixture);
+  fixture.dispatch.bounds.hosts = 8;
+  for (int i = 4; i < 66; i++)
+    {
+      g_snprintf (id, sizeof id, "k%d", i);
+      add_target (&fixture, text_from_c (id), TEXT ("keyed"));
+    }
+  add_target (&fixture, TEXT ("p66"), TEXT ("plain"));
+  list_targets (&fixture);
+  limit_target (&fixture, TEXT ("p1"));
+  dispatch_target_t *other = target_named (&fixture, TEXT ("p2"));
+  other->other_load = 100;
+  other->reported_at = fixture.now;
+  alarm (5); /* it used to look for a target without end */
+  for (size_t i = 0; i < 3; i++)
+    {
+      arrive (&fixture, &requests[i], TEXT ("/read/"));
+      assert_true (text_equal (sent_to (&fixture), TEXT ("p66")));
+    }
+  alarm (0);
+  end (&fixture);
+}
+
 int
 main (void)
 {
@@ -1015,6 +1047,7 @@
     cmocka_unit_test (test_request_beyond_the_owners_rate_limit_is_rejected_at_once),
     cmocka_unit_test (test_request_beyond_a_rate_limit_goes_to_another_target),
     cmocka_unit_test (test_request_that_waits_is_sent_when_a_rate_limit_ends),
+    cmocka_unit_test (test_rate_limit_binds_no_target_64_places_on),
     cmocka_unit_test (test_request_waits_for_a_right_of_its_owner),
     cmocka_unit_test (
         test_request_that_got_its_right_while_its_owner_was_full_is_sent_later),
