The choice of a target ends after as many rejections as there are targets

The class of the fault before: the loop ended only if two places agreed on what was rejected. If they don't, the request waits now and the host goes on.

--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -553,9 +553,14 @@
                 dispatch_reason_t *reason)
 {
   int best = select_cheapest (self, request, now, reason);
+  guint rejections = 0;
 
   while (best >= 0 && !admission_take (self, request, (guint)best, now))
-    best = select_cheapest (self, request, now, reason);
+    {
+      if (++rejections > self->targets->len)
+        return -1; /* a candidate was rejected and named again */
+      best = select_cheapest (self, request, now, reason);
+    }
   return best;
 }
 
