What an answer's era means is decided in the product

platform/ decides nothing: it reads the header, and the slice store judges the number. No change of behaviour.

--- a/platform/era.c
+++ b/packages/store/era.c
@@ -1,21 +1,21 @@
 #include "era.h"
 
-#include "../packages/store/store.h"
+#include "store.h"
 
 era_verdict_t
-era_note (uint64_t *known, text_t header)
+era_note (uint64_t *known, uint64_t stated)
 {
-  uint64_t era;
-
-  if (!text_to_u64 (header, &era) || era == 0 || era > STORE_ERA_MAX)
-    return *known == 0 ? ERA_CURRENT : ERA_MISSING;
-  if (era < *known)
-    return ERA_EARLIER;
-  if (*known > 0 && era - *known > ERA_RISE_MAX)
+  if (*known == 0 && (stated == 0 || stated > STORE_ERA_MAX))
+    return ERA_CURRENT;
+  if (stated == 0 || stated > STORE_ERA_MAX)
     return ERA_MISSING;
-  if (era == *known)
+  if (stated == *known)
     return ERA_CURRENT;
-  *known = era;
+  if (stated < *known)
+    return ERA_EARLIER;
+  if (*known > 0 && stated - *known > ERA_RISE_MAX)
+    return ERA_MISSING;
+  *known = stated;
   return ERA_RISEN;
 }
 
