Test of discovery: a row without the mark, and then another change

The test has the targets published after the row without the mark, as a change of another target does; the mutant is caught again. No check is taken out.

--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -327,7 +327,8 @@
   assert_true (leaves_for_keys (&fixture));
   assert_false (find_target (&fixture)->entry.leaving);
   relay (&fixture, 5, 7, "ready");
-  pass_time (&fixture, 0, 0);
+  fixture.coordinator.targets_changed = true; /* as by another target */
+  discovery_step (&fixture.coordinator);
   assert_true (leaves_for_keys (&fixture));
   relay (&fixture, 7, 8, "leaving");
   relay (&fixture, 8, 9, "ready");
