--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -145,6 +145,7 @@
   bool evacuations_changed; /* since they were last published */
   bool evacuations_ignored; /* a row was, which is logged once */
   bool outdated;            /* the proxy was told to reject requests */
+  uint64_t unconfirmed;     /* times that no one confirmed a copy for long */
   uint64_t directory_version;
   uint32_t unsupported_routes; /* in that configuration */
   bool has_directory;
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -186,7 +186,10 @@
 void outdated_review (coordinator_t *self);
 
 /* VERSION of the feed's table exists. */
-void outdated_note_newer (feed_t *feed, currency_t *currency, uint64_t version);
+void outdated_note_newer (coordinator_t *self,
+                          feed_t *feed,
+                          currency_t *currency,
+                          uint64_t version);
 
 /* The process did not run for CURRENCY_STALL_MS or more until now. */
 void outdated_note_stall (coordinator_t *self);
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -652,7 +652,11 @@
 /* The granter has all changes of the feed's table up to version NEWEST, which it knew to
  * be the newest one at CONFIRMED_AT. */
 static void
-check_version (feed_t *feed, currency_t *currency, uint64_t newest, msec_t confirmed_at)
+check_version (coordinator_t *self,
+               feed_t *feed,
+               currency_t *currency,
+               uint64_t newest,
+               msec_t confirmed_at)
 {
   bool complete = newest <= MAX (feed->newest_change, feed->version);
 
@@ -660,17 +664,19 @@
     outage_note_answer (feed->outage, confirmed_at);
   if (complete && confirmed_at != MSEC_NEVER)
     feed_confirm (feed, confirmed_at);
-  outdated_note_newer (feed, currency, newest);
+  outdated_note_newer (self, feed, currency, newest);
 }
 
 void
 discovery_handle_update (coordinator_t *self, const link_update_t *update)
 {
-  check_version (&self->configuration,
+  check_version (self,
+                 &self->configuration,
                  &self->configuration_currency,
                  update->configuration.newest_change,
                  confirmation_time (update, &update->configuration));
-  check_version (&self->targets,
+  check_version (self,
+                 &self->targets,
                  &self->targets_currency,
                  update->targets.newest_change,
                  confirmation_time (update, &update->targets));
@@ -706,7 +712,10 @@
                     (unsigned long long)after,
                     (unsigned long long)self->configuration.newest_change);
   if (table == STORE_CONFIGURATION && rows->len == 0)
-    outdated_note_newer (&self->configuration, &self->configuration_currency, after);
+    outdated_note_newer (self,
+                         &self->configuration,
+                         &self->configuration_currency,
+                         after);
   /* Until this host has read the table itself, it has no version that the rows could
    * follow.  They apply all the same, since each holds a complete configuration. */
   if (table == STORE_CONFIGURATION && !self->configuration.watching)
--- a/packages/coordinator/metrics_page.c
+++ b/packages/coordinator/metrics_page.c
@@ -134,6 +134,7 @@
   add_number (page, "routes_unsupported", self->unsupported_routes);
   add_number (page, "configuration_age_ms", (uint64_t)feed_age (&self->configuration));
   add_number (page, "outdated", self->outdated);
+  add_number (page, "unconfirmed_total", self->unconfirmed);
   add_number (page, "data_centres_emptied", evacuations_count (&self->evacuations));
   add_number (page,
               "evacuation_age_ms",
--- a/packages/currency/currency.c
+++ b/packages/currency/currency.c
@@ -29,6 +29,17 @@
          && now - state->complete_at >= self->limit;
 }
 
+static void
+review_age (currency_t *self, const currency_msg_t *state, msec_t now, GArray *out)
+{
+  bool unconfirmed
+      = state->complete_at != MSEC_NEVER && now - state->complete_at >= self->limit;
+
+  if (unconfirmed != self->unconfirmed)
+    emit (out, unconfirmed ? CURRENCY_UNCONFIRMED : CURRENCY_CONFIRMED, 0);
+  self->unconfirmed = unconfirmed;
+}
+
 /* The copy lacks the newest version, of which the host learned at SINCE. */
 static void
 await (currency_t *self, msec_t since)
@@ -63,6 +74,7 @@
   if (reject != self->rejecting)
     emit (out, reject ? CURRENCY_REJECT : CURRENCY_SERVE, 0);
   self->rejecting = reject;
+  review_age (self, state, now, out);
 }
 
 void
--- a/packages/currency/currency.h
+++ b/packages/currency/currency.h
@@ -45,10 +45,12 @@
 
 typedef enum
 {
-  CURRENCY_QUERY,   /* query the store, unless a call is in flight */
-  CURRENCY_REQUERY, /* query the store; a call that began before SINCE may hang */
-  CURRENCY_REJECT,  /* reject requests from now on */
-  CURRENCY_SERVE,   /* serve requests again */
+  CURRENCY_QUERY,       /* query the store, unless a call is in flight */
+  CURRENCY_REQUERY,     /* query the store; a call that began before SINCE may hang */
+  CURRENCY_REJECT,      /* reject requests from now on */
+  CURRENCY_SERVE,       /* serve requests again */
+  CURRENCY_UNCONFIRMED, /* nothing has confirmed the copy for the limit's time */
+  CURRENCY_CONFIRMED,   /* it is confirmed again */
 } currency_out_kind_t;
 
 typedef struct
@@ -67,6 +69,7 @@
   bool requeried;       /* since then */
   msec_t stalled_until; /* end of the last stall; MSEC_NEVER: confirmed since then */
   bool rejecting;
+  bool unconfirmed;
 } currency_t;
 
 void currency_init (currency_t *self, msec_t limit);
--- a/packages/currency/tests/test_currency.c
+++ b/packages/currency/tests/test_currency.c
@@ -86,6 +86,28 @@
   return first;
 }
 
+static void
+test_copy_that_nothing_confirms_is_reported_once (void **state)
+{
+  host_t host;
+  unsigned reports = 0;
+
+  (void)state;
+  setup (&host);
+  review (&host, START + LIMIT - 1);
+  assert_false (did (&host, CURRENCY_UNCONFIRMED));
+  for (msec_t now = START + LIMIT; now < START + 60000; now += 100)
+    {
+      review (&host, now);
+      reports += did (&host, CURRENCY_UNCONFIRMED);
+    }
+  assert_int_equal (reports, 1);
+  host.complete_at = START + 60000;
+  review (&host, START + 60000);
+  assert_true (did (&host, CURRENCY_CONFIRMED));
+  teardown (&host);
+}
+
 static void
 test_copy_without_a_newer_version_is_used (void **state)
 {
@@ -239,6 +261,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_copy_that_nothing_confirms_is_reported_once),
     cmocka_unit_test (test_copy_without_a_newer_version_is_used),
     cmocka_unit_test (test_outdated_copy_is_not_used_beyond_the_limit),
     cmocka_unit_test (test_change_that_just_became_known_may_still_arrive),
