--- a/tests/process/platform_cases.py
+++ b/tests/process/platform_cases.py
@@ -8,13 +8,14 @@
 
 
 class Fixture:
-    def __init__(self, build, routers=1, zones=None, **options):
-        """ZONES are those of the targets; OPTIONS are those of each Router."""
+    def __init__(self, build, routers=1, zones=None, keyed=True, **options):
+        """ZONES are those of the targets; KEYED: whether a service has keys; OPTIONS are those of
+        each Router."""
         self.store = Store()
         self.accesses = [StoreAccess(self.store) for i in range(routers)]
-        self.port = self.accesses[0].port
+        self.port, self.keyed = self.accesses[0].port, keyed
         self.build = build
-        self.store.put("op", "config", configuration(1, ROUTES))
+        self.store.put("op", "config", configuration(1, ROUTES, keyed=keyed))
         self.targets = {
             name: Target(self.store, name, service, zone=(zones or {}).get(name, "z1"))
             for name, service in
@@ -27,7 +28,8 @@
         for router in self.routers:
             router.wait_ready()
         for router in self.routers:
-            router.wait_hosts(routers)
+            if keyed:
+                router.wait_hosts(routers)
         self.count = 0
 
     def new_id(self):
@@ -84,6 +86,7 @@
             build,
             routers=getattr(case, "routers", 2),
             zones=getattr(case, "zones", None),
+            keyed=getattr(case, "keyed", True),
             **options,
         )
         ran += 1
--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -870,9 +870,11 @@
 ]
 
 
-def configuration(version, routes, max_body_bytes=5000000, services=(), cold=(None, None)):
+def configuration(version, routes, max_body_bytes=5000000, services=(), cold=(None, None),
+                  keyed=True):
     """SERVICES: names of more services without keys.  COLD: for how many seconds a target of
-    the first two services is cold, and how many requests a second it bears then."""
+    the first two services is cold, and how many requests a second it bears then.  KEYED:
+    whether the first service has keys; else none has."""
     return json.dumps(
         {
             "version": "%08x" % version,
@@ -887,7 +889,7 @@
                 "cols": ["name", "health_path", "max_conns", "sharded", "warm_s",
                          "warmup_s", "warmup_per_s"],
                 "rows": [
-                    ["keyed", "/healthz", 50, True, 1.0, *cold],
+                    ["keyed", "/healthz", 50, keyed or None, 1.0 if keyed else None, *cold],
                     ["plain", "/healthz", 50, None, None, *cold],
                     ["empty", "/healthz", 50, None, None, None, None],
                     *([name, "/healthz", 50, None, None, None, None] for name in services),
