A host without the granter's word has the store confirm its copies in time

Cause: a host that hears no granter (no service is keyed, so that none is elected; its messages don't arrive; it is being replaced) learned of changes by one call of 10 s alone. If that call was taken and never answered, on a connection that stayed open, nobody told the host, and only 1.2 s after the end of the wait did it ask again. The class: silence taken for the absence of news.

The bound on a copy's age is now the host's own, whoever else tells it of changes: - its watches end within half of the time in which a configuration has to take effect, or less often in a fleet of more than 250 hosts, so that together they don't overload the store; - a watch that isn't answered 0.5 s after its wait is repeated once, on a new connection, as those that are idle may be silent too; not while a reply arrives, nor while currency has a call repeated because a newer version is known; - calls that confirm nothing are paced. The granter's own watches are repeated likewise: 1.1 to 1.2 s instead of 1.9 s after their start.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -564,14 +564,23 @@
   return should_watch (owner, &((const coordinator_t *)owner)->targets);
 }
 
-/* The granter's feeds are confirmed often enough for the hosts that go by them. */
+/* How often two feeds of each host may call the store. */
+static msec_t
+fleet_max_age (const coordinator_t *self)
+{
+  return (msec_t)self->host_count * 2 * 1000 / FEED_CONFIRM_CALLS_PER_S;
+}
+
+/* The granter's feeds are confirmed often enough for the hosts that go by them.  A host
+ * that hears no granter has nobody else to tell it of a change while a watch hangs. */
 static msec_t
 max_age (void *owner)
 {
   const coordinator_t *self = owner;
 
-  return self->role.state == ROLE_HELD ? self->relay_max_age * RELAY_CONFIRM_PERCENT / 100
-                                       : STORE_WATCH_MS;
+  if (self->role.state == ROLE_HELD)
+    return self->relay_max_age * RELAY_CONFIRM_PERCENT / 100;
+  return CLAMP (fleet_max_age (self), self->own_max_age, STORE_WATCH_MS);
 }
 
 static bool
@@ -624,6 +633,7 @@
   if (self->evacuation_ms > 0)
     time = MIN (time, self->evacuation_ms); /* both are in the same table */
   currency_set_limit (&self->configuration_currency, time * CURRENCY_LIMIT_PERCENT / 100);
+  self->own_max_age = MIN (time * FEED_CONFIRM_PERCENT / 100, self->relay_max_age);
 }
 
 /* The time on this host's clock at which the granter's knowledge of a table was last
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -10,6 +10,7 @@
   msec_t started;
   msec_t wait;      /* of a watch: how long the store waits for a change */
   uint64_t version; /* of the feed when it was started */
+  bool overdue;     /* at the last step; its answer may have arrived and be unread */
 } feed_call_t;
 
 static void on_reply (void *owner, const store_reply_t *reply);
@@ -26,7 +27,9 @@
   const store_ops_t *ops = self->store->ops;
 
   self->call = g_new (feed_call_t, 1);
-  *self->call = (feed_call_t){ self, msclock_now (self->clock), 0, self->version };
+  *self->call = (feed_call_t){ .feed = self,
+                               .started = msclock_now (self->clock),
+                               .version = self->version };
 
   if (self->watching)
     {
@@ -134,6 +137,7 @@
 {
   log_lost_versions (self, call, reply);
   outage_note_answer (self->outage, msclock_now (self->clock));
+  self->repeated = false;
   if (self->retry_delay == 0)
     return;
   self->retry_delay = 0;
@@ -289,8 +293,9 @@
     handle_changes (self, call, reply);
   else
     handle_page (self, call, reply);
-  /* The delay lets one reply carry changes that come close together. */
-  if (self->watching && reply->rows->len > 0)
+  /* The delay lets one reply carry changes that come close together, and paces calls that
+   * don't wait, since what they confirm is too old. */
+  if (self->watching && (reply->rows->len > 0 || feed_age (self) >= max_age (self)))
     schedule_call (self, FEED_BATCH_MS);
   else
     start_next_call (self);
@@ -355,6 +360,19 @@
              && store_is_earlier (self->store, self->table, call->version));
 }
 
+/* Whether the watch in flight was overdue already at the last step.  While the feed is
+ * known to lack a row, currency decides whether a call may hang: the row may be large. */
+static bool
+is_overdue (const feed_t *self, feed_call_t *call)
+{
+  bool before = call->overdue;
+  msec_t due = call->started + call->wait;
+
+  call->overdue = self->behind_since == MSEC_NEVER
+                  && msclock_now (self->clock) >= due + FEED_OVERDUE_MS;
+  return before && call->overdue;
+}
+
 void
 feed_step (feed_t *self)
 {
@@ -364,6 +382,14 @@
     feed_resume (self);
   else if (self->call != NULL && self->watching && watch_is_of_no_use (self, self->call))
     feed_restart_call (self, MSEC_NEVER);
+  else if (self->call != NULL && self->watching && !self->repeated
+           && is_overdue (self, self->call))
+    {
+      self->repeated = true;
+      if (self->store->ops->renew_connections != NULL)
+        self->store->ops->renew_connections (self->store);
+      feed_restart_call (self, MSEC_NEVER);
+    }
 }
 
 void
--- a/packages/coordinator/feed.h
+++ b/packages/coordinator/feed.h
@@ -55,6 +55,7 @@
   msec_t confirm_after; /* calls don't wait for changes until one confirms a later time */
   GString *last_key;    /* last key of the previous page */
   msec_t retry_delay;   /* backoff; 0: the last call succeeded */
+  bool repeated;        /* an overdue watch, since a call last succeeded */
   msec_t read_started;  /* start of the full read in progress, or of the last one */
   msec_t confirmed_at;  /* all changes up to then were delivered; MSEC_NEVER: unknown */
   msec_t
@@ -115,8 +116,8 @@
 /* The time in ms since the call in flight was started; -1: there is none. */
 msec_t feed_call_duration (const feed_t *self);
 
-/* Resumes a suspended feed once should_watch allows it, and reissues a watch that ends
- * too late for max_age.  Call it periodically. */
+/* Resumes a suspended feed once should_watch allows it, reissues a watch that ends too
+ * late for max_age, and repeats one that is overdue.  Call it periodically. */
 void feed_step (feed_t *self);
 
 /* Starts a call to the store now if none is in flight. */
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -11,6 +11,7 @@
   store_done_t done[STORE_TABLES];
   void *owner[STORE_TABLES];
   unsigned watches[STORE_TABLES];
+  msec_t waits[STORE_TABLES]; /* of the last watch */
 } fake_store_t;
 
 typedef struct
@@ -42,7 +43,7 @@
   fake_store_t *self = (fake_store_t *)store;
 
   (void)version;
-  (void)wait;
+  self->waits[table] = wait;
   self->done[table] = done;
   self->owner[table] = owner;
   self->watches[table]++;
@@ -248,6 +249,30 @@
   teardown (&fixture);
 }
 
+/* In a large fleet less often, so that the hosts together don't overload the store. */
+static void
+test_host_without_a_granter_has_the_store_confirm_its_copies (void **state)
+{
+  fixture_t fixture;
+  const msec_t apply = 2000;
+
+  (void)state;
+  setup (&fixture);
+  discovery_set_apply_time (&fixture.coordinator, apply);
+  fixture.coordinator.granter_update_expires = 0;
+  pass_time (&fixture, 1000, FEED_BATCH_MS + 20);
+  assert_int_equal (fixture.fake.watches[STORE_CONFIGURATION], 1);
+  for (uint32_t hosts = 1; hosts <= 510; hosts += 509)
+    {
+      fixture.coordinator.host_count = hosts;
+      reply (&fixture, STORE_CONFIGURATION, STORE_DONE, 5, NULL);
+      msec_t longest = MAX (apply * FEED_CONFIRM_PERCENT / 100,
+                            hosts * 2 * 1000 / FEED_CONFIRM_CALLS_PER_S);
+      assert_in_range (fixture.fake.waits[STORE_CONFIGURATION], longest - 10, longest);
+    }
+  teardown (&fixture);
+}
+
 /* Its reply takes longer than FEED_LAG_MS, and the granter's updates go on. */
 static void
 test_slow_read_of_a_newer_version_is_not_abandoned (void **state)
@@ -805,6 +830,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_host_watches_the_store_when_the_granters_word_is_old),
+    cmocka_unit_test (test_host_without_a_granter_has_the_store_confirm_its_copies),
     cmocka_unit_test (test_call_is_repeated_when_another_host_is_in_a_later_era),
     cmocka_unit_test (test_target_that_leaves_stays_so_when_an_older_copy_lists_it),
     cmocka_unit_test (test_row_beside_the_configuration_hides_no_change_of_it),
--- a/packages/coordinator/tests/test_feed.c
+++ b/packages/coordinator/tests/test_feed.c
@@ -12,7 +12,8 @@
   store_done_t done;
   void *owner;
   unsigned reads, watches;
-  msec_t wait;     /* of the last watch */
+  msec_t wait; /* of the last watch */
+  unsigned renewals;
   bool arriving;   /* the reply to the pending call */
   bool has_more;   /* in the next reply */
   uint64_t newest; /* its newest version, as the last reply with a row stated */
@@ -69,8 +70,16 @@
   return self->arriving && owner == self->owner;
 }
 
-static const store_ops_t store_ops
-    = { .read = read_table, .watch = watch_table, .is_arriving = is_arriving };
+static void
+renew_connections (store_t *store)
+{
+  ((fake_store_t *)store)->renewals++;
+}
+
+static const store_ops_t store_ops = { .read = read_table,
+                                       .watch = watch_table,
+                                       .is_arriving = is_arriving,
+                                       .renew_connections = renew_connections };
 
 static void
 on_row (void *owner, const store_row_t *row)
@@ -288,6 +297,53 @@
   teardown (&fixture);
 }
 
+/* A step after a long turn of the event loop comes before an answer that has arrived. */
+static void
+test_watch_without_an_answer_is_repeated_once (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  void *abandoned = fixture.fake.owner;
+  pass_time (&fixture, fixture.fake.wait + FEED_OVERDUE_MS);
+  feed_step (&fixture.feed);
+  assert_int_equal (fixture.fake.watches, 1);
+  pass_time (&fixture, 100);
+  feed_step (&fixture.feed);
+  assert_int_equal (fixture.fake.watches, 2);
+  assert_int_equal (fixture.fake.wait, 0);
+  assert_int_equal (fixture.fake.renewals, 1);
+  for (int i = 0; i < 10; i++)
+    {
+      pass_time (&fixture, 100);
+      feed_step (&fixture.feed);
+    }
+  assert_int_equal (fixture.fake.watches, 2);
+  reply (&fixture, STORE_DONE, 6);
+  assert_int_equal (fixture.rows, 2);
+  assert_true (feed_age (&fixture.feed) <= 1000);
+  g_free (abandoned);
+  teardown (&fixture);
+}
+
+static void
+test_watches_that_confirm_nothing_are_paced (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup_watching (&fixture, true);
+  fixture.feed.newest_change
+      = 9; /* another host's row; the store states an older version */
+  pass_time (&fixture, STORE_WATCH_MS);
+  reply (&fixture, STORE_DONE, 0);
+  assert_int_equal (fixture.fake.watches, 1);
+  run_for (&fixture, FEED_BATCH_MS + 20);
+  assert_int_equal (fixture.fake.watches, 2);
+  teardown (&fixture);
+}
+
 /* As when the store counts as lost for a moment, or when the host becomes the granter. */
 static void
 test_call_whose_reply_is_arriving_is_not_abandoned (void **state)
@@ -520,6 +576,8 @@
     cmocka_unit_test (test_read_older_than_the_last_one_confirms_nothing),
     cmocka_unit_test (test_watch_is_suspended_while_rows_are_relayed),
     cmocka_unit_test (test_hanging_watch_is_restarted),
+    cmocka_unit_test (test_watch_without_an_answer_is_repeated_once),
+    cmocka_unit_test (test_watches_that_confirm_nothing_are_paced),
     cmocka_unit_test (test_relayed_rows_apply_before_first_read),
     cmocka_unit_test (test_retries_after_refusal),
     cmocka_unit_test (test_call_whose_reply_is_arriving_is_not_abandoned),
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -448,7 +448,7 @@
 #define STORE_CALL_MS 1200 /* the slowest answers of a working store take 0.4 s */
 /* The network link of a busy host holds its packets for up to half a second. */
 #define STORE_CONNECT_MS 600
-#define STORE_WATCH_MS 10000 /* a change that wasn't sent is noticed within this */
+#define STORE_WATCH_MS 10000 /* the longest wait for a change */
 /* The store's recovery is noticed well within the time that a configuration may take. */
 #define STORE_RETRY_MS 250
 #define STORE_RETRY_MAX_MS 600
@@ -513,6 +513,14 @@
 #define FEED_LAG_MS 400   /* a feed that lags for this long queries the store */
 /* A watch that hangs is recognized within this; its repetition still ends in time. */
 #define FEED_HUNG_MS 1000
+/* A watch that has not been answered so long after its wait is repeated once. */
+#define FEED_OVERDUE_MS 500
+/* Of the time in which a configuration has to take effect: how often the store confirms
+ * the copies of a host that hears no granter.  The rest is for a repeated watch. */
+#define FEED_CONFIRM_PERCENT 50
+/* What the hosts of a fleet that hears no granter may call the store for that, together:
+ * a quarter of the smallest store's reads. */
+#define FEED_CONFIRM_CALLS_PER_S 500
 
 /* Copies of tables that may be outdated. */
 /* Of the time in which a change has to take effect, until an outdated copy is not used
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -102,6 +102,9 @@
                   void *owner);
   /* Whether the reply to OWNER's latest call has begun to arrive.  NULL: unknown. */
   bool (*is_arriving) (const store_t *self, const void *owner);
+  /* Watches from now on use no connection that is idle now: it may be silent for good.
+   * NULL: calls share none. */
+  void (*renew_connections) (store_t *self);
   void (*close) (store_t *self);
 } store_ops_t;
 
