--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -159,8 +159,7 @@
   departed_t departed;            /* targets that left and are not listed any more */
   GHashTable *rejected_keys;      /* ids of invalid entries, each logged once */
   bool targets_changed;
-  msec_t own_max_age;   /* the oldest copies that this host keeps without a granter */
-  msec_t relay_max_age; /* the oldest knowledge of the granter that this host goes by */
+  msec_t relay_max_age; /* the oldest knowledge of a table that this host goes by */
 
   rate_fleet_t rates;
   pace_fleet_t paces;
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -580,7 +580,7 @@
 
   if (self->role.state == ROLE_HELD)
     return self->relay_max_age * RELAY_CONFIRM_PERCENT / 100;
-  return CLAMP (fleet_max_age (self), self->own_max_age, STORE_WATCH_MS);
+  return CLAMP (fleet_max_age (self), self->relay_max_age, STORE_WATCH_MS);
 }
 
 static bool
@@ -633,7 +633,6 @@
   if (self->evacuation_ms > 0)
     time = MIN (time, self->evacuation_ms); /* both are in the same table */
   currency_set_limit (&self->configuration_currency, time * CURRENCY_LIMIT_PERCENT / 100);
-  self->own_max_age = MIN (time * FEED_CONFIRM_PERCENT / 100, self->relay_max_age);
 }
 
 /* The time on this host's clock at which the granter's knowledge of a table was last
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -515,11 +515,8 @@
 #define FEED_HUNG_MS 1000
 /* A watch that has not been answered so long after its wait is repeated once. */
 #define FEED_OVERDUE_MS 500
-/* Of the time in which a configuration has to take effect: how often the store confirms
- * the copies of a host that hears no granter.  The rest is for a repeated watch. */
-#define FEED_CONFIRM_PERCENT 50
-/* What the hosts of a fleet that hears no granter may call the store for that, together:
- * a quarter of the smallest store's reads. */
+/* Calls to the store with which the hosts of a fleet that hears no granter may have their
+ * copies confirmed, together: a quarter of the smallest store's reads. */
 #define FEED_CONFIRM_CALLS_PER_S 500
 
 /* Copies of tables that may be outdated. */
