--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -189,6 +189,8 @@
         self.version = 0
         self.configuring = threading.RLock()  # of the attributes until the next empty line
         self.routes = [list(route) for route in ROUTES]
+        if args.unkeyed:
+            self.routes[0][9] = "plain"
         self.added = []  # (path, ms of the acknowledgement)
         self.dropped = {}  # by name: routes that can be brought back
         self.first_drops = {}  # by path: when the first configuration without it was sent
@@ -231,7 +233,8 @@
         with self.configuring:
             self.version += self.rng.randint(1, 5)
             text = configuration(
-                self.version, routes, services=["other"], cold=(5, COLD_PER_S)).decode()
+                self.version, routes, services=["other"], cold=(5, COLD_PER_S),
+                keyed=not self.args.unkeyed).decode()
             sent = now_ms()
             self.control(put=["op", "config", text])
             self.versions.append(
@@ -315,6 +318,13 @@
         self.control(fault=fault)
         return lambda: self.control(fault={}), None
 
+    def swallow_store_calls(self):
+        """Three in ten calls to the store are taken and never answered, some of them calls that
+        follow a change of the configuration."""
+        self.control(fault={"swallow_share": 0.3})
+        self.change_routes_in_series()
+        return lambda: self.control(fault={}), None
+
     def restore_store(self):
         """The store goes away and comes back from the copy that was made at the begin."""
         self.control(fault={"copy": True})
@@ -648,6 +658,8 @@
                   self.inject_store_fault, self.kill_all_routers]
         if self.args.drills:
             faults.append(self.restore_store)
+        if self.args.silent:
+            faults += [self.swallow_store_calls] * len(faults)
         operations = [getattr(self, name) for name in OPERATIONS]
         if self.args.evacuate:
             operations += [self.empty_data_centre] * len(operations)
@@ -1034,6 +1046,10 @@
     parser.add_argument(
         "--evacuate", action="store_true",
         help="targets are in two data centres, which the operator empties now and then")
+    parser.add_argument(
+        "--silent", action="store_true",
+        help="half of the faults are calls to the store that are taken and never answered")
+    parser.add_argument("--unkeyed", action="store_true", help="no service has keys")
     parser.add_argument("--verbose", action="store_true")
     args = parser.parse_args()
     seeds = (args.seed or []) + [random.randrange(10**6) for _ in range(args.fresh)]
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -4,7 +4,8 @@
 body: {"put": [table, key, text]}, {"delete": [table, key]} or {"fault": {...}}. The fields of
 "fault" are "unavailable" (respond with 503), "slow_ms" (delay of each request), "lose_share"
 (share of transactions that are applied without a response), "apply_delay_ms" (delay until
-those are applied), "compact" (discard the change history), "copy" (keep a copy of the rows),
+those are applied), "swallow_share" (share of all calls that are taken and never answered, their
+connections stay open), "compact" (discard the change history), "copy" (keep a copy of the rows),
 "restore" (return to that copy) and "pass_newest" (give out versions until they are beyond those
 before the return).
 """
@@ -19,7 +20,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "process"))
 from platform_fixture import JsonHandler, Store, listen  # noqa: E402
 
-FAULTS = {"unavailable": False, "slow_ms": 0, "lose_share": 0.0, "apply_delay_ms": 0}
+FAULTS = {
+    "unavailable": False, "slow_ms": 0, "lose_share": 0.0, "apply_delay_ms": 0, "swallow_share": 0.0
+}
 
 
 class SoakStore(Store):
@@ -69,6 +72,14 @@
         def more_headers(self):
             return {"Store-Era": str(store.era)}
 
+        def is_swallowed(self):
+            share = store.fault["swallow_share"]
+            if share == 0 or store.rng.random() >= share:
+                return False
+            self.close_connection = True
+            self.rfile.read()  # blocks until the caller closes
+            return True
+
         def is_unavailable(self):
             time.sleep(store.fault["slow_ms"] / 1000)
             if store.fault["unavailable"]:
@@ -78,7 +89,7 @@
         def do_GET(self):
             url = urlsplit(self.path)
             query = parse_qs(url.query)
-            if not self.is_unavailable():
+            if not self.is_swallowed() and not self.is_unavailable():
                 read = store.get if url.path.endswith("rows-get") else store.feed
                 self.respond(*read(query))
 
@@ -86,7 +97,7 @@
             request = self.read_json()
             if self.path == "/soak":
                 self.respond(200, {"ver": store.control(request)})
-            elif not self.is_unavailable():
+            elif not self.is_swallowed() and not self.is_unavailable():
                 self.transact(request)
 
         def transact(self, request):
