The time that a caller takes for its answer isn't its target's

Callers beside a crowd that read its answers slowly were rejected (503, reason=overload) although targets were free in between. Cause: the time of a target's work was taken until its answer had been read whole. While the router doesn't read an answer, because its caller doesn't take it or because it waits behind earlier ones of its connection, that time is the caller's; one caller that took 8 s raised the target's average for all others, until no request was expected to be in time. The time counts now until reading first waits for the caller.

--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -106,14 +106,17 @@
   dispatch_answer_t answer; /* DISPATCH_ANSWERED */
   unsigned status;          /* DISPATCH_ANSWERED: HTTP status */
   load_report_t load;       /* DISPATCH_ANSWERED */
-  bool rate_limited;        /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
-  double rate_limit;        /* DISPATCH_ANSWERED: requests per second, from all hosts */
-  pause_statement_t pause;  /* DISPATCH_ANSWERED: for how long it wants no requests */
-  const GArray *shares;     /* DISPATCH_SHARES: rate_share_t */
-  msec_t answers_until;     /* DISPATCH_DRAIN */
-  const GArray *paces;      /* DISPATCH_PACES: pace_t */
-  const GArray *grants;     /* DISPATCH_GRANTS: rate_grant_t */
-  msec_t rates_at;          /* DISPATCH_GRANTS: of the report that they answer */
+  /* DISPATCH_ANSWERED: when the response began to wait for its caller; 0: it never did.
+   */
+  msec_t held_up_at;
+  bool rate_limited;       /* DISPATCH_ANSWERED: the target stated RATE_LIMIT */
+  double rate_limit;       /* DISPATCH_ANSWERED: requests per second, from all hosts */
+  pause_statement_t pause; /* DISPATCH_ANSWERED: for how long it wants no requests */
+  const GArray *shares;    /* DISPATCH_SHARES: rate_share_t */
+  msec_t answers_until;    /* DISPATCH_DRAIN */
+  const GArray *paces;     /* DISPATCH_PACES: pace_t */
+  const GArray *grants;    /* DISPATCH_GRANTS: rate_grant_t */
+  msec_t rates_at;         /* DISPATCH_GRANTS: of the report that they answer */
   target_incarnation_t leaving; /* DISPATCH_LEAVING */
   const GArray *evacuations;    /* DISPATCH_EVACUATIONS: evacuation_t, in force */
   dispatch_bounds_t bounds;     /* DISPATCH_BOUNDS */
--- a/packages/dispatch/targets.c
+++ b/packages/dispatch/targets.c
@@ -180,11 +180,13 @@
     assume_full (self, now);
   if (run && msg->status < 500)
     {
-      msec_t sample = service_time_sample (request, msg, slots, now);
+      /* From then on the caller was slow, not the target. */
+      msec_t until = msg->held_up_at > 0 ? MIN (msg->held_up_at, now) : now;
+      msec_t sample = service_time_sample (request, msg, slots, until);
       update_average (&self->service_time_ms, (uint32_t)sample);
       pace_sample_add (&self->sample, sample, load_at_work (request, msg), slots);
       self->samples++;
-      self->samples_ms += (uint64_t)planned_time (sample, now - request->sent_at);
+      self->samples_ms += (uint64_t)planned_time (sample, until - request->sent_at);
     }
   /* An answer from an earlier address says nothing on the listed one. */
   if (msg->answer == ANSWER_WRONG_TARGET && request->sent_at > self->address_since)
--- a/packages/dispatch/tests/test_dispatch_load.c
+++ b/packages/dispatch/tests/test_dispatch_load.c
@@ -167,6 +167,34 @@
   end (&fixture);
 }
 
+/* Callers that took seconds for their answers made each target count as that slow, so
+ * that those of others were rejected. */
+static void
+test_time_of_a_caller_that_reads_slowly_is_not_its_targets (void **state)
+{
+  fixture_t fixture;
+  dispatch_request_t request;
+
+  (void)state;
+  begin (&fixture);
+  for (guint i = 0; i < 40; i++)
+    {
+      dispatch_msg_t msg
+          = { .kind = DISPATCH_ANSWERED, .request = &request, .status = 200 };
+      arrive (&fixture, &request, TEXT ("/read/"));
+      msg.target = (uint32_t)request.target;
+      msg.held_up_at = fixture.now + 10;
+      fixture.now += 8000;
+      handle_msg (&fixture, &msg);
+    }
+  assert_in_range (dispatch_service (&fixture.dispatch, request.service)->service_time_ms,
+                   0,
+                   DISPATCH_INITIAL_SERVICE_TIME_MS);
+  arrive (&fixture, &request, TEXT ("/read/"));
+  assert_int_equal (request.state, REQUEST_SENT);
+  end (&fixture);
+}
+
 static void
 test_excess_requests_are_queued_and_rejected_at_objective (void **state)
 {
@@ -311,6 +339,7 @@
     cmocka_unit_test (test_time_per_request_leaves_out_the_targets_queue),
     cmocka_unit_test (test_concurrent_requests_are_spread_over_targets),
     cmocka_unit_test (test_target_with_high_average_load_gets_fewer_requests),
+    cmocka_unit_test (test_time_of_a_caller_that_reads_slowly_is_not_its_targets),
     cmocka_unit_test (test_excess_requests_are_queued_and_rejected_at_objective),
     cmocka_unit_test (test_short_queue_waits_until_objective),
     cmocka_unit_test (test_host_respects_its_share_of_connections),
--- a/packages/proxy/target_conn.c
+++ b/packages/proxy/target_conn.c
@@ -250,9 +250,13 @@
   else if (exchange != NULL)
     state.awaits_turn = awaits_turn (self);
   if (flow_target_reads (&state))
-    bufferevent_enable (self->bev, EV_READ);
-  else
-    bufferevent_disable (self->bev, EV_READ);
+    {
+      bufferevent_enable (self->bev, EV_READ);
+      return;
+    }
+  bufferevent_disable (self->bev, EV_READ);
+  if (self->held_up_at == 0)
+    self->held_up_at = msclock_now (&self->proxy->clock);
 }
 
 /* Forwards a large response as it arrives, when it is its turn.  False if it is too large
@@ -307,6 +311,7 @@
                          .target = self->target,
                          .answer = response_classify (self),
                          .status = self->status,
+                         .held_up_at = self->held_up_at,
                          .load = self->facts.load,
                          .rate_limited = self->facts.rate_limited,
                          .rate_limit = self->facts.rate_limit,
@@ -573,6 +578,7 @@
   conn->request_bytes = head->len;
   conn->stray_bytes = 0;
   conn->skipped_responses = 0;
+  conn->held_up_at = 0;
   evbuffer_drain (conn->body, evbuffer_get_length (conn->body));
   bufferevent_write (conn->bev, head->str, head->len);
   if (exchange->request_streaming)
--- a/packages/proxy/target_conn.h
+++ b/packages/proxy/target_conn.h
@@ -28,7 +28,8 @@
   bool keep_alive;  /* the target keeps the connection open after the response */
   bool used_before; /* a complete response was received on it before */
   struct evbuffer *body;
-  bool kept_longer;        /* than PROXY_TCP_USER_TIMEOUT_MS, as its window was closed */
+  msec_t held_up_at; /* reading the response first waited for its caller; 0: never */
+  bool kept_longer;  /* than PROXY_TCP_USER_TIMEOUT_MS, as its window was closed */
   account_holder_t holder; /* the exchange's above it, while one is on the connection */
   uint64_t head_held;      /* of the head that is being parsed */
   msec_t idle_until;
