Log what bounds a range was freed by, and whether a grant was delivered

Now command_unanswered has delivered, refused and written_after_ms, freed and grant_in_flight have the bounds and the tenure, and the first grant that a target accepts under a fence has a line.

No change of logic but for one timer: the limit of a grant's call comes before evhttp's own of the same length, which closes the socket before it can be asked what was acknowledged. Unit httpc has a case for each of both facts; keys, key-holds, key-moves and httpc passed.

--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -10,6 +10,7 @@
   target_incarnation_t target;
   uint64_t tenure; /* the role's acquired_version when it was sent */
   msec_t started;
+  msec_t written; /* 0: it wasn't, as far as is known */
 } pending_command_t;
 
 static void
@@ -46,28 +47,33 @@
 
 static void
 log_command (const pending_command_t *command,
+             const command_result_t *result,
              const char *event,
-             event_class_t class,
              msec_t now)
 {
   const keys_out_t *action = &command->action;
 
-  eventlog_write (class,
-                  "keys",
-                  event,
-                  "service=%.*s target=%.*s address=%.*s born=%llu first=%u last=%u "
-                  "fence=%llu tenure=%llu hold_ms=%lld release=%d after_ms=%lld",
-                  NAME_ARG (action->service),
-                  NAME_ARG (action->target),
-                  NAME_ARG (action->address),
-                  (unsigned long long)action->started_at,
-                  action->first,
-                  action->last,
-                  (unsigned long long)action->fence,
-                  (unsigned long long)command->tenure,
-                  (long long)action->hold,
-                  action->kind == KEYS_RELEASE,
-                  (long long)(now - command->started));
+  eventlog_write (
+      EVENT_STATE,
+      "keys",
+      event,
+      "service=%.*s target=%.*s address=%.*s born=%llu first=%u last=%u "
+      "fence=%llu tenure=%llu hold_ms=%lld release=%d written_after_ms=%lld "
+      "delivered=%d refused=%d after_ms=%lld",
+      NAME_ARG (action->service),
+      NAME_ARG (action->target),
+      NAME_ARG (action->address),
+      (unsigned long long)action->started_at,
+      action->first,
+      action->last,
+      (unsigned long long)action->fence,
+      (unsigned long long)command->tenure,
+      (long long)action->hold,
+      action->kind == KEYS_RELEASE,
+      (long long)(command->written > 0 ? command->written - command->started : -1),
+      result->delivered,
+      result->refused,
+      (long long)(now - command->started));
 }
 
 /* A response to a command stated it: this host's requests are bound by it as well. */
@@ -113,14 +119,14 @@
       msg.kind = KEYS_CALL_FAILED;
       break;
     }
-  if (outcome != COMMAND_ACCEPTED || release)
+  if (outcome != COMMAND_ACCEPTED || release || command->action.first_grant)
     log_command (command,
-                 outcome == COMMAND_ACCEPTED       ? "released"
+                 result,
+                 outcome == COMMAND_ACCEPTED       ? (release ? "released" : "granted")
                  : outcome == COMMAND_SUPERSEDED   ? "superseded"
                  : outcome == COMMAND_WRONG_TARGET ? "target_replaced"
                  : result->sent                    ? "command_unanswered"
                                                    : "command_not_sent",
-                 EVENT_STATE,
                  msclock_now (&self->clock));
   g_free (command);
   grants_handle (self, &msg);
@@ -132,10 +138,11 @@
 static bool
 may_send_grant (void *owner)
 {
-  const pending_command_t *command = owner;
+  pending_command_t *command = owner;
   const coordinator_t *self = command->coordinator;
 
-  return msclock_now (&self->clock) < self->role.lease_end
+  command->written = msclock_now (&self->clock);
+  return command->written < self->role.lease_end
          && command->tenure == self->role.acquired_version;
 }
 
@@ -160,7 +167,8 @@
                                   *action,
                                   discovery_find_target (self, &action->target),
                                   self->role.acquired_version,
-                                  now };
+                                  now,
+                                  0 };
   /* The role may have ended since the decision; no grant may be sent after that. */
   if (call.may_send != NULL && !call.may_send (command))
     {
@@ -178,7 +186,7 @@
 }
 
 static void
-log_range (const keys_out_t *out)
+log_range (const coordinator_t *self, const keys_out_t *out)
 {
   bool freed = out->kind == KEYS_FREED;
 
@@ -186,7 +194,8 @@
                   "keys",
                   freed ? "freed" : "grant_in_flight",
                   "service=%.*s target=%.*s address=%.*s born=%llu first=%u last=%u "
-                  "fence=%llu why=%s remaining_ms=%lld",
+                  "fence=%llu tenure=%llu why=%s remaining_ms=%lld unanswered_ms=%lld "
+                  "inherited_ms=%lld fenced_off=%d",
                   NAME_ARG (out->service),
                   NAME_ARG (out->target),
                   NAME_ARG (out->address),
@@ -194,8 +203,12 @@
                   out->first,
                   out->last,
                   (unsigned long long)out->fence,
+                  (unsigned long long)self->role.acquired_version,
                   freed ? out->reason : "unanswered",
-                  (long long)out->remaining);
+                  (long long)out->remaining,
+                  (long long)out->unanswered,
+                  (long long)out->inherited,
+                  out->fenced_off);
 }
 
 static void
@@ -233,7 +246,7 @@
           break;
         case KEYS_UNANSWERED:
         case KEYS_FREED:
-          log_range (&out);
+          log_range (self, &out);
           break;
         }
     }
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -23,6 +24,10 @@
   bool head_received;
   bool streaming;
   bool timed_out;
+  bool refused; /* of a failed call, as is the next one */
+  bool acknowledged;
+  bufferevent_event_cb on_connected; /* evhttp's, with its argument */
+  void *on_connected_arg;
   bool options_set;
   uint64_t body_received;
   msec_t timeout;  /* maximum time without progress */
@@ -149,6 +154,17 @@
     event_del (self->connect_timer);
 }
 
+/* Whether the call has arrived at the server's host entirely.  If not, a response is
+ * a repeated one. */
+static bool
+is_acknowledged (const httpc_conn_t *self)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
+
+  return evbuffer_get_length (bufferevent_get_output (bev)) == 0
+         && socket_unacknowledged (bufferevent_getfd (bev)) == 0;
+}
+
 static void
 fail (httpc_conn_t *self, httpc_failure_t failure)
 {
@@ -158,6 +174,7 @@
 
   if (ops == NULL)
     return;
+  self->acknowledged = sent && get_socket (self) >= 0 && is_acknowledged (self);
   reset (self);
   ops->failed (owner, sent, failure);
 }
@@ -223,17 +240,6 @@
   return length >= 0 && received == (uint64_t)length;
 }
 
-/* Whether the call has arrived at the server's host entirely.  If not, the response is a
- * repeated one. */
-static bool
-is_acknowledged (const httpc_conn_t *self)
-{
-  struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
-
-  return evbuffer_get_length (bufferevent_get_output (bev)) == 0
-         && socket_unacknowledged (bufferevent_getfd (bev)) == 0;
-}
-
 static bool
 has_surplus_input (const httpc_conn_t *self)
 {
@@ -351,7 +357,10 @@
 void
 httpc_set_timeout (httpc_conn_t *conn, msec_t timeout)
 {
-  const struct timeval tv = { timeout / 1000, timeout % 1000 * 1000 };
+  /* A call's limit is noticed first: evhttp closes the socket before it tells. */
+  const msec_t limit = conn->pool->call_limit;
+  const msec_t quiet = timeout == limit ? timeout + CONNECT_MS : timeout;
+  const struct timeval tv = { quiet / 1000, quiet % 1000 * 1000 };
 
   conn->timeout = timeout;
   evhttp_connection_set_timeout_tv (conn->evcon, &tv);
@@ -408,6 +417,8 @@
   self->head_received = false;
   self->streaming = false;
   self->timed_out = false;
+  self->refused = false;
+  self->acknowledged = false;
   self->body_received = 0;
   evhttp_connection_set_max_body_size (self->evcon, HTTPC_BODY_MAX_BYTES);
   httpc_set_timeout (self, self->timeout);
@@ -429,6 +440,34 @@
   evbuffer_freeze (output, 1);
 }
 
+/* The connection was established, or failed: evhttp doesn't tell why. */
+static void
+on_connecting (struct bufferevent *bev, short what, void *arg)
+{
+  httpc_conn_t *self = arg;
+
+  self->refused = (what & BEV_EVENT_ERROR) != 0 && errno == ECONNREFUSED;
+  self->on_connected (bev, what, self->on_connected_arg);
+}
+
+/* evhttp replaces the callbacks once the connection is established. */
+static void
+watch_connecting (httpc_conn_t *self)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
+  bufferevent_data_cb on_read, on_write;
+
+  if (self->options_set)
+    return; /* it was open */
+  bufferevent_getcb (bev,
+                     &on_read,
+                     &on_write,
+                     &self->on_connected,
+                     &self->on_connected_arg);
+  if (self->on_connected != NULL && self->on_connected != on_connecting)
+    bufferevent_setcb (bev, on_read, on_write, on_connecting, self);
+}
+
 static httpc_conn_t *
 send_request (httpc_conn_t *self,
               struct evhttp_request *request,
@@ -444,6 +483,7 @@
   evhttp_request_set_error_cb (request, on_error);
   if (evhttp_make_request (self->evcon, request, method, uri) == 0)
     {
+      watch_connecting (self);
       if (ops->may_send != NULL)
         write_now (self);
       return self;
@@ -560,6 +600,18 @@
   return conn->reused;
 }
 
+bool
+httpc_was_acknowledged (const httpc_conn_t *conn)
+{
+  return conn->acknowledged;
+}
+
+bool
+httpc_was_refused (const httpc_conn_t *conn)
+{
+  return conn->refused;
+}
+
 bool
 httpc_is_receiving (const httpc_conn_t *conn)
 {
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -129,6 +129,14 @@
 /* Whether the response to the call on CONN has begun to arrive: its head is complete. */
 bool httpc_is_receiving (const httpc_conn_t *conn);
 
+/* Of a call that has failed, asked from within `failed`: whether the server's host is
+ * known to have acknowledged all of its bytes.  The server may then still read them, also
+ * after the connection's reset. */
+bool httpc_was_acknowledged (const httpc_conn_t *conn);
+
+/* The same: whether the server's host answered that nobody listens there. */
+bool httpc_was_refused (const httpc_conn_t *conn);
+
 /* Replaces the pool's TIMEOUT for the call on CONN, and for later ones on it.  A limit on
  * the whole call counts from its start all the same. */
 void httpc_set_timeout (httpc_conn_t *conn, msec_t timeout);
--- a/packages/httpc/tests/test_httpc.c
+++ b/packages/httpc/tests/test_httpc.c
@@ -36,7 +36,8 @@
   struct event_base *base;
   httpc_pool_t pool;
   bool done, failed, sent;
-  bool reused; /* the connection of the last call */
+  bool refused, acknowledged; /* of a failed call */
+  bool reused;                /* the connection of the last call */
   httpc_failure_t failure;
   bool streams;
   size_t body;
@@ -178,6 +179,8 @@
   self->failed = true;
   self->sent = sent;
   self->failure = failure;
+  self->refused = self->conn != NULL && httpc_was_refused (self->conn);
+  self->acknowledged = self->conn != NULL && httpc_was_acknowledged (self->conn);
   if (self->abandoned != NULL)
     {
       usleep (100 * 1000);
@@ -477,6 +480,19 @@
   expect_failure (SIZED "he", true, false, HTTPC_TIMED_OUT);
 }
 
+static void
+test_a_call_without_an_answer_is_known_to_have_arrived (void **state)
+{
+  server_t server = { .stays_open = true };
+  client_t client = { .limit = 300 };
+
+  (void)state;
+  call_server (&client, &server);
+  assert_true (client.failed);
+  assert_true (client.acknowledged);
+  assert_false (client.refused);
+}
+
 static void
 expect_given_up (const char *response, const char *repeated, unsigned pause_ms)
 {
@@ -597,6 +613,7 @@
   call_once (&client);
   assert_true (client.failed);
   assert_false (client.sent);
+  assert_true (client.refused);
   assert_int_equal (client.failure, HTTPC_UNREACHABLE);
   httpc_pool_finish (&client.pool);
   event_base_free (client.base);
@@ -1048,6 +1065,7 @@
     cmocka_unit_test (test_a_status_outside_the_protocol_is_no_response),
     cmocka_unit_test (test_connection_lost_before_the_head),
     cmocka_unit_test (test_unresponsive_server_times_out),
+    cmocka_unit_test (test_a_call_without_an_answer_is_known_to_have_arrived),
     cmocka_unit_test (test_a_call_has_its_own_timeout),
     cmocka_unit_test (test_a_call_ends_at_its_limit_whatever_arrives),
     cmocka_unit_test (test_a_limit_counts_from_the_start_of_its_call),
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -41,7 +41,7 @@
              const key_service_t *service,
              const key_range_state_t *range,
              const char *reason,
-             msec_t remaining,
+             msec_t now,
              GArray *out)
 {
   keys_out_t note = { .kind = kind,
@@ -53,7 +53,10 @@
                       .last = range->last,
                       .fence = range->fence,
                       .reason = reason,
-                      .remaining = remaining };
+                      .remaining = range->holds.any_until - now,
+                      .unanswered = range->holds.late_until - now,
+                      .inherited = range->holds.inherited_until - now,
+                      .fenced_off = range->holds.fenced_off };
 
   g_array_append_val (out, note);
 }
@@ -77,6 +80,7 @@
                       .fence = range->fence,
                       .call = ++self->last_call,
                       .proof = proof,
+                      .first_grant = kind == KEYS_GRANT && !range->granted,
                       .hold = hold,
                       .handover = range->handover };
   const target_entry_t *listed = key_plan_find_target (self, &range->owner);
@@ -248,7 +252,7 @@
                    ended             ? "ended"
                    : range->released ? "released"
                                      : "expired",
-                   range->holds.any_until - now,
+                   now,
                    out);
       range->phase = RANGE_UNASSIGNED;
       if (!range->released)
@@ -532,12 +536,7 @@
           if (msg->sent || msg->shared)
             {
               key_holds_unanswered (&range->holds, range->last_hold, now);
-              append_note (KEYS_UNANSWERED,
-                           service,
-                           range,
-                           NULL,
-                           range->holds.late_until - now,
-                           out);
+              append_note (KEYS_UNANSWERED, service, range, NULL, now, out);
             }
         }
       return;
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -88,12 +88,17 @@
   uint64_t fence;
   uint64_t call;       /* GRANT, RELEASE: identifies the call; never 0 */
   bool proof;          /* GRANT, RELEASE: its answer counts only if it isn't shared */
+  bool first_grant;    /* GRANT: none has been accepted under this fence */
   msec_t hold;         /* GRANT: its duration */
   name_t handover;     /* GRANT */
   key_table_t table;   /* COMMIT */
   uint64_t next_fence; /* COMMIT */
   const char *reason;  /* FREED */
   msec_t remaining;    /* UNANSWERED, FREED: until all grants of the range have expired */
+  /* The same of those without an answer and of those of predecessors; negative: they
+   * have, or there were none. */
+  msec_t unanswered, inherited;
+  bool fenced_off; /* UNANSWERED, FREED: the owner rejects those of predecessors */
 } keys_out_t;
 
 typedef enum
