--- a/tests/grants/grants.c
+++ b/tests/grants/grants.c
@@ -21,6 +21,9 @@
  *   - a grant or release is lost, or is executed, perhaps late, without a response;
  *   - all grants to a target are executed seconds late for some time, without a response,
  *     also by its next process;
+ *   - the store and all targets stand still, and the entries lapse;
+ *   - a target stands still: it reads seconds later what has arrived meanwhile, releases
+ *     before grants, and its entry lapses;
  *   - a host is frozen or killed.
  *
  * Random runs draw deviations and, besides, faults of targets, links and hosts: targets
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -168,6 +168,7 @@
   rng_init (&self->rng, host->index);
   keys_init (&self->keys, HOLD_MAX_MS);
   rate_fleet_init (&self->rates);
+  pace_fleet_init (&self->paces);
   discovery_init (self);
   g_queue_init (&self->role.pending_tables);
   self->role.next_check = sim->now + host->index * 100;
@@ -205,6 +206,7 @@
   discovery_finish (self);
   keys_finish (&self->keys);
   rate_fleet_finish (&self->rates);
+  pace_fleet_finish (&self->paces);
   g_array_unref (self->key_actions);
   g_hash_table_unref (self->reporters);
   event_base_free (self->base);
@@ -387,6 +389,7 @@
         {
           const command_result_t result = { .outcome = event->outcome,
                                             .sent = !event->not_sent,
+                                            .refused = event->not_sent,
                                             .handover = TEXT ("warm") };
           event->command_done (g_steal_pointer (&event->owner), &result);
         }
@@ -484,6 +487,8 @@
                         .back_at = MSEC_NEVER,
                         .list_at = MSEC_NEVER,
                         .exit_at = MSEC_NEVER,
+                        .lapse_at = MSEC_NEVER,
+                        .relist_at = MSEC_NEVER,
                         .holds = g_array_new (FALSE, TRUE, sizeof (hold_t)),
                         .fences = g_array_new (FALSE, TRUE, sizeof (hold_t)) };
       self->fences[i] = g_array_new (FALSE, TRUE, sizeof (hold_t));
@@ -505,6 +510,7 @@
         }
       if (self->random && self->now % HOST_FAULT_INTERVAL_MS == 0)
         sim_disturb ();
+      sim_step_stalls ();
       changed = step_scenario (self, change_at, changed);
       for (guint i = 0; i < HOSTS; i++)
         {
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -43,6 +43,11 @@
 #define COMMAND_SERIES_DELAY_MS 7500 /* within the longest hold */
 #define LISTING_DELAY_MS 1200        /* from a restart to the target's new entry */
 #define COMMAND_SLOW_MS 1100         /* nearly as long as a call may take */
+#define STALL_MS 6200                /* of a target: its unanswered grants have expired */
+#define STALL_READ_MS 60             /* from a stalled target's first reads to its last */
+#define STALL_LAPSE_MS 2600    /* from a stall's start to the end of the target's entry */
+#define STALL_LIST_MS 700      /* from its end to the target's new entry */
+#define STALL_PLATFORM_MS 4200 /* of the store and all targets: the role's lease ends */
 #define HOLD_MAX_MS 10000
 #define POINTS_MAX 8192
 #define DEVIATIONS_MAX 2
@@ -81,12 +86,14 @@
   STORE_SLOW,           /* answered later than the host waits for it */
   STORE_SILENT_SERIES,  /* this and the host's next calls are lost */
   STORE_REFUSED_SERIES, /* this and the host's next calls are refused */
+  STORE_STALLED,        /* the store and all targets read it and what follows later */
   STORE_OPTIONS,
   COMMAND_LOST = 1,
   COMMAND_RESPONSE_LOST,
   COMMAND_DELAYED,        /* executed late; the host sees a failure */
   COMMAND_DELAYED_SERIES, /* this and the next calls to the target */
   COMMAND_SLOW,           /* executed on arrival near the end of the call */
+  COMMAND_STALLED,        /* the target reads this and what follows after a stall */
   COMMAND_OPTIONS,
   HOST_FROZEN = 1,
   HOST_KILLED,
@@ -125,10 +132,13 @@
   bool up;
   uint64_t life; /* processes so far */
   guint address;
-  msec_t slow_until; /* its calls are answered by none and executed late */
-  msec_t back_at;    /* when its next process starts; MSEC_NEVER: not at all */
-  msec_t list_at;    /* when its entry changes to show that; MSEC_NEVER: it has */
-  msec_t exit_at;    /* when it ends after leaving */
+  msec_t slow_until;    /* its calls are answered by none and executed late */
+  msec_t stalled_until; /* its process reads nothing before */
+  msec_t lapse_at;      /* when its entry does by that; MSEC_NEVER: not */
+  msec_t relist_at;     /* when it is listed again after that; MSEC_NEVER: it is */
+  msec_t back_at;       /* when its next process starts; MSEC_NEVER: not at all */
+  msec_t list_at;       /* when its entry changes to show that; MSEC_NEVER: it has */
+  msec_t exit_at;       /* when it ends after leaving */
   msec_t cut_until[HOSTS];
   GArray *holds;  /* hold_t */
   GArray *fences; /* hold_t: ranges and fences of all grants that its process accepted */
@@ -180,6 +190,7 @@
   command_outcome_t outcome;
   bool not_sent;          /* of a failure: no byte of the call left the host */
   bool hold_from_arrival; /* the hold runs from ARRIVED_AT instead of the execution */
+  bool stalled;           /* it lies unread at the target, and ends with its process */
   msec_t arrived_at;
   void *owner;
   /* Listing events. */
@@ -222,11 +233,12 @@
   target_t targets[TARGETS];
   row_t role, keys;
   uint64_t version;
-  GArray *snapshots;       /* snapshot_t, one for each commit */
-  GPtrArray *events;       /* sim_event_t */
-  GArray *fences[TARGETS]; /* the same, of all processes of each target */
-  bool verbose;            /* print each command that arrives at a target */
-  char violation[256];     /* the first one found; empty: none */
+  msec_t store_stalled_until; /* it reads no call before */
+  GArray *snapshots;          /* snapshot_t, one for each commit */
+  GPtrArray *events;          /* sim_event_t */
+  GArray *fences[TARGETS];    /* the same, of all processes of each target */
+  bool verbose;               /* print each command that arrives at a target */
+  char violation[256];        /* the first one found; empty: none */
 } sim_t;
 
 extern const int sim_options[]; /* number of options, by point_kind_t */
@@ -258,6 +270,15 @@
  * there, so that the call fails. */
 command_outcome_t sim_execute_command (const sim_event_t *event, bool *not_sent);
 
+/* The target's process reads nothing for FOR_MS, and its entry lapses if that is long. */
+void sim_stall_target (guint index, msec_t for_ms);
+
+/* The same of all targets and the store. */
+void sim_stall_platform (void);
+
+/* Has the entries of stalled targets lapse and return. */
+void sim_step_stalls (void);
+
 /* Ends the target's process. */
 void sim_stop_target (guint index);
 
--- a/tests/grants/sim_random.c
+++ b/tests/grants/sim_random.c
@@ -11,6 +11,7 @@
 #define DOWN_MAX_MS 2000   /* of a target that starts again */
 #define CUT_MAX_MS 6000    /* of a link between a host and a target */
 #define OUTAGE_MAX_MS 5000 /* of the store, for one host */
+#define STALL_MAX_MS 8000  /* of a target */
 #define COMMITS_MAX 4
 
 typedef enum
@@ -33,6 +34,7 @@
   FAULT_HOT_KEYS,
   FAULT_KILL,
   FAULT_KILL_AFTER_COMMIT, /* a host, when it has written some tables */
+  FAULT_STALL,             /* a target stands still */
   FAULT_COUNT,
 } fault_kind_t;
 
@@ -174,6 +176,10 @@
     case FAULT_KILL_AFTER_COMMIT:
       sim->hosts[host].commits_left = 1 + (guint)draw (COMMITS_MAX);
       break;
+    case FAULT_STALL:
+      if (index < TARGETS)
+        sim_stall_target (index, draw (STALL_MAX_MS));
+      break;
     case FAULT_COUNT:
       break;
     }
--- a/tests/grants/sim_targets.c
+++ b/tests/grants/sim_targets.c
@@ -134,6 +134,8 @@
   target_t *target = &sim->targets[index];
 
   *not_sent = false;
+  if (event->stalled && event->life != target->life)
+    return COMMAND_FAILED;
   if (sim->verbose)
     print_command (event);
   /* Random runs leave out what docs/incidents/grants-applied-late.md lists as open. */
@@ -168,6 +170,8 @@
   target_t *target = &sim->targets[target_index (&command->target)];
 
   (void)now;
+  if (option == COMMAND_STALLED)
+    sim_stall_target (target_index (&command->target), STALL_MS);
   call->address = pool->port;
   call->life = target->life;
   call->command = *command;
@@ -181,9 +185,17 @@
   bool arrives = target_at (call->address) == target_index (&command->target);
   bool in_series = arrives && sim->now < target->slow_until && !command->release;
   bool cut = sim->now < target->cut_until[sim->active_host];
+  if (arrives && sim->now < target->stalled_until)
+    {
+      /* Releases are read first. */
+      call->at = target->stalled_until + (command->release ? 0 : STALL_READ_MS);
+      call->stalled = true;
+      if (call->at + DELAY_MS <= sim->now + COMMAND_CALL_MS)
+        return;
+    }
   if (!arrives && (option == COMMAND_DELAYED || option == COMMAND_DELAYED_SERIES))
     option = 0;
-  if (option == 0 && !in_series && !cut)
+  if (option == 0 && !in_series && !cut && !call->stalled)
     return;
   call->command_done = NULL;
   if (option == COMMAND_SLOW)
@@ -192,7 +204,7 @@
     option = COMMAND_LOST;
   if (option == COMMAND_LOST)
     call->at = MSEC_NEVER;
-  if (option == COMMAND_DELAYED || in_series)
+  if (!call->stalled && (option == COMMAND_DELAYED || in_series))
     {
       call->at += in_series ? COMMAND_SERIES_DELAY_MS : COMMAND_DELAY_MS;
       call->hold_from_arrival = true;
@@ -203,13 +215,59 @@
   failure->outcome = COMMAND_FAILED;
 }
 
+void
+sim_stall_target (guint index, msec_t for_ms)
+{
+  target_t *target = &sim->targets[index];
+
+  if (!target->up || sim->now < target->stalled_until)
+    return;
+  target->stalled_until = sim->now + for_ms;
+  target->lapse_at = for_ms > STALL_LAPSE_MS ? sim->now + STALL_LAPSE_MS : MSEC_NEVER;
+}
+
+void
+sim_stall_platform (void)
+{
+  sim->store_stalled_until = sim->now + STALL_PLATFORM_MS;
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      sim_stall_target (i, STALL_PLATFORM_MS);
+      if (sim->targets[i].up)
+        sim->targets[i].lapse_at = sim->store_stalled_until;
+    }
+}
+
+void
+sim_step_stalls (void)
+{
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      target_t *target = &sim->targets[i];
+      if (target->up && sim->now >= target->lapse_at)
+        {
+          target->lapse_at = MSEC_NEVER;
+          target->relist_at = target->stalled_until + STALL_LIST_MS;
+          target->row.listed = false;
+          sim_publish_target (i);
+        }
+      if (target->up && sim->now >= target->relist_at)
+        {
+          target->relist_at = MSEC_NEVER;
+          target->row.listed = true;
+          sim_publish_target (i);
+        }
+    }
+}
+
 void
 sim_stop_target (guint index)
 {
   target_t *target = &sim->targets[index];
 
   target->up = false;
-  target->slow_until = 0;
+  target->slow_until = target->stalled_until = 0;
+  target->lapse_at = target->relist_at = MSEC_NEVER;
   g_array_set_size (target->holds, 0);
   g_array_set_size (target->fences, 0);
 }
