A granter shows its fence to owners that answer, listed or not

Cause: only a listed owner was shown the fence of a new granter. One whose entry had lapsed, as entries do while the store is out of reach, was asked to release its keys, under its predecessor's fence, and not called any more once it had, even when it was listed again; its keys waited for the time in which the predecessor's grants were taken to end. A grant that it read after the release, late, gave it the keys back for up to the longest hold.

Now an owner that answers a release is running: if grants of a predecessor, or without an answer, may still reach it, it is shown a new fence, which has it reject them, and releases once more. An owner that doesn't answer is sent no fence before it has answered a release; the fence is a grant too. A release ends what has been read, so that the wait that follows is for unread grants alone.

Tests changed. Those that have a released range wait for a grant without an answer let the store stay out of reach, as a new fence now ends that wait; those of unlisted owners fail all calls to them, as an owner that answers is fenced now. Bounds are the same; assert_moved_from_silent_owner checks both sides. A release without an answer is repeated before the fence is shown again.

--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -34,6 +34,12 @@
   self->any_until = MAX (self->any_until, self->late_until);
 }
 
+void
+key_holds_released (key_holds_t *self)
+{
+  self->any_until = 0;
+}
+
 void
 key_holds_new_fence (key_holds_t *self)
 {
@@ -59,5 +65,6 @@
 {
   msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until;
 
-  return released ? MAX (self->late_until, inherited_until) : self->any_until;
+  return released ? MAX (self->late_until, inherited_until)
+                  : MAX (self->any_until, MAX (self->late_until, inherited_until));
 }
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -41,6 +41,9 @@
  * effect until it expires. */
 void key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now);
 
+/* The owner has released the range: it holds it by no grant that it has read. */
+void key_holds_released (key_holds_t *self);
+
 /* A new fence was committed for the owner: the grants so far count as a predecessor's. */
 void key_holds_new_fence (key_holds_t *self);
 
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -341,6 +341,7 @@
   range->next_call_at = 0;
   range->fence_confirmed = false;
   range->needs_new_fence = false;
+  range->answered = range->unanswered = false;
 }
 
 /* Binary search for the first key from which on the range carries at most WANTED load;
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -187,19 +187,32 @@
   msec_t hold = MIN (KEYS_FENCE_HOLD_MS, longest_grant (self));
 
   range->next_call_at = now + KEYS_RETRY_MS;
+  range->released = false;
   key_holds_sent (&range->holds, hold, now);
   append_call (self, KEYS_GRANT, service, range, hold, true, out);
 }
 
-/* Whether the owner has to be fenced, and can be: it is listed, may still apply a
- * predecessor's grants, as it may have restarted since it accepted the new fence, and the
- * short grant doesn't delay the time from which the keys can be reassigned. */
+/* Whether a new fence may free the owner's keys earlier than waiting for grants that last
+ * until UNTIL.  An owner that seems to be gone is first to answer a release: a grant
+ * without an answer is one more that may be read late. */
+static bool
+is_worth_fencing (const key_range_state_t *range,
+                  const target_entry_t *listed,
+                  msec_t until,
+                  msec_t now)
+{
+  return (listed != NULL ? !range->unanswered : range->answered) && !range->superseded
+         && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < until;
+}
+
+/* Whether the owner has to be fenced, and can be: it may still apply a predecessor's
+ * grants, as it may have restarted since it accepted the new fence. */
 static bool
 may_fence_owner (const key_range_state_t *range, const target_entry_t *listed, msec_t now)
 {
-  return range->holds.inherited_until > now && !range->fence_confirmed && listed != NULL
-         && !range->superseded
-         && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.any_until;
+  const msec_t until = range->holds.inherited_until;
+
+  return !range->fence_confirmed && is_worth_fencing (range, listed, until, now);
 }
 
 /* Whether the process that had the grants has ended: another target has its address, or
@@ -221,8 +234,9 @@
                     const target_entry_t *listed,
                     msec_t now)
 {
-  return self->store_reachable && listed != NULL && !range->superseded
-         && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < range->holds.late_until;
+  const msec_t until = range->holds.late_until;
+
+  return self->store_reachable && is_worth_fencing (range, listed, until, now);
 }
 
 static void
@@ -258,16 +272,16 @@
       if (!range->released)
         range->handover.len = 0;
     }
-  else if (now < range->next_call_at || range->released || !may_grant (self, now))
+  else if (now < range->next_call_at || !may_grant (self, now))
     return;
   else if (range->needs_new_fence || should_renew_fence (self, range, listed, now))
     range->needs_new_fence = true; /* committed once no other commit is pending */
   else if (may_fence_owner (range, listed, now))
     {
-      if (!service->needs_new_fences && range->pending_fence == 0)
+      if (shows_new_fence (service, range))
         fence_owner (self, service, range, now, out);
     }
-  else
+  else if (!range->released)
     {
       range->next_call_at = now + KEYS_RETRY_MS * (1 + MIN (range->release_attempts, 4));
       range->release_attempts++;
@@ -492,6 +506,8 @@
       if (msg->call == 0 || range->call != msg->call)
         continue;
       range->call = 0;
+      range->unanswered = kind == KEYS_CALL_FAILED;
+      range->answered = !range->unanswered;
       range->needs_proof = kind != msg->kind;
       if (kind == KEYS_CALL_FAILED)
         {
@@ -517,8 +533,10 @@
         range->next_call_at = now; /* it is fenced, and asked once more */
       else if (kind == KEYS_RELEASED && range->phase == RANGE_REVOKING)
         {
+          key_holds_released (&range->holds);
           range->released = true;
           range->handover = msg->handover;
+          range->next_call_at = now; /* it may have to be fenced, as it answers */
         }
       else if (kind == KEYS_SUPERSEDED)
         {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -132,11 +132,12 @@
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
   uint64_t called;        /* start time of the listed process when it was last called */
   uint64_t fenced;        /* the same of the process that accepted the fence */
-  bool needs_proof;       /* the last answer contradicts the range, and was shared */
-  bool fence_confirmed;   /* the owner accepted a grant since its keys are taken back */
-  bool released;          /* the owner released it */
-  bool superseded;        /* the owner has seen a higher fence */
-  bool owner_gone;        /* the owner's address belongs to another target */
+  bool answered, unanswered; /* the last call since its keys are taken back */
+  bool needs_proof;          /* the last answer contradicts the range, and was shared */
+  bool fence_confirmed; /* the owner accepted a grant since its keys are taken back */
+  bool released;        /* the owner released it */
+  bool superseded;      /* the owner has seen a higher fence */
+  bool owner_gone;      /* the owner's address belongs to another target */
   uint32_t release_attempts;
 } key_range_state_t;
 
--- a/packages/keys/tests/keys_fixture.c
+++ b/packages/keys/tests/keys_fixture.c
@@ -181,6 +181,38 @@
   return false;
 }
 
+/* Fails the first call to the target of ID, if there is one. */
+static bool
+fail_call_to (fixture_t *self, const name_t *id)
+{
+  for (guint i = 0; i < self->out->len; i++)
+    {
+      keys_out_t call = g_array_index (self->out, keys_out_t, i);
+      if (call.call == 0 || !name_equal (&call.target, id))
+        continue;
+      reply (self, &call, KEYS_CALL_FAILED, true);
+      return true;
+    }
+  return false;
+}
+
+void
+assert_moved_from_silent_owner (fixture_t *self, const name_t *id, msec_t until)
+{
+  while (count_actions (self, KEYS_COMMIT) == 0 && self->now < until + 1000)
+    {
+      while (fail_call_to (self, id))
+        ;
+      if (count_actions (self, KEYS_COMMIT) > 0)
+        break;
+      accept_grants (self);
+      self->now += 50;
+      renew_role (self);
+    }
+  assert_true (count_actions (self, KEYS_COMMIT) > 0);
+  assert_true (self->now >= until);
+}
+
 key_table_t
 stored_table (const fixture_t *fixture, guint n)
 {
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -55,7 +55,6 @@
     assert_true (run_until_action (self, KEYS_RELEASE, self->now + 4 * KEYS_RETRY_MS));
   keys_out_t release = *find (self, KEYS_RELEASE);
   reply (self, &release, KEYS_RELEASED, true);
-  self->store_lost = false;
 }
 
 /* Nothing is committed before UNTIL, and the move is soon after. */
@@ -182,7 +181,6 @@
   assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
   reply (&fixture, &release, KEYS_RELEASED, true);
-  fixture.store_lost = false;
   assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
   end (&fixture);
 }
@@ -379,6 +377,7 @@
   begin (&fixture, 3);
   assign_all_keys (&fixture);
   release_first_target (&fixture);
+  fixture.store_lost = false;
   if (count_actions (&fixture, KEYS_COMMIT) == 0)
     tick (&fixture, fixture.now);
   const keys_out_t *commit = find (&fixture, KEYS_COMMIT);
@@ -710,14 +709,19 @@
   tick (&fixture, fixture.now);
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
   reply (&fixture, &release, KEYS_CALL_FAILED, true);
+  if (count_actions (&fixture, KEYS_RELEASE) == 0)
+    tick (&fixture, fixture.now + 2 * KEYS_RETRY_MS);
+  release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
   if (call_to_first (&fixture, KEYS_GRANT).target.len == 0)
     tick (&fixture, fixture.now + 2 * KEYS_RETRY_MS);
   fencing_grant (&fixture);
   end (&fixture);
 }
 
-/* An owner that isn't listed gets no grant, so it accepted the fence before. */
-static void
+/* Returns the owner, t0. */
+static name_t
 release_unlisted_owner (fixture_t *self)
 {
   g_array_remove_index (self->targets, 0);
@@ -726,6 +730,7 @@
     assert_true (run_until_action (self, KEYS_RELEASE, self->now + 5 * KEYS_RETRY_MS));
   keys_out_t release = *find (self, KEYS_RELEASE);
   reply (self, &release, KEYS_RELEASED, true);
+  return release.target;
 }
 
 static void
@@ -754,8 +759,8 @@
   target (&fixture, 0)->started_at++;
   list_targets (&fixture);
   assert_int_equal (fixture.out->len, 0);
-  release_unlisted_owner (&fixture);
-  assert_moved_after (&fixture, START_MS + HOLD_MAX_MS);
+  const name_t owner = release_unlisted_owner (&fixture);
+  assert_moved_from_silent_owner (&fixture, &owner, START_MS + HOLD_MAX_MS);
   end (&fixture);
 }
 
@@ -768,8 +773,8 @@
   take_over_and_fence (&fixture);
   keys_out_t grant = next_grant (&fixture);
   reply (&fixture, &grant, KEYS_CALL_FAILED, false);
-  release_unlisted_owner (&fixture);
-  assert_moved_after (&fixture, START_MS + HOLD_MAX_MS);
+  const name_t owner = release_unlisted_owner (&fixture);
+  assert_moved_from_silent_owner (&fixture, &owner, START_MS + HOLD_MAX_MS);
   end (&fixture);
 }
 
@@ -854,8 +859,10 @@
   msec_t failed = renew_fence_of_leaving_target (&fixture);
   keys_out_t grant = fencing_grant (&fixture);
   reply (&fixture, &grant, KEYS_CALL_FAILED, true);
-  release_unlisted_owner (&fixture);
-  assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+  const name_t owner = release_unlisted_owner (&fixture);
+  assert_moved_from_silent_owner (&fixture,
+                                  &owner,
+                                  failed + slowest_clock (KEYS_HOLD_MS));
   end (&fixture);
 }
 
@@ -944,8 +951,9 @@
         reply_shared (&fixture, &grant, KEYS_GRANTED);
       else
         reply (&fixture, &grant, KEYS_GRANTED, true);
-      release_unlisted_owner (&fixture);
-      assert_moved_after (&fixture, shared ? START_MS + HOLD_MAX_MS : fixture.now);
+      const name_t owner = release_unlisted_owner (&fixture);
+      const msec_t until = shared ? START_MS + HOLD_MAX_MS : fixture.now;
+      assert_moved_from_silent_owner (&fixture, &owner, until);
       end (&fixture);
     }
 }
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -291,7 +291,6 @@
   assert_non_null (release);
   keys_out_t copy = *release;
   reply (&fixture, &copy, KEYS_RELEASED, true);
-  fixture.store_lost = false;
   assert_false (run_until_action (&fixture, KEYS_COMMIT, failed + KEYS_HOLD_MS - 100));
   assert_true (run_until_action (&fixture, KEYS_COMMIT, failed + KEYS_HOLD_MS * 2));
   end (&fixture);
@@ -415,6 +414,7 @@
   commit_new_fences (&fixture, &table);
   key_table_finish (&table);
   keys_out_t renewal = *find (&fixture, KEYS_GRANT);
+  const name_t owner = renewal.target;
   reply (&fixture, &renewal, KEYS_CALL_FAILED, true);
   g_array_remove_index (fixture.targets, 0);
   list_targets (&fixture);
@@ -422,15 +422,9 @@
     assert_true (
         run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_RETRY_MS));
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  set_store_lost (&fixture, true); /* no newer fence can be committed */
   reply (&fixture, &release, KEYS_RELEASED, true);
-  while (fixture.now < START_MS + HOLD_MAX_MS)
-    {
-      assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
-      accept_grants (&fixture);
-      fixture.now += 50;
-      renew_role (&fixture);
-    }
-  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
+  assert_moved_from_silent_owner (&fixture, &owner, START_MS + HOLD_MAX_MS);
   end (&fixture);
 }
 
@@ -456,7 +450,6 @@
         run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_RETRY_MS));
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
   reply (&fixture, &release, KEYS_RELEASED, true);
-  fixture.store_lost = false;
   while (fixture.now < START_MS + KEYS_HOLD_MS)
     {
       assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
@@ -468,8 +461,7 @@
   end (&fixture);
 }
 
-/* An owner that isn't listed gets no grant under a new fence, but can still release its
- * keys; a predecessor's grant may then return them to it. */
+/* A predecessor's grant may return them to it until it has accepted the new fence. */
 static void
 test_keys_released_by_an_unlisted_owner_wait_for_predecessor_grants (void **state)
 {
@@ -484,13 +476,35 @@
         run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_RETRY_MS));
   keys_out_t release = *find (&fixture, KEYS_RELEASE);
   reply (&fixture, &release, KEYS_RELEASED, true);
-  while (fixture.now < START_MS + 5000)
-    {
-      assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
-      accept_grants (&fixture);
-      fixture.now += 50;
-      renew_role (&fixture);
-    }
+  assert_moved_from_silent_owner (&fixture, &release.target, START_MS + 5000);
+  end (&fixture);
+}
+
+static void
+test_an_unlisted_owner_that_answers_is_fenced_before_its_keys_move (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  key_table_t table = setup_takeover (&fixture, true, false, HOLD_MAX_MS);
+  commit_new_fences (&fixture, &table);
+  key_table_finish (&table);
+  if (count_actions (&fixture, KEYS_RELEASE) == 0)
+    assert_true (
+        run_until_action (&fixture, KEYS_RELEASE, fixture.now + 2 * KEYS_RETRY_MS));
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_GRANT), 1);
+  keys_out_t fenced = *find (&fixture, KEYS_GRANT);
+  assert_true (name_equal (&fenced.target, &release.target));
+  assert_int_equal (fenced.hold, KEYS_FENCE_HOLD_MS);
+  reply (&fixture, &fenced, KEYS_GRANTED, true);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  if (count_actions (&fixture, KEYS_RELEASE) == 0)
+    tick (&fixture, fixture.now);
+  release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
   assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
   end (&fixture);
 }
@@ -579,6 +593,7 @@
     cmocka_unit_test (test_a_successor_fences_a_leaving_owner_before_it_moves_keys),
     cmocka_unit_test (
         test_keys_released_by_an_unlisted_owner_wait_for_predecessor_grants),
+    cmocka_unit_test (test_an_unlisted_owner_that_answers_is_fenced_before_its_keys_move),
     cmocka_unit_test (test_keys_of_an_unreadable_table_wait_before_assignment),
     cmocka_unit_test (
         test_an_unanswered_grant_does_not_shorten_the_wait_for_predecessor_grants),
