Grants count until their target can have read them

Cause: a grant without an answer was taken to have arrived by the end of its call, or never. It lasts from when the target's process reads it, though, and until then its bytes lie in the target's host, also after the connection's reset, for as long as the process stands still or reads other connections. So its keys were given away while it could still take them.

Now a grant without an answer, and those of a predecessor, may be read for KEYS_STALL_MS after their calls have ended. Three proofs end that wait: the owner's process accepted a higher fence, another has its address, or its host answers that nobody listens there, so that nothing lies unread.

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -373,6 +373,9 @@
 #define KEYS_RENEWALS_AT_ONCE 80
 #define KEYS_SLOW_CLOCK_PERCENT 2 /* the most that a target's clock may run slow */
 #define KEYS_MARGIN_MS 100        /* transmission of a grant */
+/* A call that its owner's host has taken may be read this much later: the process stands
+ * still, or has others to read first.  One that reads nothing for longer has ended. */
+#define KEYS_STALL_MS 10000
 /* Length of a grant that only shows the owner a new fence: its answer and a release fit
  * in. */
 #define KEYS_FENCE_HOLD_MS 200
--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -12,7 +12,6 @@
 key_holds_inherit (key_holds_t *self, msec_t until)
 {
   self->inherited_until = MAX (self->inherited_until, until);
-  self->any_until = MAX (self->any_until, until);
 }
 
 void
@@ -30,8 +29,9 @@
 void
 key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now)
 {
-  self->late_until = MAX (self->late_until, now + key_holds_worst_case (hold));
-  self->any_until = MAX (self->any_until, self->late_until);
+  key_holds_sent (self, hold, now);
+  self->late_until
+      = MAX (self->late_until, now + KEYS_STALL_MS + key_holds_worst_case (hold));
 }
 
 void
@@ -60,11 +60,18 @@
   self->fenced_off = false;
 }
 
+bool
+key_holds_inherited (const key_holds_t *self, msec_t now)
+{
+  return !self->fenced_off && now < self->inherited_until;
+}
+
 msec_t
-key_holds_end (const key_holds_t *self, bool released)
+key_holds_end (const key_holds_t *self, bool released, bool deaf)
 {
   msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until;
+  msec_t unread_until
+      = MAX (self->late_until, inherited_until) - (deaf ? KEYS_STALL_MS : 0);
 
-  return released ? MAX (self->late_until, inherited_until)
-                  : MAX (self->any_until, MAX (self->late_until, inherited_until));
+  return released ? unread_until : MAX (self->any_until, unread_until);
 }
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -8,19 +8,21 @@
 /*
  * KEY_HOLDS: until when the owner of a range of keys may hold it.
  *
- * A grant lasts from its arrival.  A target may apply it late, also after it released the
- * keys, if it did not answer it.  Every grant extends the bounds below and none shortens
- * them: another grant of the range, whatever its duration, proves nothing about one that
- * is still in flight.  The bounds end when they have passed, or with the target's
- * process; those of grants under earlier fences also while the process knows a newer one.
- * Times are in milliseconds on the granter's clock.
+ * A grant lasts from when the target's process reads it.  Its bytes may lie in the
+ * target's host for KEYS_STALL_MS after their call has ended without an answer, whatever
+ * became of the connection, and be read after a release that was sent later.  A host at
+ * which nobody listens has no such bytes.  Every grant extends the bounds below and none
+ * shortens them: another grant of the range, whatever its duration, proves nothing about
+ * one that is still in flight.  The bounds end when they have passed, or with the
+ * target's process; those of grants under earlier fences also while the process knows a
+ * newer one. Times are in milliseconds on the granter's clock.
  */
 
 typedef struct
 {
-  msec_t any_until;       /* all grants of the range have expired by then */
-  msec_t late_until;      /* all that may take effect after a release have expired */
-  msec_t inherited_until; /* all of predecessors have; 0: none */
+  msec_t any_until;       /* all grants that were read in time have expired by then */
+  msec_t late_until;      /* all without an answer have, whenever they are read */
+  msec_t inherited_until; /* all of predecessors have, likewise; 0: none */
   bool fenced_off;        /* the owner's process rejects those of predecessors */
 } key_holds_t;
 
@@ -28,7 +30,7 @@
  * and with the transmission. */
 msec_t key_holds_worst_case (msec_t hold);
 
-/* Grants of predecessors may last until UNTIL. */
+/* Grants of predecessors may last until UNTIL, those included that are read late. */
 void key_holds_inherit (key_holds_t *self, msec_t until);
 
 /* A grant of HOLD is sent. */
@@ -37,8 +39,8 @@
 /* It was answered, so it has arrived by now. */
 void key_holds_answered (key_holds_t *self, msec_t hold, msec_t now);
 
-/* Its call ended without an answer: it has arrived by now or never will, and it may take
- * effect until it expires. */
+/* Its call ended without an answer: its bytes have arrived by now or never will, and it
+ * may take effect until it expires. */
 void key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now);
 
 /* The owner has released the range: it holds it by no grant that it has read. */
@@ -53,6 +55,9 @@
 /* The owner may have restarted since, and know no fence. */
 void key_holds_not_fenced_off (key_holds_t *self);
 
+/* Whether grants of predecessors may take effect at NOW. */
+bool key_holds_inherited (const key_holds_t *self, msec_t now);
+
 /* From when on the owner can't hold the range.  RELEASED: it has released it since its
- * last grant was sent. */
-msec_t key_holds_end (const key_holds_t *self, bool released);
+ * last grant was sent.  DEAF: nobody listens at its address. */
+msec_t key_holds_end (const key_holds_t *self, bool released, bool deaf);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -53,7 +53,7 @@
                       .last = range->last,
                       .fence = range->fence,
                       .reason = reason,
-                      .remaining = range->holds.any_until - now,
+                      .remaining = key_holds_end (&range->holds, false, false) - now,
                       .unanswered = range->holds.late_until - now,
                       .inherited = range->holds.inherited_until - now,
                       .fenced_off = range->holds.fenced_off };
@@ -119,8 +119,7 @@
                    const key_range_state_t *range,
                    msec_t now)
 {
-  return shows_new_fence (service, range) && range->holds.inherited_until > now
-         && !range->holds.fenced_off;
+  return shows_new_fence (service, range) && key_holds_inherited (&range->holds, now);
 }
 
 /* Between renewals of a grant. */
@@ -257,7 +256,7 @@
       key_holds_not_fenced_off (&range->holds);
       range->fence_confirmed = false;
     }
-  msec_t reassignable_at = key_holds_end (&range->holds, range->released);
+  msec_t reassignable_at = key_holds_end (&range->holds, range->released, range->refused);
   if (ended || now >= reassignable_at)
     {
       append_note (KEYS_FREED,
@@ -507,6 +506,7 @@
         continue;
       range->call = 0;
       range->unanswered = kind == KEYS_CALL_FAILED;
+      range->refused = range->unanswered && msg->refused;
       range->answered = !range->unanswered;
       range->needs_proof = kind != msg->kind;
       if (kind == KEYS_CALL_FAILED)
@@ -735,5 +735,5 @@
    */
   msec_t hold = MAX (self->longest_hold, self->inherited_hold);
 
-  return MAX (key_holds_worst_case (hold) + COMMAND_CALL_MS - since, 0);
+  return MAX (key_holds_worst_case (hold) + COMMAND_CALL_MS + KEYS_STALL_MS - since, 0);
 }
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -14,7 +14,7 @@
  * Safety: a target is granted a range only after the range is committed in the store
  * under a fence (fencing token) higher than all earlier ones.  A range is committed for a
  * new owner only after the old owner released it, restarted, or can't hold it any more:
- * the latest time at which a grant can have arrived, plus the grant's duration on a slow
+ * the latest time at which it can have read a grant, plus the grant's duration on a slow
  * clock, has passed.  A granter that takes over doesn't know its predecessor's last
  * grants and assumes the longest possible ones.  A target may even apply one of them
  * after a release. The new granter therefore commits new fences for all ranges, and a
@@ -60,6 +60,7 @@
   uint64_t call;            /* GRANTED to CALL_FAILED: which one ended */
   bool release;             /* CALL_FAILED: the call was a release */
   bool sent;                /* CALL_FAILED: a byte of the call may have been sent */
+  bool refused;             /* CALL_FAILED: nobody listens at the target's address */
   bool shared;     /* GRANTED to OWNER_GONE: the answer may be one to an earlier call */
   name_t handover; /* RELEASED */
   const GArray *loads;         /* LOADS: key_load_t, of one host since its last report */
@@ -133,6 +134,7 @@
   uint64_t called;        /* start time of the listed process when it was last called */
   uint64_t fenced;        /* the same of the process that accepted the fence */
   bool answered, unanswered; /* the last call since its keys are taken back */
+  bool refused;              /* nobody listened at the owner's address at the last call */
   bool needs_proof;          /* the last answer contradicts the range, and was shared */
   bool fence_confirmed; /* the owner accepted a grant since its keys are taken back */
   bool released;        /* the owner released it */
--- a/packages/keys/tests/keys_fixture.c
+++ b/packages/keys/tests/keys_fixture.c
@@ -199,6 +199,10 @@
 void
 assert_moved_from_silent_owner (fixture_t *self, const name_t *id, msec_t until)
 {
+  bool fenced = count_actions (self, KEYS_GRANT) > 0;
+
+  if (fenced)
+    until = MAX (until, self->now + KEYS_STALL_MS + KEYS_FENCE_HOLD_MS);
   while (count_actions (self, KEYS_COMMIT) == 0 && self->now < until + 1000)
     {
       while (fail_call_to (self, id))
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -29,7 +29,7 @@
 #define END_MS 24000
 /* Random runs last longer, since faults of several kinds have to meet. */
 #define RANDOM_TO_MS 16000
-#define RANDOM_END_MS 36000
+#define RANDOM_END_MS (36000 + KEYS_STALL_MS)
 #define FREEZE_MS 3200
 #define RESTART_MS 400
 #define HOST_FAULT_INTERVAL_MS 250 /* between choice points for host faults */
