Only grants that their target's host has taken may be read late

Cause and change: a process that stands still lets its kernel acknowledge, and a lost or partitioned machine acknowledges nothing. What is not acknowledged when its call ends is taken back with the connection's reset. So an unanswered grant is waited for as one that may be read late only if the target's host may have taken it; and the grants of a predecessor, of which that isn't known, only if the host has taken a call from this granter that its process didn't answer. A host that is suspended as a whole doesn't acknowledge, and reads later: that is left open (docs/incidents/grants-read-late.md).

--- a/packages/coordinator/deployment.h
+++ b/packages/coordinator/deployment.h
@@ -37,7 +37,7 @@
 {
   command_outcome_t outcome;
   bool sent;       /* at least one byte may have been sent */
-  bool delivered;  /* without an answer: the target's host has acknowledged all bytes */
+  bool delivered;  /* without an answer: the target's host may have taken all bytes */
   bool refused;    /* the target's host answered that nobody listens at the address */
   bool shared;     /* the answer may be one to an earlier call, repeated by the target */
   bool leaving;    /* the target states that it leaves */
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -174,7 +174,7 @@
 
   if (ops == NULL)
     return;
-  self->acknowledged = sent && get_socket (self) >= 0 && is_acknowledged (self);
+  self->acknowledged = sent && (get_socket (self) < 0 || is_acknowledged (self));
   reset (self);
   ops->failed (owner, sent, failure);
 }
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -129,9 +129,9 @@
 /* Whether the response to the call on CONN has begun to arrive: its head is complete. */
 bool httpc_is_receiving (const httpc_conn_t *conn);
 
-/* Of a call that has failed, asked from within `failed`: whether the server's host is
- * known to have acknowledged all of its bytes.  The server may then still read them, also
- * after the connection's reset. */
+/* Of a call that has failed, asked from within `failed`: whether the server's host may
+ * have acknowledged all of its bytes.  The server may then still read them, also after
+ * the connection's reset. */
 bool httpc_was_acknowledged (const httpc_conn_t *conn);
 
 /* The same: whether the server's host answered that nobody listens there. */
--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -104,7 +104,10 @@
           /* The answer to a grant under the old fence no longer counts: it may arrive
            * until its call ends. */
           if (range->call != 0 && range->last_hold > 0)
-            key_holds_unanswered (&range->holds, range->last_hold, now + COMMAND_CALL_MS);
+            key_holds_unanswered (&range->holds,
+                                  range->last_hold,
+                                  true,
+                                  now + COMMAND_CALL_MS);
           range->call = 0;
           range->fence = range->pending_fence;
           range->pending_fence = 0;
--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -27,11 +27,18 @@
 }
 
 void
-key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now)
+key_holds_unanswered (key_holds_t *self, msec_t hold, bool delivered, msec_t now)
 {
+  const msec_t read = now + (delivered ? KEYS_STALL_MS : 0);
+
   key_holds_sent (self, hold, now);
-  self->late_until
-      = MAX (self->late_until, now + KEYS_STALL_MS + key_holds_worst_case (hold));
+  self->late_until = MAX (self->late_until, read + key_holds_worst_case (hold));
+}
+
+void
+key_holds_stalled (key_holds_t *self)
+{
+  self->stalled = true;
 }
 
 void
@@ -43,7 +50,11 @@
 void
 key_holds_new_fence (key_holds_t *self)
 {
-  self->inherited_until = MAX (self->inherited_until, self->late_until);
+  /* Less of inherited_until counts if no call was taken: see key_holds_end. */
+  msec_t until = self->late_until + (self->stalled ? 0 : KEYS_STALL_MS);
+
+  if (self->late_until > 0)
+    self->inherited_until = MAX (self->inherited_until, until);
   self->late_until = 0;
   self->fenced_off = false;
 }
@@ -69,9 +80,10 @@
 msec_t
 key_holds_end (const key_holds_t *self, bool released, bool deaf)
 {
-  msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until;
-  msec_t unread_until
-      = MAX (self->late_until, inherited_until) - (deaf ? KEYS_STALL_MS : 0);
+  const msec_t unread = self->stalled && !deaf ? 0 : KEYS_STALL_MS;
+  msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until - unread;
+  msec_t late_until = self->late_until - (deaf ? KEYS_STALL_MS : 0);
+  msec_t unread_until = MAX (late_until, inherited_until);
 
   return released ? unread_until : MAX (self->any_until, unread_until);
 }
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -8,14 +8,17 @@
 /*
  * KEY_HOLDS: until when the owner of a range of keys may hold it.
  *
- * A grant lasts from when the target's process reads it.  Its bytes may lie in the
- * target's host for KEYS_STALL_MS after their call has ended without an answer, whatever
- * became of the connection, and be read after a release that was sent later.  A host at
- * which nobody listens has no such bytes.  Every grant extends the bounds below and none
- * shortens them: another grant of the range, whatever its duration, proves nothing about
- * one that is still in flight.  The bounds end when they have passed, or with the
- * target's process; those of grants under earlier fences also while the process knows a
- * newer one. Times are in milliseconds on the granter's clock.
+ * A grant lasts from when the target's process reads it.  If the target's host has taken
+ * its bytes, they may lie there for KEYS_STALL_MS after the call has ended without an
+ * answer, whatever became of the connection, and be read after a release that was sent
+ * later.  A host that hasn't acknowledged them gets them no more after the reset, and one
+ * at which nobody listens has none.  Whether a predecessor's grants were taken isn't
+ * known; a host that takes no call has either taken none or lost what it had.  Every
+ * grant extends the bounds below and none shortens them: another grant of the range,
+ * whatever its duration, proves nothing about one that is still in flight.  The bounds
+ * end when they have passed, or with the target's process; those of grants under earlier
+ * fences also while the process knows a newer one. Times are in milliseconds on the
+ * granter's clock.
  */
 
 typedef struct
@@ -23,7 +26,8 @@
   msec_t any_until;       /* all grants that were read in time have expired by then */
   msec_t late_until;      /* all without an answer have, whenever they are read */
   msec_t inherited_until; /* all of predecessors have, likewise; 0: none */
-  bool fenced_off;        /* the owner's process rejects those of predecessors */
+  bool stalled;    /* the owner's host took a call that its process didn't answer */
+  bool fenced_off; /* the owner's process rejects those of predecessors */
 } key_holds_t;
 
 /* The longest time from the arrival of a grant of HOLD to its expiry: on a slow clock,
@@ -40,8 +44,11 @@
 void key_holds_answered (key_holds_t *self, msec_t hold, msec_t now);
 
 /* Its call ended without an answer: its bytes have arrived by now or never will, and it
- * may take effect until it expires. */
-void key_holds_unanswered (key_holds_t *self, msec_t hold, msec_t now);
+ * may take effect until it expires.  DELIVERED: the owner's host may have taken them. */
+void key_holds_unanswered (key_holds_t *self, msec_t hold, bool delivered, msec_t now);
+
+/* The owner's host took a call, and its process didn't answer. */
+void key_holds_stalled (key_holds_t *self);
 
 /* The owner has released the range: it holds it by no grant that it has read. */
 void key_holds_released (key_holds_t *self);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -509,6 +509,8 @@
       range->refused = range->unanswered && msg->refused;
       range->answered = !range->unanswered;
       range->needs_proof = kind != msg->kind;
+      if (kind == KEYS_CALL_FAILED && msg->delivered)
+        key_holds_stalled (&range->holds);
       if (kind == KEYS_CALL_FAILED)
         {
           key_holds_not_fenced_off (&range->holds);
@@ -553,7 +555,7 @@
           range->next_call_at = MIN (range->next_call_at, now + KEYS_RETRY_MS);
           if (msg->sent || msg->shared)
             {
-              key_holds_unanswered (&range->holds, range->last_hold, now);
+              key_holds_unanswered (&range->holds, range->last_hold, msg->delivered, now);
               append_note (KEYS_UNANSWERED, service, range, NULL, now, out);
             }
         }
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -189,6 +189,7 @@
   uint64_t life; /* of the process that has the address when the call begins */
   command_outcome_t outcome;
   bool not_sent;          /* of a failure: no byte of the call left the host */
+  bool delivered;         /* of a failure: the call arrived at the target's host */
   bool hold_from_arrival; /* the hold runs from ARRIVED_AT instead of the execution */
   bool stalled;           /* it lies unread at the target, and ends with its process */
   msec_t arrived_at;
--- a/tests/grants/sim_targets.c
+++ b/tests/grants/sim_targets.c
@@ -213,6 +213,7 @@
   failure->command_done = done;
   failure->owner = owner;
   failure->outcome = COMMAND_FAILED;
+  failure->delivered = call->at != MSEC_NEVER;
 }
 
 void
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,9 @@
 HOLD_OVERLAP_MAX_MS = 500  # two targets may hold a key while a grant is in transit
 STORE_AWAY_S = 1.5  # before it comes back from a copy
 REWRITE_S = 0.6  # for targets to write their rows again
+LAPSE_S = 2.6  # after which the entry of a target that stands still is removed
+STAND_S = (0.5, 11)  # how long owners stand still
+STAND_WITH_STORE_MAX_S = 4.5  # less than the operator waits for the store
 RECOVERY_S = 15  # before the share of successful requests is checked
 ZONES = ("z1", "z2")  # the routers are in the first
 KEYS = [0, 7, 9000, 20000, 33000, 50000, 65535]
@@ -325,6 +328,36 @@
         self.change_routes_in_series()
         return lambda: self.control(fault={}), None
 
+    def stand_still(self):
+        """Owners, at times all of them and the store, read what arrives only when they go on. Their
+        entries lapse meanwhile and return soon after."""
+        owners = [t for t in self.targets if t.service == "keyed"]
+        with_store = self.rng.random() < 0.4
+        chosen = owners if with_store else self.rng.sample(owners, self.rng.randint(1, 2))
+        seconds = self.rng.uniform(*STAND_S)
+        if with_store:
+            seconds = min(seconds, STAND_WITH_STORE_MAX_S)
+        stopped = [t.process for t in chosen] + ([self.store] if with_store else [])
+        for process in stopped:
+            process.send_signal(signal.SIGSTOP)
+        time.sleep(min(seconds, LAPSE_S))
+        if seconds > LAPSE_S and not with_store:
+            self.remove_entries(chosen)
+        time.sleep(max(seconds - LAPSE_S, 0))
+        for process in reversed(stopped):
+            process.send_signal(signal.SIGCONT)
+        if seconds > LAPSE_S and with_store:
+            self.remove_entries(chosen)
+
+        def finish():
+            for target in chosen:
+                self.signal_target(target, signal.SIGHUP)
+        return finish, None
+
+    def remove_entries(self, targets):
+        for target in targets:
+            self.control(delete=["servers", target.name])
+
     def restore_store(self):
         """The store goes away and comes back from the copy that was made at the begin."""
         self.control(fault={"copy": True})
@@ -660,6 +693,8 @@
             faults.append(self.restore_store)
         if self.args.silent:
             faults += [self.swallow_store_calls] * len(faults)
+        if self.args.standstill:
+            faults += [self.stand_still] * len(faults)
         operations = [getattr(self, name) for name in OPERATIONS]
         if self.args.evacuate:
             operations += [self.empty_data_centre] * len(operations)
@@ -1049,6 +1084,9 @@
     parser.add_argument(
         "--silent", action="store_true",
         help="half of the faults are calls to the store that are taken and never answered")
+    parser.add_argument(
+        "--standstill", action="store_true",
+        help="half of the faults are owners of keys that stand still, at times with the store")
     parser.add_argument("--unkeyed", action="store_true", help="no service has keys")
     parser.add_argument("--verbose", action="store_true")
     args = parser.parse_args()
