The grant that a new fence overtakes may be read late only if it was taken

A commit of new fences drops the answers to calls under the old ones, and took each for a grant that may be read late.

--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -92,6 +92,21 @@
   append_commit (self, service, out);
 }
 
+/* The answer to a grant under the fence before no longer counts.  The grant may arrive
+ * until its call ends, and be read late if that ends as one that was taken and not
+ * answered. */
+static void
+leave_call_to_its_end (key_range_state_t *range, msec_t now)
+{
+  const msec_t end = now + COMMAND_CALL_MS;
+
+  if (range->old_call != 0)
+    key_holds_unanswered (&range->holds, range->old_call_hold, true, end);
+  key_holds_unanswered (&range->holds, range->last_hold, false, end);
+  range->old_call = range->call;
+  range->old_call_hold = range->last_hold;
+}
+
 void
 key_commits_succeeded (key_service_t *service, msec_t now)
 {
@@ -101,13 +116,8 @@
       key_range_state_t *range = range_at (service, i);
       if (range->pending_fence != 0)
         {
-          /* The answer to a grant under the old fence no longer counts: it may arrive
-           * until its call ends. */
           if (range->call != 0 && range->last_hold > 0)
-            key_holds_unanswered (&range->holds,
-                                  range->last_hold,
-                                  true,
-                                  now + COMMAND_CALL_MS);
+            leave_call_to_its_end (range, now);
           range->call = 0;
           range->fence = range->pending_fence;
           range->pending_fence = 0;
@@ -122,6 +132,7 @@
       range->next_call_at = 0;
       range->holds = (key_holds_t){ 0 };
       range->last_hold = 0;
+      range->old_call = 0;
     }
 }
 
--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -31,7 +31,7 @@
 {
   const msec_t read = now + (delivered ? KEYS_STALL_MS : 0);
 
-  key_holds_sent (self, hold, now);
+  key_holds_answered (self, hold, now); /* it may have been read in time */
   self->late_until = MAX (self->late_until, read + key_holds_worst_case (hold));
 }
 
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -493,12 +493,32 @@
          && listed->started_at != range->called;
 }
 
+/* A grant under the fence before the newest may be read late, like any other.  The parts
+ * of a range that was split have it in common. */
+static void
+finish_old_call (key_service_t *service, const keys_msg_t *msg, msec_t now)
+{
+  for (guint i = 0; msg->call != 0 && i < service->ranges->len; i++)
+    {
+      key_range_state_t *range = range_at (service, i);
+      if (range->old_call != msg->call)
+        continue;
+      range->old_call = 0;
+      if (msg->kind != KEYS_CALL_FAILED || !msg->delivered)
+        continue;
+      key_holds_stalled (&range->holds);
+      key_holds_unanswered (&range->holds, range->old_call_hold, true, now);
+    }
+}
+
 static void
 finish_call (keys_t *self, const keys_msg_t *msg, msec_t now, GArray *out)
 {
   key_service_t *service = find_service (self, &msg->service);
   const keys_msg_kind_t kind = counted_kind (msg);
 
+  if (service != NULL)
+    finish_old_call (service, msg, now);
   for (guint i = 0; service != NULL && i < service->ranges->len; i++)
     {
       key_range_state_t *range = range_at (service, i);
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -132,8 +132,10 @@
   uint64_t pending_fence; /* for the same owner, in the pending commit; 0: none */
   bool needs_new_fence;   /* against grants without an answer */
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
-  uint64_t called;        /* start time of the listed process when it was last called */
-  uint64_t fenced;        /* the same of the process that accepted the fence */
+  uint64_t old_call;      /* a grant under the fence before, still under way; 0: none */
+  msec_t old_call_hold;
+  uint64_t called; /* start time of the listed process when it was last called */
+  uint64_t fenced; /* the same of the process that accepted the fence */
   bool answered, unanswered; /* the last call since its keys are taken back */
   bool refused;              /* nobody listened at the owner's address at the last call */
   bool needs_proof;          /* the last answer contradicts the range, and was shared */
