A grant's call ends before its connection times out

Whether a grant was taken is asked of its socket when the call ends. The call ends after 1.1 s now; the connection's time-out, on which a successor counts, is as before. The same circumstance had been met in part by a longer time-out of evhttp, taken out.

--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -38,7 +38,7 @@
       text_to_u64 (port_text, &port);
       pool = g_new0 (httpc_pool_t, 1);
       httpc_pool_init (pool, self->base, host, (uint16_t)port, COMMAND_CALL_MS);
-      httpc_pool_set_call_limit (pool, COMMAND_CALL_MS);
+      httpc_pool_set_call_limit (pool, COMMAND_LIMIT_MS);
       g_hash_table_insert (self->target_pools, g_strdup (key), pool);
     }
   g_free (key);
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -465,6 +465,9 @@
 /* A release is answered when the running requests have ended.  A call has ended by then,
  * connecting included: a successor counts on it. */
 #define COMMAND_CALL_MS 1200
+/* When a call is given up: before the connection times out, as its socket tells until
+ * then what the target's host has acknowledged. */
+#define COMMAND_LIMIT_MS 1100
 
 /* Links between hosts. */
 /* A full queue means that the host is unreachable; what it misses is sent again. */
--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -357,10 +357,7 @@
 void
 httpc_set_timeout (httpc_conn_t *conn, msec_t timeout)
 {
-  /* A call's limit is noticed first: evhttp closes the socket before it tells. */
-  const msec_t limit = conn->pool->call_limit;
-  const msec_t quiet = timeout == limit ? timeout + CONNECT_MS : timeout;
-  const struct timeval tv = { quiet / 1000, quiet % 1000 * 1000 };
+  const struct timeval tv = { timeout / 1000, timeout % 1000 * 1000 };
 
   conn->timeout = timeout;
   evhttp_connection_set_timeout_tv (conn->evcon, &tv);
--- a/packages/httpc/httpc.h
+++ b/packages/httpc/httpc.h
@@ -131,7 +131,8 @@
 
 /* Of a call that has failed, asked from within `failed`: whether the server's host may
  * have acknowledged all of its bytes.  The server may then still read them, also after
- * the connection's reset. */
+ * the connection's reset.  It is known of a call that has reached its limit before the
+ * connection was lost or timed out. */
 bool httpc_was_acknowledged (const httpc_conn_t *conn);
 
 /* The same: whether the server's host answered that nobody listens there. */
