--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 sys.path.insert(0, HERE)
 from platform_fixture import Caller, Router, configuration, free_port  # noqa: E402
 from proxy import Proxies  # noqa: E402
+from target_process import COLD_BEGINS, COLD_ENDS, DELAYS_END, LIMIT_ENDS  # noqa: E402
 
 DRAIN_MAX_MS = 2000  # a draining target gets no request later, by the platform's specification
 CONFIG_APPLY_MAX_MS = 2000  # within this time a configuration takes effect on every host
@@ -497,7 +498,7 @@
 
         def finish():
             if process.poll() is None:
-                process.send_signal(signal.SIGUSR2)
+                process.send_signal(LIMIT_ENDS)
         return finish, None
 
     def delay_grants(self):
@@ -511,7 +512,7 @@
         def finish():
             for process in processes:
                 if process.poll() is None:
-                    process.send_signal(signal.SIGRTMIN)
+                    process.send_signal(DELAYS_END)
         return finish, None
 
     def slow_store_link(self):
@@ -571,11 +572,11 @@
             chilled = [(t, t.process) for t in self.targets
                        if t is chosen or (all_of_service and t.service == chosen.service)]
             for target, _process in chilled:
-                self.signal_target(target, signal.SIGRTMIN + 1)
+                self.signal_target(target, COLD_BEGINS)
             time.sleep(min(self.chill_rng.uniform(*COLD_S), max(until - time.monotonic(), 0)))
             for target, process in chilled:
                 if target.process is process:
-                    self.signal_target(target, signal.SIGRTMIN + 1)
+                    self.signal_target(target, COLD_ENDS)
 
     @staticmethod
     def signal_target(target, number):
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -6,11 +6,12 @@
 and started request; a request's line has the time (ms of the monotonic clock, which all
 processes share), the request's id, its key, the fence under which the target holds the
 key, and the time that is left for it. A line with "told" is written after a response that states that the target leaves, to the
-request of that id. On SIGUSR1 the target begins to leave; on SIGUSR2 its responses state a limit
-of LIMIT requests per second, or no longer do so; on SIGRTMIN it begins or ceases to leave some
-grants without an answer and to apply them late. On SIGALRM it rejects all requests for some
+request of that id. On SIGUSR1 the target begins to leave; from SIGUSR2 until LIMIT_ENDS its
+responses state a limit of LIMIT requests per second; from SIGRTMIN until DELAYS_END it leaves some
+grants without an answer and applies them late. Signals that begin something and those that end it
+differ, as Python handles several of one that were pending in a stopped process as one. On SIGALRM it rejects all requests for some
 seconds and says so; on SIGHUP it writes its row again within ANNOUNCE_INTERVAL_S; a rejection's line has for how long it wants no requests, and each request's
-arrival has a line too. On SIGRTMIN+1 it becomes cold, or warm again, and writes its row; a line
+arrival has a line too. From COLD_BEGINS until COLD_ENDS it is cold; it writes its row, and a line
 says when the store has that.
 """
 
@@ -33,6 +34,9 @@
 LATE_S = (2, 9)  # the longest grant lasts 10 s
 AWAY_S = (0.5, 4)
 COLD_MS = 60000
+DELAYS_END = signal.SIGRTMIN + 2
+COLD_BEGINS, COLD_ENDS = signal.SIGRTMIN + 1, signal.SIGRTMIN + 3
+LIMIT_ENDS = signal.SIGRTMIN + 4
 
 
 class RemoteStore:
@@ -97,8 +101,10 @@
                 self._write(grant=[*granted, left_ms])
             return True
 
-    def toggle_limit(self):
-        self.limit = LIMIT if self.limit is None else None
+    def set_limit(self, limit):
+        if limit == self.limit:
+            return
+        self.limit = limit
         with self.lock:
             self._write(limit=self.limit)
 
@@ -179,20 +185,20 @@
         if leaves_by != "header":
             state[0] = "draining"
     signal.signal(signal.SIGUSR1, leave)
-    signal.signal(signal.SIGRTMIN, lambda *args: setattr(
-        target, "delays_grants", not target.delays_grants))
-    toggles, lost, cold = [0], [False], [False]
-    signal.signal(signal.SIGRTMIN + 1, lambda *args: cold.__setitem__(0, not cold[0]))
-    signal.signal(signal.SIGUSR2, lambda *args: toggles.__setitem__(0, toggles[0] + 1))
+    signal.signal(signal.SIGRTMIN, lambda *args: setattr(target, "delays_grants", True))
+    signal.signal(DELAYS_END, lambda *args: setattr(target, "delays_grants", False))
+    limit, lost, cold = [None], [False], [False]
+    signal.signal(COLD_BEGINS, lambda *args: cold.__setitem__(0, True))
+    signal.signal(COLD_ENDS, lambda *args: cold.__setitem__(0, False))
+    signal.signal(signal.SIGUSR2, lambda *args: limit.__setitem__(0, LIMIT))
+    signal.signal(LIMIT_ENDS, lambda *args: limit.__setitem__(0, None))
     signal.signal(signal.SIGHUP, lambda *args: lost.__setitem__(0, True))
     signal.signal(signal.SIGALRM, lambda *args: target.stay_away())
     print("ready", flush=True)
     announced, announced_cold = "ready", False
     while True:
         time.sleep(ANNOUNCE_INTERVAL_S)
-        while toggles[0] > 0:
-            toggles[0] -= 1
-            target.toggle_limit()
+        target.set_limit(limit[0])
         if announced == state[0] and announced_cold == cold[0] and not lost[0]:
             continue
         try:
