An owner is called before its predecessor's grants count as read in time

A successor took a predecessor's grants to have been read when their calls ended unless a call showed that the owner stands still; so without any call it took them so at once. If the role had been vacant for as long as those grants last, as it is when the store stands still with the targets, the keys of an unlisted owner were freed unasked.

Now the time in which they may lie unread is waived only after a call that shows it: the owner's host took none, or another process answered there.

--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -41,6 +41,12 @@
   self->stalled = true;
 }
 
+void
+key_holds_absent (key_holds_t *self)
+{
+  self->absent = true;
+}
+
 void
 key_holds_released (key_holds_t *self)
 {
@@ -50,7 +56,7 @@
 void
 key_holds_new_fence (key_holds_t *self)
 {
-  /* Less of inherited_until counts if no call was taken: see key_holds_end. */
+  /* Less of inherited_until counts if no call was taken, as key_holds_end has it. */
   msec_t until = self->late_until + (self->stalled ? 0 : KEYS_STALL_MS);
 
   if (self->late_until > 0)
@@ -80,7 +86,8 @@
 msec_t
 key_holds_end (const key_holds_t *self, bool released, bool deaf)
 {
-  const msec_t unread = self->stalled && !deaf ? 0 : KEYS_STALL_MS;
+  const bool reads_late = !deaf && (self->stalled || !self->absent);
+  const msec_t unread = reads_late ? 0 : KEYS_STALL_MS;
   msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until - unread;
   msec_t late_until = self->late_until - (deaf ? KEYS_STALL_MS : 0);
   msec_t unread_until = MAX (late_until, inherited_until);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -531,6 +531,8 @@
       range->needs_proof = kind != msg->kind;
       if (kind == KEYS_CALL_FAILED && msg->delivered)
         key_holds_stalled (&range->holds);
+      else if (kind == KEYS_CALL_FAILED && msg->tried && !msg->shared)
+        key_holds_absent (&range->holds);
       if (kind == KEYS_CALL_FAILED)
         {
           key_holds_not_fenced_off (&range->holds);
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -60,6 +60,7 @@
   uint64_t call;            /* GRANTED to CALL_FAILED: which one ended */
   bool release;             /* CALL_FAILED: the call was a release */
   bool sent;                /* CALL_FAILED: a byte of the call may have been sent */
+  bool tried;               /* CALL_FAILED: the target was called */
   bool delivered;           /* CALL_FAILED: the target's host may have taken the call */
   bool refused;             /* CALL_FAILED: nobody listens at the target's address */
   bool shared;     /* GRANTED to OWNER_GONE: the answer may be one to an earlier call */
--- a/packages/keys/tests/keys_fixture.c
+++ b/packages/keys/tests/keys_fixture.c
@@ -124,6 +124,7 @@
                      .call = call->call,
                      .release = call->kind == KEYS_RELEASE,
                      .sent = sent,
+                     .tried = true,
                      .delivered = sent };
 
   if (kind == KEYS_RELEASED)
@@ -200,8 +201,11 @@
 void
 assert_moved_from_silent_owner (fixture_t *self, const name_t *id, msec_t until)
 {
-  bool fenced = count_actions (self, KEYS_GRANT) > 0;
+  bool fenced = false;
 
+  for (guint i = 0; i < self->out->len; i++)
+    fenced |= g_array_index (self->out, keys_out_t, i).kind == KEYS_GRANT
+              && name_equal (&g_array_index (self->out, keys_out_t, i).target, id);
   if (fenced)
     until = MAX (until, self->now + KEYS_STALL_MS + KEYS_FENCE_HOLD_MS);
   while (count_actions (self, KEYS_COMMIT) == 0 && self->now < until + 1000)
--- a/packages/keys/tests/keys_fixture.h
+++ b/packages/keys/tests/keys_fixture.h
@@ -75,8 +75,7 @@
 bool run_until_action (fixture_t *self, keys_out_kind_t kind, msec_t until);
 
 /* All calls to the target of ID fail from now on until keys are to move, which is after
- * UNTIL and soon.  It has just answered, so that it is sent a fence, which may be read
- * late. */
+ * UNTIL and soon.  A fence that it is sent now may be read late. */
 void assert_moved_from_silent_owner (fixture_t *self, const name_t *id, msec_t until);
 
 /* A table that splits the keys among the first N targets; fences from 20 on. */
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -913,6 +913,7 @@
                     (keys_msg_t){ .kind = KEYS_CALL_FAILED,
                                   .call = release->call,
                                   .release = true,
+                                  .tried = true,
                                   .refused = true });
       if (count_actions (&fixture, KEYS_COMMIT) > 0)
         break;
@@ -935,7 +936,10 @@
   assign_all_keys (&fixture);
   keys_out_t grant = next_grant (&fixture);
   handle_msg (&fixture,
-              (keys_msg_t){ .kind = KEYS_CALL_FAILED, .call = grant.call, .sent = true });
+              (keys_msg_t){ .kind = KEYS_CALL_FAILED,
+                            .call = grant.call,
+                            .sent = true,
+                            .tried = true });
   const msec_t failed = fixture.now;
   const msec_t until = failed + slowest_clock (KEYS_HOLD_MS);
   assert_true (moves_before (&fixture, until + 1000));
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -360,6 +360,24 @@
   end (&fixture);
 }
 
+/* The role was vacant until its last holder's grants had expired, if they were read in
+ * time. */
+static void
+test_a_successor_calls_an_owner_before_it_takes_its_grants_for_read (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  key_table_t table = setup_takeover (&fixture, true, false, KEYS_STALL_MS / 2);
+  const name_t owner = g_array_index (table.ranges, key_range_t, 1).target;
+  assert_int_equal (count_actions (&fixture, KEYS_FREED), 0);
+  commit_new_fences (&fixture, &table);
+  key_table_finish (&table);
+  assert_int_equal (count_actions (&fixture, KEYS_FREED), 0);
+  assert_moved_from_silent_owner (&fixture, &owner, START_MS + KEYS_STALL_MS / 2);
+  end (&fixture);
+}
+
 /* Guards against waiting for the longest hold from the take-over on: the keys of a
  * crashed target were unavailable that long although the role had already been vacant for
  * 7 s. */
@@ -609,6 +627,8 @@
     cmocka_unit_test (test_a_successor_renews_at_once_and_waits_for_predecessor_grants),
     cmocka_unit_test (
         test_a_successor_waits_longer_for_an_owner_that_takes_calls_and_does_not_answer),
+    cmocka_unit_test (
+        test_a_successor_calls_an_owner_before_it_takes_its_grants_for_read),
     cmocka_unit_test (test_a_successor_deducts_the_time_the_role_was_vacant),
     cmocka_unit_test (test_a_resigning_granter_extends_all_grants_and_moves_nothing),
     cmocka_unit_test (test_nothing_is_granted_after_the_role_is_resigned),
