--- a/packages/coordinator/deployment.h
+++ b/packages/coordinator/deployment.h
@@ -36,12 +36,12 @@
 typedef struct
 {
   command_outcome_t outcome;
-  bool sent;      /* at least one byte may have been sent */
-  bool delivered; /* without an answer: the target's host may have taken all bytes */
-  bool refused;   /* the target's host answered that nobody listens at the address */
-  bool tried;   /* something was learned of the target: false if nothing was to be sent */
-  bool shared;  /* the answer may be one to an earlier call, repeated by the target */
-  bool leaving; /* the target states that it leaves */
+  bool sent;       /* at least one byte may have been sent */
+  bool delivered;  /* without an answer: the target's host may have taken all bytes */
+  bool refused;    /* the target's host answered that nobody listens at the address */
+  bool answered;   /* by an unexpected status */
+  bool shared;     /* the answer may be one to an earlier call, repeated by the target */
+  bool leaving;    /* the target states that it leaves */
   text_t handover; /* of a release; may be empty */
 } command_result_t;
 
--- a/packages/coordinator/grants.c
+++ b/packages/coordinator/grants.c
@@ -100,7 +100,7 @@
                      .call = command->action.call,
                      .release = release,
                      .sent = result->sent,
-                     .tried = result->tried,
+                     .answered = result->answered,
                      .delivered = result->delivered,
                      .refused = result->refused,
                      .shared = result->shared };
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -379,6 +379,9 @@
 /* Length of a grant that only shows the owner a new fence: its answer and a release fit
  * in. */
 #define KEYS_FENCE_HOLD_MS 200
+/* Of these without an answer while an owner is to release its keys: each is one more
+ * grant that may be read late. */
+#define KEYS_FENCE_ATTEMPTS_MAX 4
 /* Before the initial assignment: no target has joined for this long. */
 #define KEYS_INITIAL_WAIT_MS 1200
 #define KEYS_RETRY_MS 150 /* between attempts of a failed call */
--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -29,22 +29,18 @@
 void
 key_holds_unanswered (key_holds_t *self, msec_t hold, bool delivered, msec_t now)
 {
-  const msec_t read = now + (delivered ? KEYS_STALL_MS : 0);
+  const msec_t expiry = now + key_holds_worst_case (hold);
 
   key_holds_answered (self, hold, now); /* it may have been read in time */
-  self->late_until = MAX (self->late_until, read + key_holds_worst_case (hold));
+  self->late_until = MAX (self->late_until, expiry);
+  if (delivered)
+    self->unread_until = MAX (self->unread_until, expiry + KEYS_STALL_MS);
 }
 
 void
-key_holds_stalled (key_holds_t *self)
+key_holds_foreign (key_holds_t *self)
 {
-  self->stalled = true;
-}
-
-void
-key_holds_absent (key_holds_t *self)
-{
-  self->absent = true;
+  self->foreign = true;
 }
 
 void
@@ -56,12 +52,9 @@
 void
 key_holds_new_fence (key_holds_t *self)
 {
-  /* Less of inherited_until counts if no call was taken, as key_holds_end has it. */
-  msec_t until = self->late_until + (self->stalled ? 0 : KEYS_STALL_MS);
-
   if (self->late_until > 0)
-    self->inherited_until = MAX (self->inherited_until, until);
-  self->late_until = 0;
+    self->inherited_until = MAX (self->inherited_until, self->late_until + KEYS_STALL_MS);
+  self->late_until = self->unread_until = 0;
   self->fenced_off = false;
 }
 
@@ -86,11 +79,10 @@
 msec_t
 key_holds_end (const key_holds_t *self, bool released, bool deaf)
 {
-  const bool reads_late = !deaf && (self->stalled || !self->absent);
-  const msec_t unread = reads_late ? 0 : KEYS_STALL_MS;
-  msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until - unread;
-  msec_t late_until = self->late_until - (deaf ? KEYS_STALL_MS : 0);
-  msec_t unread_until = MAX (late_until, inherited_until);
+  const bool read = deaf || self->foreign;
+  msec_t inherited_until = self->fenced_off ? 0 : self->inherited_until;
+  msec_t late_until = MAX (self->late_until, deaf ? 0 : self->unread_until);
+  msec_t until = MAX (late_until, inherited_until - (read ? KEYS_STALL_MS : 0));
 
-  return released ? unread_until : MAX (self->any_until, unread_until);
+  return released ? until : MAX (self->any_until, until);
 }
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -13,22 +13,22 @@
  * answer, whatever became of the connection, and be read after a release that was sent
  * later.  A host that hasn't acknowledged them gets them no more after the reset, and one
  * at which nobody listens has none.  Whether a predecessor's grants were taken isn't
- * known: they were not, or are lost, if the host takes no call or another process has the
- * address.  Every grant extends the bounds below and none shortens them: another grant of
- * the range, whatever its duration, proves nothing about one that is still in flight. The
- * bounds end when they have passed, or with the target's process; those of grants under
- * earlier fences also while the process knows a newer one.  Times are in milliseconds on
- * the granter's clock.
+ * known: they may lie unread unless another process answers at the address.  Every grant
+ * extends the bounds below and none shortens them: another grant of the range, whatever
+ * its duration, proves nothing about one that is still in flight. The bounds end when
+ * they have passed, or with the target's process; those of grants under earlier fences
+ * also while the process knows a newer one.  Times are in milliseconds on the granter's
+ * clock.
  */
 
 typedef struct
 {
   msec_t any_until;       /* all grants that were read in time have expired by then */
-  msec_t late_until;      /* all without an answer have, whenever they are read */
-  msec_t inherited_until; /* all of predecessors have, likewise; 0: none */
-  bool stalled;    /* the owner's host took a call that its process didn't answer */
-  bool absent;     /* the host took no call, or another process answered */
-  bool fenced_off; /* the owner's process rejects those of predecessors */
+  msec_t late_until;      /* all without an answer have, if read by the end of the call */
+  msec_t unread_until;    /* the same, if read as late as possible */
+  msec_t inherited_until; /* all of predecessors have, if read so late; 0: none */
+  bool foreign;           /* another process answered at the owner's address */
+  bool fenced_off;        /* the owner's process rejects those of predecessors */
 } key_holds_t;
 
 /* The longest time from the arrival of a grant of HOLD to its expiry: on a slow clock,
@@ -48,11 +48,8 @@
  * may take effect until it expires.  DELIVERED: the owner's host may have taken them. */
 void key_holds_unanswered (key_holds_t *self, msec_t hold, bool delivered, msec_t now);
 
-/* The owner's host took a call, and its process didn't answer. */
-void key_holds_stalled (key_holds_t *self);
-
-/* The owner's host took no call, or another process answered it. */
-void key_holds_absent (key_holds_t *self);
+/* Another process answered at the owner's address. */
+void key_holds_foreign (key_holds_t *self);
 
 /* The owner has released the range: it holds it by no grant that it has read. */
 void key_holds_released (key_holds_t *self);
--- a/packages/keys/key_plan.c
+++ b/packages/keys/key_plan.c
@@ -342,6 +342,7 @@
   range->fence_confirmed = false;
   range->needs_new_fence = false;
   range->answered = range->unanswered = false;
+  range->unanswered_fences = 0;
 }
 
 /* Binary search for the first key from which on the range carries at most WANTED load;
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -44,19 +44,20 @@
              msec_t now,
              GArray *out)
 {
-  keys_out_t note = { .kind = kind,
-                      .service = service->name,
-                      .target = range->owner,
-                      .address = range->address,
-                      .started_at = range->owner_started_at,
-                      .first = range->first,
-                      .last = range->last,
-                      .fence = range->fence,
-                      .reason = reason,
-                      .remaining = key_holds_end (&range->holds, false, false) - now,
-                      .unanswered = range->holds.late_until - now,
-                      .inherited = range->holds.inherited_until - now,
-                      .fenced_off = range->holds.fenced_off };
+  keys_out_t note
+      = { .kind = kind,
+          .service = service->name,
+          .target = range->owner,
+          .address = range->address,
+          .started_at = range->owner_started_at,
+          .first = range->first,
+          .last = range->last,
+          .fence = range->fence,
+          .reason = reason,
+          .remaining = key_holds_end (&range->holds, false, false) - now,
+          .unanswered = MAX (range->holds.late_until, range->holds.unread_until) - now,
+          .inherited = range->holds.inherited_until - now,
+          .fenced_off = range->holds.fenced_off };
 
   g_array_append_val (out, note);
 }
@@ -201,6 +202,7 @@
                   msec_t now)
 {
   return (listed != NULL ? !range->unanswered : range->answered) && !range->superseded
+         && range->unanswered_fences < KEYS_FENCE_ATTEMPTS_MAX
          && now + key_holds_worst_case (KEYS_FENCE_HOLD_MS) < until;
 }
 
@@ -233,7 +235,7 @@
                     const target_entry_t *listed,
                     msec_t now)
 {
-  const msec_t until = range->holds.late_until;
+  const msec_t until = MAX (range->holds.late_until, range->holds.unread_until);
 
   return self->store_reachable && is_worth_fencing (range, listed, until, now);
 }
@@ -248,7 +250,7 @@
   const target_entry_t *listed = key_plan_find_target (self, &range->owner);
   bool ended = owner_ended (range, listed);
 
-  if (range->call != 0)
+  if (range->call != 0 || range->old_call != 0)
     return;
   if (!range->released && listed != NULL && listed->started_at != range->fenced)
     {
@@ -447,6 +449,25 @@
     }
 }
 
+/* Whether the owner's process is listed at another address than is called. */
+static bool
+is_elsewhere (const keys_t *self, const key_range_state_t *range)
+{
+  const target_entry_t *owner = find_owner (self, range);
+
+  return owner != NULL && !name_equal (&owner->address, &range->address);
+}
+
+static bool
+call_listed_address (const keys_t *self, key_range_state_t *range, msec_t now)
+{
+  if (!is_elsewhere (self, range))
+    return false;
+  range->address = find_owner (self, range)->address;
+  range->next_call_at = now;
+  return true;
+}
+
 /*
  * Another process has the address that was called for the owner of RANGE, so that the
  * owner's has ended, and gets no keys until its entry shows another one.  If the entry
@@ -457,12 +478,8 @@
 {
   const target_entry_t *owner = find_owner (self, range);
 
-  if (owner != NULL && !name_equal (&owner->address, &range->address))
-    {
-      range->address = owner->address;
-      range->next_call_at = now;
-      return;
-    }
+  if (call_listed_address (self, range, now))
+    return;
   if (owner != NULL)
     {
       g_array_append_vals (self->ended, owner, 1);
@@ -506,7 +523,6 @@
       range->old_call = 0;
       if (msg->kind != KEYS_CALL_FAILED || !msg->delivered)
         continue;
-      key_holds_stalled (&range->holds);
       key_holds_unanswered (&range->holds, range->old_call_hold, true, now);
     }
 }
@@ -526,13 +542,13 @@
         continue;
       range->call = 0;
       range->unanswered = kind == KEYS_CALL_FAILED;
-      range->refused = range->unanswered && msg->refused;
+      range->refused = range->unanswered && msg->refused && !is_elsewhere (self, range);
       range->answered = !range->unanswered;
-      range->needs_proof = kind != msg->kind;
-      if (kind == KEYS_CALL_FAILED && msg->delivered)
-        key_holds_stalled (&range->holds);
-      else if (kind == KEYS_CALL_FAILED && msg->tried && !msg->shared)
-        key_holds_absent (&range->holds);
+      range->needs_proof = kind != msg->kind || msg->answered;
+      if (msg->answered && !msg->shared)
+        key_holds_foreign (&range->holds);
+      if (kind == KEYS_CALL_FAILED && msg->refused)
+        call_listed_address (self, range, now);
       if (kind == KEYS_CALL_FAILED)
         {
           key_holds_not_fenced_off (&range->holds);
@@ -575,6 +591,7 @@
       else if (kind == KEYS_CALL_FAILED && !msg->release)
         {
           range->next_call_at = MIN (range->next_call_at, now + KEYS_RETRY_MS);
+          range->unanswered_fences += range->phase == RANGE_REVOKING;
           if (msg->sent || msg->shared)
             {
               key_holds_unanswered (&range->holds, range->last_hold, msg->delivered, now);
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -60,7 +60,7 @@
   uint64_t call;            /* GRANTED to CALL_FAILED: which one ended */
   bool release;             /* CALL_FAILED: the call was a release */
   bool sent;                /* CALL_FAILED: a byte of the call may have been sent */
-  bool tried;               /* CALL_FAILED: the target was called */
+  bool answered;            /* CALL_FAILED: by what no owner answers */
   bool delivered;           /* CALL_FAILED: the target's host may have taken the call */
   bool refused;             /* CALL_FAILED: nobody listens at the target's address */
   bool shared;     /* GRANTED to OWNER_GONE: the answer may be one to an earlier call */
@@ -139,7 +139,8 @@
   uint64_t fenced; /* the same of the process that accepted the fence */
   bool answered, unanswered; /* the last call since its keys are taken back */
   bool refused;              /* nobody listened at the owner's address at the last call */
-  bool needs_proof;          /* the last answer contradicts the range, and was shared */
+  uint32_t unanswered_fences; /* since its keys are taken back */
+  bool needs_proof;           /* the last answer contradicts the range, and was shared */
   bool fence_confirmed; /* the owner accepted a grant since its keys are taken back */
   bool released;        /* the owner released it */
   bool superseded;      /* the owner has seen a higher fence */
--- a/packages/keys/tests/keys_fixture.c
+++ b/packages/keys/tests/keys_fixture.c
@@ -124,7 +124,6 @@
                      .call = call->call,
                      .release = call->kind == KEYS_RELEASE,
                      .sent = sent,
-                     .tried = true,
                      .delivered = sent };
 
   if (kind == KEYS_RELEASED)
@@ -140,6 +139,7 @@
                             .call = call->call,
                             .release = call->kind == KEYS_RELEASE,
                             .sent = true,
+                            .delivered = true,
                             .shared = true });
 }
 
--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -913,7 +913,6 @@
                     (keys_msg_t){ .kind = KEYS_CALL_FAILED,
                                   .call = release->call,
                                   .release = true,
-                                  .tried = true,
                                   .refused = true });
       if (count_actions (&fixture, KEYS_COMMIT) > 0)
         break;
@@ -936,10 +935,7 @@
   assign_all_keys (&fixture);
   keys_out_t grant = next_grant (&fixture);
   handle_msg (&fixture,
-              (keys_msg_t){ .kind = KEYS_CALL_FAILED,
-                            .call = grant.call,
-                            .sent = true,
-                            .tried = true });
+              (keys_msg_t){ .kind = KEYS_CALL_FAILED, .call = grant.call, .sent = true });
   const msec_t failed = fixture.now;
   const msec_t until = failed + slowest_clock (KEYS_HOLD_MS);
   assert_true (moves_before (&fixture, until + 1000));
@@ -1058,11 +1054,204 @@
       reply (&fixture, &grant, KEYS_GRANTED, true);
       /* The renewal that got no answer may still take effect. */
       release_first_target (&fixture);
-      assert_moved_after (&fixture, failed + slowest_clock (KEYS_HOLD_MS));
+      assert_moved_after (&fixture, failed + read_late (KEYS_HOLD_MS));
       end (&fixture);
     }
 }
 
+/* A predecessor's grant lies unread at t0, which stands still.  Its listen queue is full,
+ * or the way to it is cut: calls of the successor don't reach its host.  That says
+ * nothing of what its host had taken before. */
+static void
+test_a_call_that_could_not_connect_does_not_show_that_nothing_lies_unread (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  const name_t first = target (&fixture, 0)->id;
+  g_array_remove_index (fixture.targets, 0);
+  list_targets (&fixture);
+  take_over (&fixture, &table, PREDECESSOR_MS);
+  key_table_finish (&table);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  while (fixture.now < START_MS + PREDECESSOR_MS - 100)
+    {
+      keys_out_t failed = { 0 };
+      for (guint i = 0; i < fixture.out->len; i++)
+        {
+          const keys_out_t *call = &g_array_index (fixture.out, keys_out_t, i);
+          if (call->call != 0 && name_equal (&call->target, &first))
+            failed = *call;
+        }
+      /* as httpc reports a connection that was not established in CONNECT_MS */
+      if (failed.call != 0)
+        handle_msg (&fixture,
+                    (keys_msg_t){ .kind = KEYS_CALL_FAILED,
+                                  .call = failed.call,
+                                  .release = failed.kind == KEYS_RELEASE });
+      assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+      accept_grants (&fixture);
+      fixture.now += 50;
+      renew_role (&fixture);
+    }
+  end (&fixture);
+}
+
+/* Httpc has checked that the call has arrived at the target's host. */
+static void
+test_a_refusal_that_may_be_an_earlier_one_leaves_the_call_to_be_read_late (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply_shared (&fixture, &grant, KEYS_SUPERSEDED);
+  msec_t failed = fixture.now;
+  grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  release_first_target (&fixture);
+  assert_moved_after (&fixture, failed + read_late (KEYS_HOLD_MS));
+  end (&fixture);
+}
+
+/* t0 isn't listed, answers releases, and no grant. */
+static void
+expect_move_from_owner_that_answers_releases_alone (bool listed)
+{
+  fixture_t fixture;
+  guint commits = 0, fences = 0, moved = 0;
+
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t grant = next_grant (&fixture);
+  reply (&fixture, &grant, KEYS_CALL_FAILED, true);
+  const name_t first = target (&fixture, 0)->id;
+  if (listed)
+    target (&fixture, 0)->leaving = true;
+  else
+    g_array_remove_index (fixture.targets, 0);
+  list_targets (&fixture);
+  const msec_t from = fixture.now;
+  while (fixture.now < from + 120000 && !moved)
+    {
+      bool handled = false;
+      for (guint i = 0; i < fixture.out->len && !handled; i++)
+        {
+          keys_out_t call = g_array_index (fixture.out, keys_out_t, i);
+          if (call.kind == KEYS_COMMIT)
+            {
+              commits++;
+              moved = !name_equal (
+                  &g_array_index (call.table.ranges, key_range_t, 0).target,
+                  &first);
+              handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+              handled = true;
+            }
+          else if (call.call != 0 && name_equal (&call.target, &first))
+            {
+              fences += call.kind == KEYS_GRANT;
+              if (call.kind == KEYS_GRANT)
+                for (int k = 0; k < 22; k++) /* COMMAND_LIMIT_MS */
+                  {
+                    GArray *kept = fixture.out;
+                    fixture.out = g_array_new (FALSE, TRUE, sizeof (keys_out_t));
+                    fixture.now += 50;
+                    renew_role (&fixture);
+                    accept_grants (&fixture);
+                    clear_actions (&fixture);
+                    g_array_unref (fixture.out);
+                    fixture.out = kept;
+                  }
+              reply (&fixture,
+                     &call,
+                     call.kind == KEYS_GRANT ? KEYS_CALL_FAILED : KEYS_RELEASED,
+                     true);
+              handled = true;
+            }
+        }
+      if (handled)
+        continue;
+      accept_grants (&fixture);
+      fixture.now += 50;
+      renew_role (&fixture);
+    }
+  assert_int_equal (moved, 1);
+  end (&fixture);
+}
+
+static void
+test_an_unlisted_owner_that_answers_releases_alone_loses_its_keys_in_time (void **state)
+{
+  (void)state;
+  expect_move_from_owner_that_answers_releases_alone (false);
+}
+
+static void
+test_a_leaving_owner_that_answers_releases_alone_loses_its_keys_in_time (void **state)
+{
+  (void)state;
+  expect_move_from_owner_that_answers_releases_alone (true);
+}
+
+/* The table names t0 at an address that it doesn't have; nobody listens there. */
+static void
+test_a_refusal_at_a_wrong_address_does_not_show_that_the_owner_has_ended (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  key_table_t table = stored_table (&fixture, 2);
+  const name_t first = target (&fixture, 0)->id;
+  name_set (&g_array_index (table.ranges, key_range_t, 0).address, TEXT ("10.0.0.99:1"));
+  target (&fixture, 0)->leaving = true;
+  list_targets (&fixture);
+  take_over (&fixture, &table, KEYS_STALL_MS / 2);
+  key_table_finish (&table);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  while (fixture.now < START_MS + KEYS_STALL_MS / 2 - 100)
+    {
+      keys_out_t refused = { 0 };
+      for (guint i = 0; i < fixture.out->len; i++)
+        {
+          const keys_out_t *call = &g_array_index (fixture.out, keys_out_t, i);
+          if (call->call != 0 && name_equal (&call->target, &first))
+            refused = *call;
+        }
+      if (name_equal (&refused.address, &target (&fixture, 0)->address))
+        break; /* the listed one is called */
+      if (refused.call != 0)
+        handle_msg (&fixture,
+                    (keys_msg_t){ .kind = KEYS_CALL_FAILED,
+                                  .call = refused.call,
+                                  .release = refused.kind == KEYS_RELEASE,
+                                  .refused = true });
+      assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+      accept_grants (&fixture);
+      fixture.now += 50;
+      renew_role (&fixture);
+    }
+  end (&fixture);
+}
+
+/* A wait that doesn't include the time for reading late is not shortened by it. */
+static void
+test_a_refused_connection_does_not_shorten_the_wait_for_a_grant_not_taken (void **state)
+{
+  key_holds_t holds = { 0 };
+
+  (void)state;
+  key_holds_unanswered (&holds, KEYS_HOLD_MS, false, START_MS);
+  key_holds_released (&holds);
+  assert_in_range (key_holds_end (&holds, false, true),
+                   START_MS + KEYS_HOLD_MS,
+                   START_MS + 2 * KEYS_HOLD_MS);
+}
+
 int
 main (void)
 {
@@ -1118,6 +1307,18 @@
     cmocka_unit_test (test_an_owner_at_whose_address_nobody_listens_reads_no_grant_late),
     cmocka_unit_test (test_a_usual_renewal_needs_no_proof),
     cmocka_unit_test (test_a_refusal_that_may_be_of_an_earlier_call_frees_no_keys),
+    cmocka_unit_test (
+        test_a_call_that_could_not_connect_does_not_show_that_nothing_lies_unread),
+    cmocka_unit_test (
+        test_a_refusal_that_may_be_an_earlier_one_leaves_the_call_to_be_read_late),
+    cmocka_unit_test (
+        test_an_unlisted_owner_that_answers_releases_alone_loses_its_keys_in_time),
+    cmocka_unit_test (
+        test_a_leaving_owner_that_answers_releases_alone_loses_its_keys_in_time),
+    cmocka_unit_test (
+        test_a_refusal_at_a_wrong_address_does_not_show_that_the_owner_has_ended),
+    cmocka_unit_test (
+        test_a_refused_connection_does_not_shorten_the_wait_for_a_grant_not_taken),
   };
 
   return cmocka_run_group_tests_name ("key holds", tests, NULL, NULL);
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -62,6 +62,7 @@
       assert_true (after->fence > before->fence);
       assert_true (commit->next_fence > after->fence);
     }
+  accept_grants (self); /* under the old ones */
   handle_msg (self, (keys_msg_t){ .kind = KEYS_COMMITTED });
 }
 
@@ -331,12 +332,13 @@
   commit_new_fences (&fixture, &table);
   key_table_finish (&table);
   assert_int_equal (find (&fixture, KEYS_GRANT)->fence, 22);
-  while (fixture.now < START_MS + HOLD_MAX_MS + COMMAND_CALL_MS)
+  const msec_t latest_read = START_MS + COMMAND_CALL_MS + KEYS_STALL_MS;
+  while (fixture.now < latest_read + HOLD_MAX_MS)
     {
       assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
       step_with_unreachable_owner (&fixture);
     }
-  while (fixture.now < START_MS + HOLD_MAX_MS + COMMAND_CALL_MS + 1000
+  while (fixture.now < latest_read + HOLD_MAX_MS + 1000
          && count_actions (&fixture, KEYS_COMMIT) == 0)
     step_with_unreachable_owner (&fixture);
   assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
@@ -344,19 +346,35 @@
   end (&fixture);
 }
 
+/* Another process answers at the owner's address, by what no owner answers. */
 static void
-test_a_successor_waits_longer_for_an_owner_that_takes_calls_and_does_not_answer (
-    void **state)
+test_a_successor_does_not_wait_for_a_process_that_lost_its_address_to_read (void **state)
 {
   fixture_t fixture;
 
   (void)state;
   key_table_t table = setup_takeover (&fixture, true, false, predecessor_hold (0));
-  const name_t owner = g_array_index (table.ranges, key_range_t, 1).target;
   commit_new_fences (&fixture, &table);
   key_table_finish (&table);
-  assert_moved_from_silent_owner (&fixture, &owner, START_MS + predecessor_hold (0));
-  assert_true (predecessor_hold (0) > HOLD_MAX_MS + COMMAND_CALL_MS + KEYS_STALL_MS);
+  const msec_t until = START_MS + predecessor_hold (0) - KEYS_STALL_MS;
+  while (fixture.now < until + 1000 && count_actions (&fixture, KEYS_COMMIT) == 0)
+    {
+      const keys_out_t *release = find (&fixture, KEYS_RELEASE);
+      if (release != NULL)
+        handle_msg (&fixture,
+                    (keys_msg_t){ .kind = KEYS_CALL_FAILED,
+                                  .call = release->call,
+                                  .release = true,
+                                  .sent = true,
+                                  .answered = true });
+      if (count_actions (&fixture, KEYS_COMMIT) > 0)
+        break;
+      accept_grants (&fixture);
+      fixture.now += 50;
+      renew_role (&fixture);
+    }
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 1);
+  assert_true (fixture.now >= until);
   end (&fixture);
 }
 
@@ -392,7 +410,8 @@
   commit_new_fences (&fixture, &table);
   key_table_finish (&table);
   assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
-  while (fixture.now < START_MS + 4000 && count_actions (&fixture, KEYS_COMMIT) == 0)
+  while (fixture.now < START_MS + KEYS_STALL_MS + 4000
+         && count_actions (&fixture, KEYS_COMMIT) == 0)
     {
       const keys_out_t *call = find (&fixture, KEYS_RELEASE);
       if (call != NULL)
@@ -404,10 +423,11 @@
       fixture.now += 50;
       renew_role (&fixture);
     }
-  /* What is left of the hold on a slow clock, plus the longest time of a call. */
+  /* What is left of the hold on a slow clock, plus the longest time of a call, plus the
+   * longest until it is read. */
   assert_in_range (fixture.now,
-                   START_MS + 1200 + COMMAND_CALL_MS,
-                   START_MS + 1600 + COMMAND_CALL_MS);
+                   START_MS + 1200 + COMMAND_CALL_MS + KEYS_STALL_MS,
+                   START_MS + 1600 + COMMAND_CALL_MS + KEYS_STALL_MS);
   assert_int_equal (keys_predecessor_hold (&fixture.keys, 100000), 0);
   end (&fixture);
 }
@@ -626,7 +646,7 @@
     cmocka_unit_test (test_a_restarted_target_gets_its_keys_under_a_new_fence),
     cmocka_unit_test (test_a_successor_renews_at_once_and_waits_for_predecessor_grants),
     cmocka_unit_test (
-        test_a_successor_waits_longer_for_an_owner_that_takes_calls_and_does_not_answer),
+        test_a_successor_does_not_wait_for_a_process_that_lost_its_address_to_read),
     cmocka_unit_test (
         test_a_successor_calls_an_owner_before_it_takes_its_grants_for_read),
     cmocka_unit_test (test_a_successor_deducts_the_time_the_role_was_vacant),
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -389,7 +389,6 @@
         {
           const command_result_t result = { .outcome = event->outcome,
                                             .sent = !event->not_sent,
-                                            .tried = true,
                                             .delivered = event->delivered,
                                             .refused = event->not_sent,
                                             .handover = TEXT ("warm") };
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -24,9 +24,9 @@
 #define SCENARIO_AFTER_WINDOW_MS 8000
 #define EVACUATION_MS 2600 /* within the window, and while keys move */
 
-/* 17 s after the window: longer than the longest hold, so that the keys of a lost target
- * can be granted again. */
-#define END_MS 24000
+/* 17 s after the window, and the time in which a grant may lie unread: longer than the
+ * longest hold, so that the keys of a lost target can be granted again. */
+#define END_MS (24000 + KEYS_STALL_MS)
 /* Random runs last longer, since faults of several kinds have to meet. */
 #define RANDOM_TO_MS 16000
 #define RANDOM_END_MS (36000 + KEYS_STALL_MS)
@@ -48,6 +48,7 @@
 #define STALL_LAPSE_MS 2600    /* from a stall's start to the end of the target's entry */
 #define STALL_LIST_MS 700      /* from its end to the target's new entry */
 #define STALL_PLATFORM_MS 4200 /* of the store and all targets: the role's lease ends */
+#define STALL_CUT_MS 16000 /* from the begin of that: its grants' bounds have passed */
 #define HOLD_MAX_MS 10000
 #define POINTS_MAX 8192
 #define DEVIATIONS_MAX 2
@@ -87,6 +88,7 @@
   STORE_SILENT_SERIES,  /* this and the host's next calls are lost */
   STORE_REFUSED_SERIES, /* this and the host's next calls are refused */
   STORE_STALLED,        /* the store and all targets read it and what follows later */
+  STORE_STALLED_CUT,    /* the same, and the hosts don't reach a target after that */
   STORE_OPTIONS,
   COMMAND_LOST = 1,
   COMMAND_RESPONSE_LOST,
@@ -274,8 +276,9 @@
 /* The target's process reads nothing for FOR_MS, and its entry lapses if that is long. */
 void sim_stall_target (guint index, msec_t for_ms);
 
-/* The same of all targets and the store. */
-void sim_stall_platform (void);
+/* The same of all targets and the store.  CUT: the hosts don't reach one of them after
+ * that. */
+void sim_stall_platform (bool cut);
 
 /* Has the entries of stalled targets lapse and return. */
 void sim_step_stalls (void);
--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -152,8 +152,8 @@
   else if (sim->now < host->store_lossy_until && rng_below (&sim->rng, 2) == 0)
     option = rng_below (&sim->rng, 2) == 0 ? STORE_RESPONSE_LOST : STORE_DELAYED;
   sim_event_t *call = sim_schedule (EVENT_STORE_CALL, host->index, DELAY_MS);
-  if (option == STORE_STALLED)
-    sim_stall_platform ();
+  if (option == STORE_STALLED || option == STORE_STALLED_CUT)
+    sim_stall_platform (option == STORE_STALLED_CUT);
   if (sim->now < sim->store_stalled_until)
     {
       bool in_time = sim->store_stalled_until + DELAY_MS < sim->now + STORE_CALL_MS;
--- a/tests/grants/sim_targets.c
+++ b/tests/grants/sim_targets.c
@@ -184,7 +184,8 @@
    */
   bool arrives = target_at (call->address) == target_index (&command->target);
   bool in_series = arrives && sim->now < target->slow_until && !command->release;
-  bool cut = sim->now < target->cut_until[sim->active_host];
+  bool cut = sim->now < target->cut_until[sim->active_host]
+             && sim->now >= sim->store_stalled_until;
   if (arrives && sim->now < target->stalled_until)
     {
       /* Releases are read first. */
@@ -228,7 +229,7 @@
 }
 
 void
-sim_stall_platform (void)
+sim_stall_platform (bool cut)
 {
   sim->store_stalled_until = sim->now + STALL_PLATFORM_MS;
   for (guint i = 0; i < TARGETS; i++)
@@ -236,6 +237,8 @@
       sim_stall_target (i, STALL_PLATFORM_MS);
       if (sim->targets[i].up)
         sim->targets[i].lapse_at = sim->store_stalled_until;
+      for (guint host = 0; cut && i == 1 && host < HOSTS; host++)
+        sim->targets[i].cut_until[host] = sim->now + STALL_CUT_MS;
     }
 }
 
