A command that fails as it starts isn't written to after it was freed

Found by the reviewer with valgrind, older than this issue: with no descriptor left, a connection fails within httpc_call; the command was freed there, and send_command then noted the connection in it (invalid write of 8 bytes, in test_a_command_without_a_descriptor_ends_once). Besides, the callback that notes a refused connection is kept apart from evhttp's before it replaces it.

--- a/packages/httpc/httpc.c
+++ b/packages/httpc/httpc.c
@@ -453,16 +453,17 @@
 {
   struct bufferevent *bev = evhttp_connection_get_bufferevent (self->evcon);
   bufferevent_data_cb on_read, on_write;
+  bufferevent_event_cb on_event;
+  void *arg;
 
-  if (self->options_set)
-    return; /* it was open */
-  bufferevent_getcb (bev,
-                     &on_read,
-                     &on_write,
-                     &self->on_connected,
-                     &self->on_connected_arg);
-  if (self->on_connected != NULL && self->on_connected != on_connecting)
-    bufferevent_setcb (bev, on_read, on_write, on_connecting, self);
+  if (self->options_set || self->ops == NULL)
+    return; /* it was open, or has failed */
+  bufferevent_getcb (bev, &on_read, &on_write, &on_event, &arg);
+  if (on_event == NULL || on_event == on_connecting)
+    return;
+  self->on_connected = on_event;
+  self->on_connected_arg = arg;
+  bufferevent_setcb (bev, on_read, on_write, on_connecting, self);
 }
 
 static httpc_conn_t *
