Soak: a 503 doesn't show that a host served a route

Traced: h1 had started 2.7 s before; until its first configuration came, over a link that is slow and from a store that had stood still, it answered 503 reason=no-configuration, which the check took for serving the route. Then it had version 66 for 67 ms; version 71, which added the route, was 1.7 s old by the host's own log (currency rejecting behind_ms=1746), within the bound. The check counts any other answer but 404 as before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -991,9 +991,9 @@
             route = path.rsplit("/", 1)[0] + "/"
             if kind != "added" or status is None or ended >= self.first_drops.get(route, 1e18):
                 continue
-            if status != 404:
+            if status not in (404, 503):  # a host without a configuration answers 503
                 self.routes_seen[i, started_at].add(route)
-            elif route in self.routes_seen[i, started_at]:
+            elif status == 404 and route in self.routes_seen[i, started_at]:
                 self.report("CONFIG", "%s: h%d no longer serves %s" % (request_id, i, route))
 
     def oldest_version(self, begun):
