--- a/packages/keys/tests/test_key_holds.c
+++ b/packages/keys/tests/test_key_holds.c
@@ -857,6 +857,34 @@
   end (&fixture);
 }
 
+static void
+test_an_owner_that_has_released_is_fenced_when_the_store_is_back (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture, 2);
+  assign_all_keys (&fixture);
+  keys_out_t unanswered = next_grant (&fixture);
+  reply (&fixture, &unanswered, KEYS_CALL_FAILED, true);
+  release_first_target (&fixture);
+  assert_int_equal (count_actions (&fixture, KEYS_COMMIT), 0);
+  set_store_lost (&fixture, false);
+  const keys_out_t *commit = find (&fixture, KEYS_COMMIT);
+  assert_non_null (commit);
+  const key_range_t *range = &g_array_index (commit->table.ranges, key_range_t, 0);
+  assert_true (name_equal (&range->target, &target (&fixture, 0)->id));
+  assert_true (range->fence > unanswered.fence);
+  handle_msg (&fixture, (keys_msg_t){ .kind = KEYS_COMMITTED });
+  keys_out_t grant = fencing_grant (&fixture);
+  reply (&fixture, &grant, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now);
+  keys_out_t release = *find (&fixture, KEYS_RELEASE);
+  reply (&fixture, &release, KEYS_RELEASED, true);
+  assert_moved_after (&fixture, fixture.now);
+  end (&fixture);
+}
+
 static void
 test_a_new_fence_that_was_not_accepted_frees_no_keys (void **state)
 {
@@ -1297,6 +1325,7 @@
     cmocka_unit_test (test_owners_that_are_loaded_without_the_role_are_not_granted_to),
     cmocka_unit_test (test_a_shorter_longest_hold_does_not_shorten_predecessors_grants),
     cmocka_unit_test (test_a_new_fence_frees_keys_before_an_unanswered_grant_expires),
+    cmocka_unit_test (test_an_owner_that_has_released_is_fenced_when_the_store_is_back),
     cmocka_unit_test (test_a_new_fence_that_was_not_accepted_frees_no_keys),
     cmocka_unit_test (test_a_part_of_a_range_counts_the_grants_of_the_whole),
     cmocka_unit_test (
