A new fence doesn't end what its owner had read before it

Callers would have seen two targets work on the same keys.

Cause: a predecessor's grants had counted for the bound on all that an owner holds, and counted only for the bound on what it may still read since. Once the owner accepted the new fence that was waived, though a grant that it had read before lasts on. Where the granter came to the range only after its own last grant had expired, as a busy one does, it took the keys for free without asking for a release.

Now the predecessor's grants count for both, and a fence that is accepted lets earlier ones last for the longest hold from then on. The test test_a_new_fence_does_not_end_what_its_owner_had_read_before fails without the change.

--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -12,6 +12,7 @@
 key_holds_inherit (key_holds_t *self, msec_t until)
 {
   self->inherited_until = MAX (self->inherited_until, until);
+  self->any_until = MAX (self->any_until, until - KEYS_STALL_MS);
 }
 
 void
@@ -59,8 +60,11 @@
 }
 
 void
-key_holds_fenced_off (key_holds_t *self)
+key_holds_fenced_off (key_holds_t *self, msec_t longest_hold, msec_t now)
 {
+  const msec_t expiry = now + key_holds_worst_case (longest_hold);
+
+  self->any_until = MAX (self->any_until, MIN (self->inherited_until, expiry));
   self->fenced_off = true;
 }
 
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -57,8 +57,9 @@
 /* A new fence was committed for the owner: the grants so far count as a predecessor's. */
 void key_holds_new_fence (key_holds_t *self);
 
-/* The owner accepted a grant under a fence above all those of predecessors. */
-void key_holds_fenced_off (key_holds_t *self);
+/* The owner accepted a grant under a fence above all those of predecessors.  It may hold
+ * the range by one of LONGEST_HOLD that it had read right before. */
+void key_holds_fenced_off (key_holds_t *self, msec_t longest_hold, msec_t now);
 
 /* The owner may have restarted since, and know no fence. */
 void key_holds_not_fenced_off (key_holds_t *self);
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -561,7 +561,9 @@
           range->handover.len = 0;
           if (!msg->shared && shows_new_fence (service, range))
             {
-              key_holds_fenced_off (&range->holds);
+              key_holds_fenced_off (&range->holds,
+                                    MAX (self->longest_hold, self->inherited_hold),
+                                    now);
               range->fenced = range->called;
               range->fence_confirmed = range->phase == RANGE_REVOKING;
             }
--- a/packages/keys/tests/test_keys.c
+++ b/packages/keys/tests/test_keys.c
@@ -457,6 +457,26 @@
   end (&fixture);
 }
 
+/* It may have read the longest grant of a predecessor right before the fence, which
+ * expires before the granter comes to send the release. */
+static void
+test_a_new_fence_does_not_end_what_its_owner_had_read_before (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  key_table_t table = setup_takeover (&fixture, false, true, PREDECESSOR_MS);
+  commit_new_fences (&fixture, &table);
+  key_table_finish (&table);
+  keys_out_t fenced = *find (&fixture, KEYS_GRANT);
+  assert_int_equal (fenced.hold, KEYS_FENCE_HOLD_MS);
+  reply (&fixture, &fenced, KEYS_GRANTED, true);
+  tick (&fixture, fixture.now + 2 * KEYS_FENCE_HOLD_MS);
+  assert_int_equal (count_actions (&fixture, KEYS_FREED), 0);
+  assert_int_equal (count_actions (&fixture, KEYS_RELEASE), 1);
+  end (&fixture);
+}
+
 /* A range isn't reassigned before the predecessor's and this granter's own unanswered
  * grants have both expired, whichever comes last. */
 static void
@@ -660,6 +680,7 @@
     cmocka_unit_test (
         test_an_unanswered_grant_does_not_shorten_the_wait_for_predecessor_grants),
     cmocka_unit_test (test_a_new_fence_does_not_clear_an_unanswered_own_grant),
+    cmocka_unit_test (test_a_new_fence_does_not_end_what_its_owner_had_read_before),
   };
 
   return cmocka_run_group_tests_name ("keys", tests, NULL, NULL);
--- a/tests/grants/sim_targets.c
+++ b/tests/grants/sim_targets.c
@@ -71,7 +71,8 @@
   add_fence (target->fences, &hold);
   for (guint i = 0; i < target->holds->len; i++)
     if (g_array_index (target->holds, hold_t, i).first == hold.first
-        && g_array_index (target->holds, hold_t, i).last == hold.last)
+        && g_array_index (target->holds, hold_t, i).last == hold.last
+        && g_array_index (target->holds, hold_t, i).fence == hold.fence)
       g_array_remove_index (target->holds, i--);
   g_array_append_val (target->holds, hold);
 }
