--- a/packages/coordinator/coordinator.c
+++ b/packages/coordinator/coordinator.c
@@ -83,6 +83,7 @@
   coordinator_t *self = arg;
   proxy_msg_t *msg;
   keys_msg_t resign = { .kind = KEYS_RESIGN };
+  msec_t signalled_at = g_get_monotonic_time () / 1000;
 
   (void)what;
   if (self->stopping)
@@ -93,6 +94,7 @@
   role_resign (self, msclock_now (&self->clock));
   msg = g_new0 (proxy_msg_t, 1);
   msg->kind = PROXY_DRAIN;
+  msg->posted_at = signalled_at;
   discovery_post (self, msg);
 }
 
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -102,6 +102,8 @@
   request->attempts++;
   request->executions++; /* decremented if the target reports that it did not run it */
   request->sent_at = now;
+  request->left_at_send = self->draining ? self->work_until - now : -1;
+  request->expected_at_send = target_cautious_ms (to, now);
   to->in_flight++;
   request->load_at_send = target_load (to, now);
   request->timer_at = waits_next_check (self, request, now);
@@ -648,5 +650,6 @@
                                 .queued_owner = -1,
                                 .admitted_to = -1,
                                 .rate_target = -1,
+                                .left_at_send = -1,
                                 .last_failed_target = -1 };
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -236,8 +236,12 @@
   int32_t other_target;
   msec_t other_sent_at;
   uint32_t other_load_at_send;
-  uint32_t load_at_send;    /* requests at the target at that time, including this one */
-  dispatch_reason_t reason; /* why it is queued, or why it ended */
+  uint32_t load_at_send; /* requests at the target at that time, including this one */
+  /* Of the newest attempt, in ms: what was left until targets have to have answered, and
+   * what the target was expected to need.  LEFT_AT_SEND is -1 if the process didn't
+   * drain. */
+  msec_t left_at_send, expected_at_send;
+  dispatch_reason_t reason;   /* why it is queued, or why it ended */
   uint64_t directory_version; /* version of the configuration that routed it */
   uint64_t key_table_version; /* version of the key table that named the owner; 0: none */
   GList link;                 /* node in its service's queue */
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -8,6 +8,33 @@
 #include <event2/thread.h>
 #include <string.h>
 
+/* What was known when a request was sent while the process drains. */
+static void
+log_last_send (const exchange_t *self, event_class_t class, dispatch_reason_t reason)
+{
+  const dispatch_request_t *request = &self->request;
+  const dispatch_target_t *target;
+
+  if (request->left_at_send < 0 || request->target < 0)
+    return;
+  target = dispatch_target (&self->proxy->dispatch, (uint32_t)request->target);
+  eventlog_write (class,
+                  "dispatch",
+                  "sent_while_draining",
+                  "request=%.*s status=%u reason=%s target=%.*s left_ms=%lld "
+                  "expected_ms=%lld load=%u slots=%u needed_ms=%lld waited_ms=%lld",
+                  NAME_ARG (self->id),
+                  self->status,
+                  dispatch_reason_name (reason),
+                  NAME_ARG (target->entry.id),
+                  (long long)request->left_at_send,
+                  (long long)request->expected_at_send,
+                  request->load_at_send,
+                  target->entry.slots,
+                  (long long)(msclock_now (&self->proxy->clock) - request->sent_at),
+                  (long long)(request->sent_at - self->received_at));
+}
+
 static void
 log_outcome (const exchange_t *self, const dispatch_out_t *out)
 {
@@ -24,8 +51,10 @@
             ? &dispatch_service (&proxy->dispatch, request->service)->name
             : &none;
 
+  event_class_t class = served && request->attempts == 1 ? EVENT_ROUTINE : EVENT_FAILURE;
+
   eventlog_write (
-      served && request->attempts == 1 ? EVENT_ROUTINE : EVENT_FAILURE,
+      class,
       "dispatch",
       served ? "served" : "ended",
       "request=%.*s status=%u reason=%s service=%.*s key=%d target=%.*s sends=%u runs=%u "
@@ -48,6 +77,7 @@
       (long long)(msclock_now (&proxy->clock) - proxy->directory_at),
       (unsigned long long)request->key_table_version,
       (long long)out->retry_after);
+  log_last_send (self, class, out->reason);
 }
 
 static void
@@ -242,8 +272,9 @@
   event_add (self->tick, &interval);
 }
 
+/* SIGNALLED_AT: when the coordinator noticed the signal. */
 static void
-start_draining (proxy_t *self)
+start_draining (proxy_t *self, msec_t signalled_at)
 {
   if (self->draining)
     return;
@@ -259,9 +290,10 @@
   eventlog_write (EVENT_STATE,
                   "proxy",
                   "draining",
-                  "callers=%u within_ms=%lld",
+                  "callers=%u within_ms=%lld late_ms=%lld",
                   self->caller_count,
-                  (long long)(grace - PROXY_GRACE_MARGIN_MS));
+                  (long long)(self->drain_until - msclock_now (&self->clock)),
+                  (long long)(msclock_now (&self->clock) - signalled_at));
 }
 
 void
@@ -393,7 +425,7 @@
       proxy_dispatch (self, &dispatch_msg);
       break;
     case PROXY_DRAIN:
-      start_draining (self);
+      start_draining (self, msg->posted_at);
       break;
     }
   check_key_tables (self);
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -53,7 +53,8 @@
   bool outdated;
   suspect_out_t suspect;
   target_incarnation_t leaving;
-  msec_t posted_at; /* PROXY_DIRECTORY: on a clock that runs while the process does */
+  msec_t posted_at; /* PROXY_DIRECTORY, PROXY_DRAIN: on a clock that runs while the
+                       process does */
 } proxy_msg_t;
 
 /* Outcomes and latencies of one service's requests. */
