--- a/tests/process/platform_cases.py
+++ b/tests/process/platform_cases.py
@@ -1,7 +1,9 @@
 """Cases on router processes against an emulated platform, and how a test file runs them."""
 
+import itertools
 import os
 import sys
+import threading
 import time
 
 from platform_fixture import ROUTES, Caller, Router, Store, StoreAccess, Target, configuration
@@ -54,6 +56,44 @@
             router.kill()
 
 
+class Pipeline:
+    """Sends requests on one connection, each before the one before it is answered, so that the
+    connection is never idle, until the router closes it.  `work` is the last segment of their
+    paths; `sent` has (time, id) of each; `answers` those that arrived, in order, with their
+    times."""
+
+    def __init__(self, fixture, prefix, methods, interval_s):
+        self.prefix, self.methods = prefix, itertools.cycle(methods)
+        self.interval_s, self.sent, self.answers, self.work = interval_s, [], [], "work"
+        self.new_id = map((fixture.new_id() + "-%d").__mod__, itertools.count()).__next__
+        self.caller = Caller(fixture.routers[0])
+        self.threads = [threading.Thread(target=run) for run in (self._send, self._receive)]
+        for thread in self.threads:
+            thread.start()
+
+    def _send(self):
+        try:
+            while True:
+                method, request_id = next(self.methods), self.new_id()
+                self.sent.append((time.monotonic(), request_id))
+                self.caller.send(
+                    self.prefix[method] + self.work, request_id, method=method,
+                    body=b"x" if method == "POST" else None, deadline_ms=9000,
+                )
+                time.sleep(self.interval_s)
+        except OSError:
+            pass
+
+    def _receive(self):
+        while (response := self.caller.receive()) is not None:
+            self.answers.append((time.monotonic(), response))
+        self.caller.close()
+
+    def join(self):
+        for thread in self.threads:
+            thread.join(10)
+
+
 def check(condition, *what):
     if not condition:
         raise AssertionError(" ".join(str(w) for w in what))
