While the process stops, nothing is sent on an expectation alone

Cause: a request was sent while twice its expected time fitted into what was left. Twice the mean is no bound: three in ten requests need longer, since work times vary and other hosts fill the target's queue unseen.

Now a request is sent if its deadline is before the end. Others are sent only while callers are still directed to this host, 2.6 s from the signal, and then only if no request of their service lately (10 to 20 s) needed longer than what is left. Later requests come on connections that are still open; they are rejected as not run, with Retry-After 0.1, and served by other hosts. The retry of a target's error goes by the same rule (retries_after_error had once the mean for a bound, twice over).

--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -173,9 +173,11 @@
 #define DISPATCH_SHORT_QUEUE 3 /* requests that get a slot within an objective */
 /* Times the expected time: an answer that is later counts as lost. */
 #define DISPATCH_OVERDUE_FACTOR 4
-/* Times the expected time: a target seldom needs longer, so that a request which is sent
- * while the process stops is answered before its end. */
+/* Times the expected time, while the process stops and callers are still directed to it:
+ * three requests in ten need longer, see stops.h. */
 #define DISPATCH_STOP_FACTOR 2
+#define DISPATCH_LONGEST_MS                                                              \
+  10000 /* the longest times of so long count as those of late */
 #define DISPATCH_PLANNED_WAIT_PERCENT 25 /* of the wait in a target's queue */
 #define DISPATCH_RETRY_AFTER_MIN_MS 100  /* the targets' load doesn't change sooner */
 /* The longest time for which a target is left alone because it said so; then one request
--- a/packages/dispatch/admission.c
+++ b/packages/dispatch/admission.c
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include "dispatch_parts.h"
+#include "stops.h"
 #include "targets.h"
 
 /* Whether this host is below its share of the connections that TARGET accepts from all
@@ -25,16 +26,6 @@
          && (request->not_admitted & 1ull << target % 64) != 0;
 }
 
-/* Whether the target is expected to end a request that is sent now before the process
- * ends. */
-static bool
-ends_in_time (const dispatch_t *self, const dispatch_target_t *target, msec_t now)
-{
-  return self->work_until == MSEC_NEVER
-         || now + DISPATCH_STOP_FACTOR * target_cautious_ms (target, now)
-                <= self->work_until;
-}
-
 admission_t
 admission_check (const dispatch_t *self,
                  const dispatch_request_t *request,
@@ -47,7 +38,7 @@
     return ADMISSION_PAUSED;
   if (request->keyed && now < candidate->backoff_until)
     return ADMISSION_BACK_OFF;
-  if (!ends_in_time (self, candidate, now))
+  if (!stops_allow (self, request, target_cautious_ms (candidate, now), now))
     return ADMISSION_STOPPING;
   if (warmup_is_guarded (&candidate->warmup, now) && candidate->warmup.rate <= 0)
     return ADMISSION_COLD;
--- a/packages/dispatch/dispatch.c
+++ b/packages/dispatch/dispatch.c
@@ -8,6 +8,7 @@
 #include "retries.h"
 #include "second.h"
 #include "services.h"
+#include "stops.h"
 #include "targets.h"
 #include "waits.h"
 
@@ -396,6 +397,8 @@
   if (msg->answer == ANSWER_RUN)
     {
       dispatch_service_t *service_state = service_at (self, service);
+      /* From then on the caller was slow, not the target. */
+      stops_note (self, request, msg->held_up_at > 0 ? MIN (msg->held_up_at, now) : now);
       service_state->service_time_ms
           = (service_state->service_time_ms * 15 + target->service_time_ms) / 16;
       losses_clear (self, request, now, out);
@@ -505,6 +508,7 @@
   if (now >= waits_answer_deadline (request))
     {
       owners_note_unanswered (target_at (self, (uint32_t)request->target), request, now);
+      stops_note (self, request, now);
       cancel (self, request, out);
       end (self, request, REASON_DEADLINE, now, out);
     }
@@ -513,6 +517,7 @@
   else if (retries_when_overdue (self, request, now))
     {
       target_timed_out (target_at (self, (uint32_t)request->target), now);
+      stops_note (self, request, now);
       cancel (self, request, out);
       retry (self, request, REASON_ANSWER_LOST, now, now, out);
     }
@@ -603,8 +608,7 @@
       process_queues (self, now, out);
       break;
     case DISPATCH_DRAIN:
-      self->draining = true;
-      self->work_until = msg->answers_until - DISPATCH_ANSWER_TRANSIT_MS;
+      stops_begin (self, msg);
       break;
     }
 }
--- a/packages/dispatch/dispatch.h
+++ b/packages/dispatch/dispatch.h
@@ -9,6 +9,7 @@
 #include "../warmup/warmup.h"
 #include "budget.h"
 #include "leaving.h"
+#include "longest.h"
 #include "pauses.h"
 
 /*
@@ -49,8 +50,9 @@
   DISPATCH_EVACUATIONS, /* the complete list of data centres that are emptied */
   DISPATCH_CURRENCY,    /* OUTDATED: the configuration or the targets may be too old */
   DISPATCH_STOP,  /* the process ends soon: what waits, and what arrives, is rejected */
-  DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried, and
-                     targets have to answer by ANSWERS_UNTIL */
+  DISPATCH_DRAIN, /* the process is draining: overdue attempts are no longer retried,
+                     targets have to answer by ANSWERS_UNTIL, and callers are directed to
+                     this host until CALLERS_UNTIL */
 } dispatch_msg_kind_t;
 
 typedef enum
@@ -113,10 +115,10 @@
   double rate_limit;       /* DISPATCH_ANSWERED: requests per second, from all hosts */
   pause_statement_t pause; /* DISPATCH_ANSWERED: for how long it wants no requests */
   const GArray *shares;    /* DISPATCH_SHARES: rate_share_t */
-  msec_t answers_until;    /* DISPATCH_DRAIN */
-  const GArray *paces;     /* DISPATCH_PACES: pace_t */
-  const GArray *grants;    /* DISPATCH_GRANTS: rate_grant_t */
-  msec_t rates_at;         /* DISPATCH_GRANTS: of the report that they answer */
+  msec_t answers_until, callers_until; /* DISPATCH_DRAIN */
+  const GArray *paces;                 /* DISPATCH_PACES: pace_t */
+  const GArray *grants;                /* DISPATCH_GRANTS: rate_grant_t */
+  msec_t rates_at;              /* DISPATCH_GRANTS: of the report that they answer */
   target_incarnation_t leaving; /* DISPATCH_LEAVING */
   const GArray *evacuations;    /* DISPATCH_EVACUATIONS: evacuation_t, in force */
   dispatch_bounds_t bounds;     /* DISPATCH_BOUNDS */
@@ -165,7 +167,7 @@
   REASON_RATE_LIMIT,  /* targets limited the requests from all hosts */
   REASON_COLD,     /* the only usable targets are cold, and get no more from all hosts */
   REASON_PAUSED,   /* all usable targets asked this host for no requests */
-  REASON_STOPPING, /* the process ends before an attempt would */
+  REASON_STOPPING, /* the process may end before an attempt does */
   REASON_RETRY_BUDGET,    /* a retry is needed and the retry budget is spent */
   REASON_ANSWER_LOST,     /* the response was lost, invalid, overdue or a server error */
   REASON_CRASHES_TARGETS, /* the request is known to crash targets */
@@ -307,6 +309,7 @@
   uint32_t pace_ms;         /* mean work time of its targets by that list */
   msec_t paced_until; /* until then its targets' pace is known by the granter's list */
   uint32_t moment_permille; /* moving average of the momentary speeds that they stated */
+  longest_t longest;        /* that its targets needed for a request, its wait included */
   msec_t paused_since;      /* since when no target took requests; MSEC_NEVER: one does */
   uint32_t *key_loads;      /* requests per KEY_BUCKET_SIZE keys since the last reset */
 } dispatch_service_t;
@@ -326,10 +329,11 @@
   rng_t rng;
   bool draining;     /* the process is shutting down */
   msec_t work_until; /* when a target has to have ended a request; MSEC_NEVER: no limit */
-  bool stopping;     /* and ends soon: requests that wait are rejected */
-  bool outdated;     /* requests are rejected, as currency decided */
-  uint64_t cold_sent; /* requests that cold targets' limits admitted */
-  uint64_t cold_held; /* and didn't admit */
+  msec_t callers_until; /* until when callers are directed to this host; see stops.h */
+  bool stopping;        /* and ends soon: requests that wait are rejected */
+  bool outdated;        /* requests are rejected, as currency decided */
+  uint64_t cold_sent;   /* requests that cold targets' limits admitted */
+  uint64_t cold_held;   /* and didn't admit */
 } dispatch_t;
 
 void dispatch_init (dispatch_t *self, text_t data_centre, uint64_t seed);
--- a/packages/dispatch/retries.c
+++ b/packages/dispatch/retries.c
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "dispatch_parts.h"
+#include "stops.h"
 #include "targets.h"
 #include "waits.h"
 
@@ -14,8 +15,7 @@
          && request->executions < request->executions_max
          && request->attempts < DISPATCH_ATTEMPTS_MAX
          && now + service->service_time_ms < request->deadline
-         && (self->work_until == MSEC_NEVER
-             || now + DISPATCH_STOP_FACTOR * service->service_time_ms <= self->work_until)
+         && stops_allow (self, request, service->service_time_ms, now)
          && budget_left (&service->budget, now) > 0;
 }
 
--- /dev/null
+++ b/packages/dispatch/stops.c
@@ -0,0 +1,34 @@
+#include "stops.h"
+
+#include "dispatch_parts.h"
+
+void
+stops_begin (dispatch_t *self, const dispatch_msg_t *msg)
+{
+  self->draining = true;
+  self->work_until = msg->answers_until - DISPATCH_ANSWER_TRANSIT_MS;
+  self->callers_until = msg->callers_until;
+}
+
+bool
+stops_allow (const dispatch_t *self,
+             const dispatch_request_t *request,
+             msec_t expected,
+             msec_t now)
+{
+  const longest_t *longest = &service_at (self, request->service)->longest;
+
+  if (request->deadline <= self->work_until)
+    return true;
+  return now < self->callers_until
+         && now + MAX (DISPATCH_STOP_FACTOR * expected, longest_of (longest, now))
+                <= self->work_until;
+}
+
+void
+stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t answered_at)
+{
+  longest_note (&service_at (self, request->service)->longest,
+                answered_at - request->sent_at,
+                answered_at);
+}
--- /dev/null
+++ b/packages/dispatch/stops.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "dispatch.h"
+
+/*
+ * STOPS: which requests are still sent to targets while the process stops.
+ *
+ * What a target hasn't answered when the process ends is cut, and its caller can't know
+ * whether it ran.  How long a target is expected to need doesn't bound how long it does:
+ * its work may be longer than usual, and other hosts may have filled its queue.
+ *
+ * - A request whose deadline is before the end is always sent: no later answer counts.
+ * - While callers may still be directed to this host, others are sent if one of the same
+ *   service hasn't lately needed longer than what is left, and DISPATCH_STOP_FACTOR times
+ *   the expected time isn't longer either.
+ * - After that, only connections that are still open bring requests, and other hosts serve
+ *   their callers.  Nothing is sent without a deadline before the end.
+ */
+
+/* The process stops, as MSG (DISPATCH_DRAIN) says. */
+void stops_begin (dispatch_t *self, const dispatch_msg_t *msg);
+
+/* Whether REQUEST may be sent to a target that is expected to need EXPECTED ms. */
+bool stops_allow (const dispatch_t *self,
+                  const dispatch_request_t *request,
+                  msec_t expected,
+                  msec_t now);
+
+/* REQUEST was answered at ANSWERED_AT, or given up then. */
+void
+stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t answered_at);
--- a/packages/dispatch/tests/test_dispatch.c
+++ b/packages/dispatch/tests/test_dispatch.c
@@ -620,8 +620,9 @@
 static void
 drain (fixture_t *self, msec_t after)
 {
-  const dispatch_msg_t msg
-      = { .kind = DISPATCH_DRAIN, .answers_until = self->now + after };
+  const dispatch_msg_t msg = { .kind = DISPATCH_DRAIN,
+                               .answers_until = self->now + after,
+                               .callers_until = self->now + after };
 
   handle_msg (self, &msg);
 }
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -283,6 +283,7 @@
   self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
   const dispatch_msg_t drain
       = { .kind = DISPATCH_DRAIN,
+          .callers_until = self->idle_close_at,
           .answers_until = self->drain_until - PROXY_LAST_WRITES_MS };
   self->draining = true;
   proxy_dispatch (self, &drain);
