--- a/packages/dispatch/stops.h
+++ b/packages/dispatch/stops.h
@@ -13,8 +13,8 @@
  * - While callers may still be directed to this host, others are sent if one of the same
  *   service hasn't lately needed longer than what is left, and DISPATCH_STOP_FACTOR times
  *   the expected time isn't longer either.
- * - After that, only connections that are still open bring requests, and other hosts serve
- *   their callers.  Nothing is sent without a deadline before the end.
+ * - After that, only connections that are still open bring requests, and other hosts
+ * serve their callers.  Nothing is sent without a deadline before the end.
  */
 
 /* The process stops, as MSG (DISPATCH_DRAIN) says. */
@@ -27,5 +27,4 @@
                   msec_t now);
 
 /* REQUEST was answered at ANSWERED_AT, or given up then. */
-void
-stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t answered_at);
+void stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t answered_at);
--- a/packages/dispatch/tests/test_stops.c
+++ b/packages/dispatch/tests/test_stops.c
@@ -5,8 +5,9 @@
 /* Requests that are sent, or not, while the process stops. */
 
 #define EXPECTED_MS DISPATCH_INITIAL_SERVICE_TIME_MS
-#define CALLERS_MS 2600 /* callers are directed to the host for so long after the signal */
-#define WORK_MS 5260    /* targets have to answer within so long after it */
+#define CALLERS_MS                                                                       \
+  2600               /* callers are directed to the host for so long after the signal */
+#define WORK_MS 5260 /* targets have to answer within so long after it */
 
 static const char *const paths[] = { "/order/", "/read/", "/keyed/" };
 
@@ -141,8 +142,7 @@
 {
   fixture_t fixture;
   dispatch_request_t request;
-  dispatch_msg_t msg
-      = { .kind = DISPATCH_ANSWERED, .request = &request, .status = 200 };
+  dispatch_msg_t msg = { .kind = DISPATCH_ANSWERED, .request = &request, .status = 200 };
 
   (void)state;
   begin (&fixture);
--- a/packages/proxy/proxy.c
+++ b/packages/proxy/proxy.c
@@ -1,3 +1,4 @@
+#include "drain.h"
 #include "exchange.h"
 #include "target_conn.h"
 
@@ -260,43 +261,6 @@
     }
 }
 
-/* Sets the time between ticks. */
-static void
-set_tick_period (proxy_t *self, msec_t period)
-{
-  const struct timeval interval = { period / 1000, period % 1000 * 1000 };
-
-  if (period == self->tick_period)
-    return;
-  self->tick_period = period;
-  event_add (self->tick, &interval);
-}
-
-/* SIGNALLED_AT: when the coordinator noticed the signal. */
-static void
-start_draining (proxy_t *self, msec_t signalled_at)
-{
-  if (self->draining)
-    return;
-  msec_t grace = (msec_t)(self->bounds.grace_s * 1000);
-  self->idle_close_at = msclock_now (&self->clock) + PROXY_UNREADY_MS;
-  self->drain_until = msclock_now (&self->clock) + grace - PROXY_GRACE_MARGIN_MS;
-  const dispatch_msg_t drain
-      = { .kind = DISPATCH_DRAIN,
-          .callers_until = self->idle_close_at,
-          .answers_until = self->drain_until - PROXY_LAST_WRITES_MS };
-  self->draining = true;
-  proxy_dispatch (self, &drain);
-  set_tick_period (self, PROXY_DRAIN_TICK_MS);
-  eventlog_write (EVENT_STATE,
-                  "proxy",
-                  "draining",
-                  "callers=%u within_ms=%lld late_ms=%lld",
-                  self->caller_count,
-                  (long long)(self->drain_until - msclock_now (&self->clock)),
-                  (long long)(msclock_now (&self->clock) - signalled_at));
-}
-
 void
 proxy_msg_free (void *item)
 {
@@ -426,77 +390,22 @@
       proxy_dispatch (self, &dispatch_msg);
       break;
     case PROXY_DRAIN:
-      start_draining (self, msg->posted_at);
+      drain_begin (self, msg->posted_at);
       break;
     }
   check_key_tables (self);
   proxy_msg_free (msg);
 }
 
-/* A request that is at a target, or waits for one; NULL: there is none. */
-static exchange_t *
-find_running (const proxy_t *self)
-{
-  const caller_t *caller;
-  exchange_t *exchange;
-
-  TAILQ_FOREACH (caller, &self->callers, link)
-    TAILQ_FOREACH (exchange, &caller->pipeline, link)
-      if (exchange->dispatched && exchange->request.state != REQUEST_ENDED)
-        return exchange;
-  return NULL;
-}
-
-/* Answers all requests in progress.  An answer may end its caller's connection. */
-static void
-abandon_requests (proxy_t *self)
-{
-  exchange_t *exchange;
-
-  while ((exchange = find_running (self)) != NULL)
-    {
-      const dispatch_msg_t abandon
-          = { .kind = DISPATCH_ABANDON, .request = &exchange->request };
-      proxy_dispatch (self, &abandon);
-    }
-}
-
-/* Once the platform has had time to notice that this host is not ready, stops listening
- * and closes connections without a request.  Shortly before the process would be killed,
- * rejects the requests that still wait, then answers those that targets have not, and
- * closes the remaining connections. */
-static void
-drain_step (proxy_t *self, msec_t now)
+void
+proxy_set_tick_period (proxy_t *self, msec_t period)
 {
-  bool expired = now >= self->drain_until;
-  bool idle_expired = now >= self->idle_close_at;
-  caller_t *caller;
+  const struct timeval interval = { period / 1000, period % 1000 * 1000 };
 
-  if (now >= self->drain_until - PROXY_LAST_ANSWERS_MS && !self->dispatch.stopping)
-    {
-      const dispatch_msg_t stop = { .kind = DISPATCH_STOP };
-      proxy_dispatch (self, &stop);
-    }
-  if (now >= self->drain_until - PROXY_LAST_WRITES_MS && !self->abandoned)
-    {
-      abandon_requests (self);
-      self->abandoned = true;
-    }
-  if (idle_expired && self->listener != NULL)
-    {
-      evconnlistener_free (self->listener);
-      self->listener = NULL;
-    }
-  caller = TAILQ_FIRST (&self->callers);
-  while (caller != NULL)
-    {
-      caller_t *next = TAILQ_NEXT (caller, link);
-      if (expired || (idle_expired && caller_is_idle (caller)))
-        caller_free (caller);
-      caller = next;
-    }
-  if (expired || (idle_expired && TAILQ_EMPTY (&self->callers)))
-    event_base_loopbreak (self->base);
+  if (period == self->tick_period)
+    return;
+  self->tick_period = period;
+  event_add (self->tick, &interval);
 }
 
 static void
@@ -529,9 +438,9 @@
   if (self->draining)
     drain_step (self, now);
   else
-    set_tick_period (self,
-                     targets_are_limited (&self->dispatch) ? PROXY_LIMITED_REPORT_MS
-                                                           : PROXY_REPORT_MS);
+    proxy_set_tick_period (self,
+                           targets_are_limited (&self->dispatch) ? PROXY_LIMITED_REPORT_MS
+                                                                 : PROXY_REPORT_MS);
 }
 
 static void
@@ -645,7 +554,7 @@
   proxy_t *self = arg;
 
   self->tick = event_new (self->base, -1, EV_PERSIST, on_tick, self);
-  set_tick_period (self, PROXY_REPORT_MS);
+  proxy_set_tick_period (self, PROXY_REPORT_MS);
   event_base_dispatch (self->base);
   proxy_report_t *ended = g_new0 (proxy_report_t, 1);
   ended->kind = PROXY_REPORT_DRAINED;
--- a/packages/proxy/proxy.h
+++ b/packages/proxy/proxy.h
@@ -5,6 +5,7 @@
 #include "../core/metrics.h"
 #include "../settings/router_settings.h"
 #include "dialect.h"
+#include "drain_times.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -144,8 +145,7 @@
   uint32_t host_count; /* that share the retry budget and the idle connections */
   router_bounds_t bounds;
   msec_t last_tick, tick_period;
-  msec_t idle_close_at;   /* draining: connections without a request are closed then */
-  msec_t drain_until;     /* draining: all other connections are closed then */
+  drain_times_t drain;    /* draining */
   bool abandoned;         /* draining: no request is in progress any more */
   msec_t samples_at;      /* when samples of the targets' pace were last reported */
   bool key_table_missing; /* a keyed service has no key table yet */
@@ -164,6 +164,9 @@
 
 void proxy_finish (proxy_t *self);
 
+/* Sets the time between ticks, in ms. */
+void proxy_set_tick_period (proxy_t *self, msec_t period);
+
 /* Free a message that was not delivered. */
 void proxy_msg_free (void *msg);
 void proxy_report_free (void *report);
