The grace period is counted from the signal

The proxy counted it from its handling of the coordinator's message. It counts from when the coordinator noticed the signal now.

--- a/packages/proxy/drain.c
+++ b/packages/proxy/drain.c
@@ -38,7 +38,7 @@
   if (self->draining)
     return;
   msec_t now = msclock_now (&self->clock);
-  self->drain = drain_times (now, self->bounds.grace_s);
+  self->drain = drain_times (signalled_at, self->bounds.grace_s);
   const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN,
                                  .callers_until = self->drain.callers_until,
                                  .answers_until = self->drain.answers_until };
