--- a/tests/process/platform_fixture.py
+++ b/tests/process/platform_fixture.py
@@ -924,7 +924,8 @@
     """A router process; its log goes to the file `log_path`.  FILES: its limit of open files."""
 
     def __init__(
-        self, build, store_port, name, blocked_log=False, memory_mb=160, bounds="", files=None
+        self, build, store_port, name, blocked_log=False, memory_mb=160, bounds="", files=None,
+        grace_s=6,
     ):
         self.caller_port, self.ready_port, self.peer_port = free_port(), free_port(), free_port()
         self.metrics_port = free_port()
@@ -936,19 +937,26 @@
                 '[host]\nname = "%s"\ndata_centre = "z1"\ncallers = "127.0.0.1:%d"\n'
                 'ready = "127.0.0.1:%d"\npeers = "127.0.0.1:%d"\nunknown = 1\n'
                 'metrics = "127.0.0.1:%d"\nmemory_mb = %d\n'
-                '[store]\naddress = "127.0.0.1:%d"\n[bounds]\ngrace_s = 6\n%s'
+                '[store]\naddress = "127.0.0.1:%d"\n[bounds]\ngrace_s = %g\n%s'
                 % (name, self.caller_port, self.ready_port, self.peer_port, self.metrics_port,
-                   memory_mb, store_port, bounds)
+                   memory_mb, store_port, grace_s, bounds)
             )
-        command = [os.path.join(build, "chicorywood"), "route", "--settings", self.settings_path]
+        self.command = [
+            os.path.join(build, "chicorywood"), "route", "--settings", self.settings_path
+        ]
         with open(self.log_path, "wb") as log:
             output = subprocess.PIPE if blocked_log else log
             self.process = subprocess.Popen(
-                command, stdout=output, stderr=log,
+                self.command, stdout=output, stderr=log,
                 preexec_fn=files
                 and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))),
             )
 
+    def restart(self):
+        """Starts the process again, with the same addresses and settings."""
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(self.command, stdout=log, stderr=log)
+
     def is_ready(self):
         try:
             with socket.create_connection(("127.0.0.1", self.ready_port), 1) as sock:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -269,10 +269,7 @@
         old = self.routers[i]
         if old.process.poll() is None:
             return  # the end of another fault has restarted it
-        with open(old.log_path, "ab") as log:
-            old.process = subprocess.Popen(
-                [os.path.join(self.args.build, "chicorywood"), "route", "--settings",
-                 old.settings_path], stdout=log, stderr=log)
+        old.restart()
         self.started_at[i], self.terminated_at[i] = now_ms(), None
 
     def freeze_router(self):
