A leaving target counts from the last confirmation if no watch was under way

What callers could see: requests at a target up to 200 ms past drain_ms (computed), after calls to the store had failed. Cause: how long ago a target began to leave was counted as 1.4 s at most, as if a watch of the store had brought the row at once, whatever had become of the watch: a row that followed on a failed call, or that another host relayed meanwhile, may be as old as the last confirmation.

Evidence: unit discovery, two of three new tests failed before (1,400 ms counted of 4,000 and of 4,100), pass.

--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -86,31 +86,20 @@
   self->targets_changed = false;
 }
 
-/* How long ago a row of FEED that is being delivered can have changed.  A change during a
- * long watch arrives well before its end.  The granter's watches are short, so that an
- * old feed shows how late it is. */
+/* How long ago a row of FEED that is being delivered can have changed.  Only a watch of
+ * the store that was under way before is known to have brought the row at once.  What
+ * follows on a failed call, and what another host relays, may be as old as the last
+ * confirmation. The granter's watches are short, so that an old feed shows how late it
+ * is. */
 static msec_t
 longest_since_change (const coordinator_t *self, const feed_t *feed)
 {
-  msec_t age = feed_age (feed);
-
-  return feed->watching && self->role.state != ROLE_HELD ? MIN (age, self->relay_max_age)
-                                                         : age;
-}
-
-/* The same for an evacuation, whose bound holds also for a host that was cut off: only a
- * watch of the store that was under way before is known to have brought the row at once.
- * What follows on a failed call, and what another host relays, may be as old as the last
- * confirmation. */
-static msec_t
-longest_since_evacuation (const coordinator_t *self)
-{
-  const feed_t *feed = &self->configuration;
   bool under_way
-      = feed->watched_since != MSEC_NEVER
+      = feed->watched_since != MSEC_NEVER && self->role.state != ROLE_HELD
         && msclock_now (&self->clock) - feed->watched_since > self->relay_max_age;
+  msec_t age = feed_age (feed);
 
-  return under_way ? longest_since_change (self, feed) : feed_age (feed);
+  return under_way ? MIN (age, self->relay_max_age) : age;
 }
 
 /* Configurations. */
@@ -157,8 +146,8 @@
   directory_t *directory;
   text_t key = { row->key->str, row->key->len };
 
-  if (emptied_handle_row (self, row, longest_since_evacuation (self)) || row->removed
-      || !text_equal (key, self->deployment->configuration_key))
+  if (emptied_handle_row (self, row, longest_since_change (self, &self->configuration))
+      || row->removed || !text_equal (key, self->deployment->configuration_key))
     return;
   directory = g_new (directory_t, 1);
   directory_init (directory);
--- a/packages/coordinator/tests/test_discovery.c
+++ b/packages/coordinator/tests/test_discovery.c
@@ -376,6 +376,54 @@
   teardown (&fixture);
 }
 
+static void
+test_relayed_leaving_between_failed_calls_may_be_old (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  feed_resume (&fixture.coordinator.targets);
+  reply (&fixture, STORE_TARGETS, STORE_UNKNOWN, 0, NULL);
+  pass_time (&fixture, 4000, 0);
+  assert_null (fixture.coordinator.targets.call);
+  relay (&fixture, 5, 7, "leaving");
+  assert_int_equal (find_target (&fixture)->entry.leaving_for, 4000);
+  teardown (&fixture);
+}
+
+static void
+test_watch_after_a_failed_call_may_bring_an_old_leaving (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  feed_resume (&fixture.coordinator.targets);
+  reply (&fixture, STORE_TARGETS, STORE_UNKNOWN, 0, NULL);
+  pass_time (&fixture, 4000, 0);
+  feed_resume (&fixture.coordinator.targets);
+  pass_time (&fixture, 100, 0);
+  reply (&fixture, STORE_TARGETS, STORE_DONE, 7, "leaving");
+  assert_int_equal (find_target (&fixture)->entry.leaving_for, 4100);
+  teardown (&fixture);
+}
+
+static void
+test_long_watch_brings_a_leaving_at_once (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  setup (&fixture);
+  feed_resume (&fixture.coordinator.targets);
+  pass_time (&fixture, 4000, 0);
+  reply (&fixture, STORE_TARGETS, STORE_DONE, 7, "leaving");
+  assert_int_equal (find_target (&fixture)->entry.leaving_for,
+                    fixture.coordinator.relay_max_age);
+  teardown (&fixture);
+}
+
 /* Another host heard the process of "t" that started at STARTED_AT state that it leaves.
  */
 static void
@@ -849,6 +897,9 @@
     cmocka_unit_test (test_target_that_stated_that_it_leaves_is_assigned_no_keys),
     cmocka_unit_test (
         test_granter_whose_watch_was_late_counts_from_its_last_confirmation),
+    cmocka_unit_test (test_relayed_leaving_between_failed_calls_may_be_old),
+    cmocka_unit_test (test_watch_after_a_failed_call_may_bring_an_old_leaving),
+    cmocka_unit_test (test_long_watch_brings_a_leaving_at_once),
     cmocka_unit_test (
         test_removed_target_is_kept_only_while_an_outage_may_have_removed_it),
     cmocka_unit_test (test_busy_host_does_not_take_its_own_failures_for_an_outage),
