Nothing is passed on behind a forwarded answer while the process stops

A look-up that is pipelined behind an answer which is forwarded as it arrives was sent to its target and answered there in 1 ms; its answer waited behind the other one. That one was cut with its connection when the process ended, and the look-up ended without an answer: what its own target needs doesn't bound when it ends. While the process drains, nothing is sent behind an answer that is being forwarded; it is sent when that is complete, and otherwise its caller knows that it wasn't read.

tests/process/stops, nothing_is_passed_on_behind_an_answer_that_is_still_forwarded: failed before (1 of 1 run, ran and has no answer), passes with the other cases (1 of 1). What was sent before the signal, or before the answer ahead began to be forwarded, is not covered.

--- a/packages/proxy/caller.c
+++ b/packages/proxy/caller.c
@@ -76,6 +76,23 @@
     exchange_dispatch (exchange);
 }
 
+/* Whether an answer before that to EXCHANGE is being forwarded as it arrives while the
+ * process stops.  If its target doesn't end it in time, the connection ends within it,
+ * and with it whatever waits behind. */
+static bool
+is_behind_stream (const caller_t *self, const exchange_t *exchange)
+{
+  const exchange_t *before;
+
+  if (!self->proxy->draining)
+    return false;
+  for (before = TAILQ_FIRST (&self->pipeline); before != exchange;
+       before = TAILQ_NEXT (before, link))
+    if (before->response_streaming && !before->response_ready)
+      return true;
+  return false;
+}
+
 /* Dispatches requests that may run concurrently with the unanswered ones before them. */
 static void
 start_ready_requests (caller_t *self)
@@ -89,6 +106,7 @@
       bool readable
           = exchange->request_complete || (first && exchange->request_streaming);
       if (!exchange->dispatched && !exchange->response_ready && readable
+          && !is_behind_stream (self, exchange)
           && (first
               || dispatch_may_pipeline (&self->proxy->dispatch,
                                         (text_t){ exchange->host, exchange->host_len },
