--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -176,8 +176,7 @@
 /* Times the expected time, while the process stops and callers are still directed to it:
  * three requests in ten need longer, see stops.h. */
 #define DISPATCH_STOP_FACTOR 2
-#define DISPATCH_LONGEST_MS                                                              \
-  10000 /* the longest times of so long count as those of late */
+#define DISPATCH_LONGEST_MS 10000        /* what counts as lately there, at least */
 #define DISPATCH_PLANNED_WAIT_PERCENT 25 /* of the wait in a target's queue */
 #define DISPATCH_RETRY_AFTER_MIN_MS 100  /* the targets' load doesn't change sooner */
 /* The longest time for which a target is left alone because it said so; then one request
--- a/packages/dispatch/longest.h
+++ b/packages/dispatch/longest.h
@@ -3,10 +3,10 @@
 #include "../core/msclock.h"
 
 /*
- * LONGEST: the longest of the times that were noted lately.
+ * LONGEST: the longest of the durations that were noted lately.
  *
  * Decision logic without I/O.  It covers the last DISPATCH_LONGEST_MS at least, and twice
- * that at most.  A state of zeros is empty.  Times are in ms.
+ * that at most.  A state of zeros is empty.  Times and durations are in ms.
  */
 
 typedef struct
--- a/packages/dispatch/stops.c
+++ b/packages/dispatch/stops.c
@@ -32,9 +32,9 @@
 }
 
 void
-stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t answered_at)
+stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t ended_at)
 {
   longest_note (&service_at (self, request->service)->longest,
-                answered_at - request->sent_at,
-                answered_at);
+                ended_at - request->sent_at,
+                ended_at);
 }
--- a/packages/dispatch/stops.h
+++ b/packages/dispatch/stops.h
@@ -13,8 +13,8 @@
  * - While callers may still be directed to this host, others are sent if one of the same
  *   service hasn't lately needed longer than what is left, and DISPATCH_STOP_FACTOR times
  *   the expected time isn't longer either.
- * - After that, only connections that are still open bring requests, and other hosts
- * serve their callers.  Nothing is sent without a deadline before the end.
+ * - After that, requests come on connections that are still open only, and other hosts
+ *   serve their callers.  Nothing is sent without a deadline before the end.
  */
 
 /* The process stops, as MSG (DISPATCH_DRAIN) says. */
@@ -30,5 +30,6 @@
                   msec_t expected,
                   msec_t now);
 
-/* REQUEST was answered at ANSWERED_AT, or given up then. */
-void stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t answered_at);
+/* REQUEST was answered, or given up, at ENDED_AT: its service needed as long as that
+ * since it was sent. */
+void stops_note (dispatch_t *self, const dispatch_request_t *request, msec_t ended_at);
