Log of the role: the store's era, the predecessor's bound and the tables taken over

The log can't tell by which history of the store a granter acquired its role, from what it counts its predecessor's grants, nor which table it began with. No logic is changed; unit role passes.

--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -120,9 +120,10 @@
     eventlog_write (EVENT_STATE,
                     "role",
                     "lost",
-                    "why=%s row_version=%llu holder=%.*s",
+                    "why=%s row_version=%llu era=%llu holder=%.*s",
                     why,
                     (unsigned long long)role->version,
+                    (unsigned long long)self->store->era,
                     NAME_ARG (role->row.host));
   role->state = ROLE_NOT_HELD;
   role->lease_end = 0;
@@ -273,6 +274,15 @@
     {
       table.version = row->version;
       msg.table = &table;
+      eventlog_write (EVENT_STATE,
+                      "role",
+                      "table_loaded",
+                      "service=%.*s version=%llu era=%llu ranges=%u predecessor_ms=%lld",
+                      NAME_ARG (*service),
+                      (unsigned long long)table.version,
+                      (unsigned long long)self->store->era,
+                      table.ranges->len,
+                      (long long)msg.predecessor_hold);
       owners_update (self, &table);
     }
   else if (row != NULL)
@@ -375,10 +385,13 @@
   eventlog_write (EVENT_STATE,
                   "role",
                   "acquired",
-                  "row_version=%llu next_fence=%llu lease_ms=%d",
+                  "row_version=%llu era=%llu next_fence=%llu lease_ms=%d "
+                  "predecessor_ms=%lld",
                   (unsigned long long)role->version,
+                  (unsigned long long)self->store->era,
                   (unsigned long long)role->row.next_fence,
-                  ROLE_LEASE_MS);
+                  ROLE_LEASE_MS,
+                  (long long)MAX (role->predecessor_grants_end - now, 0));
   keys_raise_fence (&self->keys, role->row.next_fence);
   role->awaits_tables = true;
   read_tables (self, TEXT_NONE);
@@ -616,11 +629,12 @@
                   "role",
                   "vacant",
                   "holder=%.*s until=%lld store_clock=%lld row_version=%llu "
-                  "longest_hold_ms=%lld",
+                  "era=%llu longest_hold_ms=%lld",
                   NAME_ARG (role->row.host),
                   (long long)role->row.until,
                   (long long)reply->clock,
                   (unsigned long long)role->version,
+                  (unsigned long long)self->store->era,
                   (long long)role->row.longest_hold);
   /* A holder that resigned (UNTIL is 0) sent grants of the longest hold right before it
    * wrote the row.  Without a row nothing is known, but there may be owners. */
