--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -114,6 +114,7 @@
   const store_ops_t *ops;
   uint64_t calls;
   uint64_t era;      /* the latest that an answer was of; 0: none has stated it */
+  uint64_t losses;   /* rises of the era that this process has met */
   uint64_t rejected; /* answers of an earlier era, or without one though others had it */
 };
 
--- a/tests/grants/grants.c
+++ b/tests/grants/grants.c
@@ -18,6 +18,7 @@
  *   - a call to the store is refused or lost, or is executed, perhaps late, without a
  *     response or with one that comes late, or a read returns old rows;
  *   - all calls of a host to the store are refused or lost for some time;
+ *   - the store goes away for some time and comes back from an older copy;
  *   - a grant or release is lost, or is executed, perhaps late, without a response;
  *   - all grants to a target are executed seconds late for some time, without a response,
  *     also by its next process;
@@ -36,9 +37,9 @@
  * targets' clocks run slow by 2 %, the most that is allowed.
  *
  * Whenever a target accepts a grant, no other target may hold one of its keys, and its
- * fence must be above those of other targets for the sampled keys.  No host may take the
- * role while another believes to hold it.  At the end of a run the checked keys must be
- * held.
+ * fence must be above those of other targets for the sampled keys.  No host may take or
+ * hold the role while another believes to hold it.  At the end of a run the checked keys
+ * must be held.
  */
 
 typedef struct
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -154,7 +154,8 @@
 
   host->up = true;
   host->incarnation++;
-  store->ops = &sim_store_ops;
+  *store = (store_t){ .ops = &sim_store_ops };
+  host->kill_at = MSEC_NEVER;
   *self
       = (coordinator_t){ .settings = settings,
                          .deployment = &sim_deployment,
@@ -360,6 +361,7 @@
         response->done = event->done;
         response->owner = event->owner;
         response->reply = reply;
+        response->era = sim->era;
         break;
       }
     case EVENT_COMMAND:
@@ -384,7 +386,10 @@
       sim->active_host = event->host;
       msclock_set (&host->coordinator.clock, sim->now);
       if (event->kind == EVENT_STORE_RESPONSE)
-        event->done (event->owner, &event->reply);
+        {
+          sim_check_era (&host->store, event);
+          event->done (event->owner, &event->reply);
+        }
       else
         {
           const command_result_t result = { .outcome = event->outcome,
@@ -446,6 +451,22 @@
   return false;
 }
 
+/* No two hosts may believe to hold the role, whatever became of its row. */
+static void
+check_holders (void)
+{
+  guint holders = 0;
+
+  for (guint i = 0; i < HOSTS; i++)
+    {
+      const role_t *role = &sim->hosts[i].coordinator.role;
+      holders += sim->hosts[i].up && role->state == ROLE_HELD
+                 && sim->now < role->lease_end - ROLE_MARGIN_MS;
+    }
+  if (holders > 1)
+    sim_record_violation ("two hosts hold the role", TARGETS, 0);
+}
+
 /* Makes the scenario's changes that are due; returns whether the first one was made. */
 static bool
 step_scenario (const sim_t *self, msec_t change_at, bool changed)
@@ -503,6 +524,7 @@
   while (self->now < (self->random ? RANDOM_END_MS : END_MS) && self->violation[0] == 0)
     {
       self->now += DELAY_MS;
+      sim_step_store ();
       handle_due ();
       if (self->verbose)
         {
@@ -518,11 +540,14 @@
           host_t *host = &self->hosts[i];
           if (self->now % HOST_FAULT_INTERVAL_MS == 0)
             inject_host_fault (host);
+          if (host->up && self->now >= host->kill_at)
+            sim_kill_host (host, STORE_AWAY_MS + RESTART_MS);
           if (!host->up && self->now >= host->restart_at)
             start_host (host, &settings[i]);
           if (self->now % TICK_MS == 0)
             step_host (host);
         }
+      check_holders ();
     }
   for (uint32_t key = 0; key <= KEY_LAST; key += 4095)
     if (!is_held (key))
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -49,6 +49,11 @@
 #define STALL_LIST_MS 700      /* from its end to the target's new entry */
 #define STALL_PLATFORM_MS 4200 /* of the store and all targets: the role's lease ends */
 #define STALL_CUT_MS 16000 /* from the begin of that: its grants' bounds have passed */
+#define STORE_AWAY_MS 1500 /* before it comes back from an older copy */
+#define STORE_AWAY_LONG_MS 3000 /* longer than the role's lease */
+#define STORE_COPY_AGE_MS 2500  /* of that copy when the store goes away */
+/* More than it lost, so that the hosts' versions are given out again. */
+#define STORE_VERSIONS_REPEATED 60
 #define HOLD_MAX_MS 10000
 #define POINTS_MAX 8192
 #define DEVIATIONS_MAX 2
@@ -83,12 +88,16 @@
   STORE_RESPONSE_LOST,
   STORE_DELAYED, /* executed late; the host sees a timeout */
   STORE_CALL_REFUSED,
-  STORE_STALE,          /* a read returns old rows; a commit is executed as usual */
-  STORE_SLOW,           /* answered later than the host waits for it */
-  STORE_SILENT_SERIES,  /* this and the host's next calls are lost */
-  STORE_REFUSED_SERIES, /* this and the host's next calls are refused */
-  STORE_STALLED,        /* the store and all targets read it and what follows later */
-  STORE_STALLED_CUT,    /* the same, and the hosts don't reach a target after that */
+  STORE_STALE,           /* a read returns old rows; a commit is executed as usual */
+  STORE_SLOW,            /* answered later than the host waits for it */
+  STORE_SILENT_SERIES,   /* this and the host's next calls are lost */
+  STORE_REFUSED_SERIES,  /* this and the host's next calls are refused */
+  STORE_STALLED,         /* the store and all targets read it and what follows later */
+  STORE_STALLED_CUT,     /* the same, and the hosts don't reach a target after that */
+  STORE_RESTORED,        /* the store goes away, and comes back from an older copy */
+  STORE_RESTORED_PAST,   /* the same, and gives the lost versions out again at once */
+  STORE_RESTORED_LATE,   /* the same as the first, after longer than a lease */
+  STORE_RESTORED_KILLED, /* the same as the first, and the caller is killed meanwhile */
   STORE_OPTIONS,
   COMMAND_LOST = 1,
   COMMAND_RESPONSE_LOST,
@@ -176,6 +185,7 @@
   guint host;
   uint64_t incarnation;
   /* Store events. */
+  uint64_t era; /* of a call: that its host knew; of a response: the store's */
   store_done_t done;
   store_table_t table;
   bool commit;
@@ -208,7 +218,7 @@
   coordinator_t coordinator;
   bool up;
   uint64_t incarnation;
-  msec_t frozen_until, restart_at;
+  msec_t frozen_until, kill_at, restart_at;
   int store_series; /* what becomes of its calls to the store; 0: as usual */
   msec_t store_series_until;
   /* Of a random run: some of its calls to the store are refused, or get no answer. */
@@ -235,13 +245,16 @@
   host_t hosts[HOSTS];
   target_t targets[TARGETS];
   row_t role, keys;
-  uint64_t version;
+  uint64_t version, era;
   msec_t store_stalled_until; /* it reads no call before */
-  GArray *snapshots;          /* snapshot_t, one for each commit */
-  GPtrArray *events;          /* sim_event_t */
-  GArray *fences[TARGETS];    /* the same, of all processes of each target */
-  bool verbose;               /* print each command that arrives at a target */
-  char violation[256];        /* the first one found; empty: none */
+  bool store_away; /* it rejects all calls, and comes back from an older copy */
+  msec_t store_back_at, copy_taken_at;
+  bool versions_repeated;  /* and gives out those of after the copy again */
+  GArray *snapshots;       /* snapshot_t, one for each commit */
+  GPtrArray *events;       /* sim_event_t */
+  GArray *fences[TARGETS]; /* the same, of all processes of each target */
+  bool verbose;            /* print each command that arrives at a target */
+  char violation[256];     /* the first one found; empty: none */
 } sim_t;
 
 extern const int sim_options[]; /* number of options, by point_kind_t */
@@ -264,6 +277,16 @@
 sim_event_t *sim_schedule (event_kind_t kind, guint host, msec_t after);
 
 void sim_store_open (void);
+
+/* The store goes away for AWAY_MS, and comes back from a copy AGE_MS old.  REPEATED: it
+ * gives out the versions that it lost at once. */
+void sim_lose_store (msec_t away_ms, msec_t age_ms, bool repeated);
+
+/* Has the store come back once it is time. */
+void sim_step_store (void);
+
+/* The answer of EVENT arrives at STORE's host: one of an earlier era doesn't count. */
+void sim_check_era (store_t *store, sim_event_t *event);
 void sim_store_close (void);
 
 /* Executes a CALL that has arrived at the store. */
--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -1,5 +1,7 @@
 #include "sim.h"
 
+#include "../../packages/store/era.h"
+
 static void
 clear_row (void *item)
 {
@@ -51,9 +53,18 @@
   g_string_free (((snapshot_t *)item)->keys.bytes, TRUE);
 }
 
+static void
+restore_row (row_t *row, const row_t *copy)
+{
+  g_string_truncate (row->bytes, 0);
+  g_string_append_len (row->bytes, copy->bytes->str, (gssize)copy->bytes->len);
+  row->version = copy->version;
+}
+
 void
 sim_store_open (void)
 {
+  sim->era = 1;
   sim->role.bytes = g_string_new (NULL);
   sim->keys.bytes = g_string_new (NULL);
   sim->snapshots = g_array_new (FALSE, FALSE, sizeof (snapshot_t));
@@ -80,6 +91,43 @@
   return &g_array_index (sim->snapshots, snapshot_t, i);
 }
 
+void
+sim_lose_store (msec_t away_ms, msec_t age_ms, bool repeated)
+{
+  if (sim->store_away)
+    return;
+  sim->store_away = true;
+  sim->store_back_at = sim->now + away_ms;
+  sim->copy_taken_at = sim->now - age_ms;
+  sim->versions_repeated = repeated;
+}
+
+void
+sim_step_store (void)
+{
+  if (!sim->store_away || sim->now < sim->store_back_at)
+    return;
+  const snapshot_t *copy = snapshot_at (sim->copy_taken_at);
+  sim->store_away = false;
+  sim->era++;
+  restore_row (&sim->role, &copy->role);
+  restore_row (&sim->keys, &copy->keys);
+  sim->version = copy->version + (sim->versions_repeated ? STORE_VERSIONS_REPEATED : 0);
+  take_snapshot ();
+}
+
+void
+sim_check_era (store_t *store, sim_event_t *event)
+{
+  const uint64_t before = store->era;
+  const era_verdict_t verdict
+      = event->era > 0 ? era_note (&store->era, event->era) : ERA_CURRENT;
+
+  store->losses += verdict == ERA_RISEN && before > 0;
+  if (verdict != ERA_CURRENT && verdict != ERA_RISEN)
+    event->reply.outcome = STORE_UNKNOWN;
+}
+
 /* Nobody but the caller may believe to hold the role when its row changes. */
 static void
 check_leases (const sim_event_t *call)
@@ -96,12 +144,15 @@
 static void
 do_commit (const sim_event_t *call, store_reply_t *reply)
 {
-  if (call->expected != sim->role.version)
+  if (call->expected % STORE_ERA_STEP != sim->role.version)
     {
       reply->outcome = STORE_CONFLICT;
       return;
     }
-  check_leases (call);
+  /* A call of an earlier era that is performed late may meet its version again; its row
+   * gives nobody the role. */
+  if (call->era == sim->era)
+    check_leases (call);
   sim->version++;
   put (&sim->role, call->role);
   put (&sim->keys, call->keys);
@@ -126,7 +177,10 @@
     add_row (reply->rows, "granter", &visible->role);
   if (!call->commit && call->table == STORE_KEYS && visible->keys.version > 0)
     add_row (reply->rows, "s", &visible->keys);
-  reply->version = call->commit ? sim->role.version : visible->version;
+  for (guint i = 0; i < reply->rows->len; i++)
+    g_array_index (reply->rows, store_row_t, i).version += sim->era * STORE_ERA_STEP;
+  reply->version
+      = sim->era * STORE_ERA_STEP + (call->commit ? sim->role.version : visible->version);
   reply->clock = sim->now;
 }
 
@@ -151,7 +205,15 @@
     option = STORE_CALL_REFUSED;
   else if (sim->now < host->store_lossy_until && rng_below (&sim->rng, 2) == 0)
     option = rng_below (&sim->rng, 2) == 0 ? STORE_RESPONSE_LOST : STORE_DELAYED;
+  if (option >= STORE_RESTORED)
+    sim_lose_store (option == STORE_RESTORED_LATE ? STORE_AWAY_LONG_MS : STORE_AWAY_MS,
+                    STORE_COPY_AGE_MS,
+                    option == STORE_RESTORED_PAST);
+  if (option == STORE_RESTORED_KILLED)
+    host->kill_at = sim->now;
   sim_event_t *call = sim_schedule (EVENT_STORE_CALL, host->index, DELAY_MS);
+  if (sim->store_away)
+    option = STORE_CALL_REFUSED;
   if (option == STORE_STALLED || option == STORE_STALLED_CUT)
     sim_stall_platform (option == STORE_STALLED_CUT);
   if (sim->now < sim->store_stalled_until)
@@ -166,6 +228,7 @@
   call->stale = option == STORE_STALE;
   call->done = done;
   call->owner = owner;
+  call->era = store->era;
   if (option == STORE_DELAYED)
     call->at += STORE_DELAY_MS;
   if (option == STORE_LOST || option == STORE_CALL_REFUSED)
