Keys keep one owner when the store comes back from an older copy

Cause: versions, fences and the granter's role were compared as if the store had one history. After its return a host acquired the role by a row of the past while the holder of before still granted, counted that one's grants from a time that was too old, gave fences out again, and took the copy's table, which lacked the last moves, for what was granted. Hosts kept the lost history's table until new numbers passed its version.

Change: all versions carry the era of the store's answer; rows of the role and tables state the era of their writer, fences are above 10^9 times the era. A row of an earlier era may be replaced once it has stood unchanged for a lease.

--- a/packages/coordinator/coordinator.h
+++ b/packages/coordinator/coordinator.h
@@ -12,6 +12,7 @@
 #include "feed.h"
 #include "outbox.h"
 #include "relay.h"
+#include "vacancy.h"
 #include "../link/link.h"
 
 /*
@@ -89,6 +90,8 @@
   role_state_t state;
   role_row_t row;   /* as last read or written */
   uint64_t version; /* of the row; 0: no such row */
+  uint64_t era;     /* of the store, as of the last step */
+  vacancy_t vacancy;
   msec_t lease_end; /* no grant is sent from then on; this host's clock */
   msec_t next_write;
   msec_t next_table_write; /* not before this, after the store refused a table */
@@ -103,6 +106,8 @@
   msec_t predecessor_grants_end; /* latest end of a predecessor's grants; this host's
                                     clock */
   uint64_t acquired_version;     /* of the row when this host acquired the role */
+  bool tables_lost;              /* the store may have lost tables that nobody has
+                                    written again */
   bool awaits_tables;            /* the owners of some service are being read */
   bool needs_tables;             /* reading the owners from the store failed */
   msec_t next_tables_read;       /* when that read is retried */
--- a/packages/coordinator/coordinator_parts.h
+++ b/packages/coordinator/coordinator_parts.h
@@ -88,6 +88,10 @@
 
 /* Stores a copy of TABLE if it is newer than the known one, and sends it to the proxy. */
 void owners_update (coordinator_t *self, const key_table_t *table);
+
+/* The version of TABLE, decoded from a row of ROW_VERSION: of the era in which it was
+ * written, so that a lost history's copy isn't newer than what hosts have from it. */
+uint64_t owners_version (const key_table_t *table, uint64_t row_version);
 void owners_finish (coordinator_t *self);
 
 /* peers.c: messages between hosts. */
--- a/packages/coordinator/discovery.c
+++ b/packages/coordinator/discovery.c
@@ -517,10 +517,12 @@
   if (row->removed)
     return;
   key_table_init (&table, (text_t){ row->key->str, row->key->len });
-  table.version = row->version;
   if (key_rows_decode_table (&table, (text_t){ row->value->str, row->value->len }, &fault)
       == STATUS_OK)
-    owners_update (self, &table);
+    {
+      table.version = owners_version (&table, row->version);
+      owners_update (self, &table);
+    }
   else
     eventlog_write (EVENT_STATE,
                     "keys",
--- a/packages/coordinator/feed.c
+++ b/packages/coordinator/feed.c
@@ -35,7 +35,7 @@
     {
       bool urgent = self->behind_since != MSEC_NEVER
                     || self->confirmed_at < self->confirm_after
-                    || store_is_earlier (self->store, self->table, self->version);
+                    || store_is_earlier (self->store, self->version);
       self->call->wait = urgent ? 0 : MAX (max_age (self) - feed_age (self), 0);
       ops->watch (self->store,
                   self->table,
@@ -356,8 +356,7 @@
   msec_t latest_end = msclock_now (self->clock) + max_age (self);
 
   return call->started + call->wait > latest_end
-         || (call->wait > 0
-             && store_is_earlier (self->store, self->table, call->version));
+         || (call->wait > 0 && store_is_earlier (self->store, call->version));
 }
 
 /* Whether the watch in flight was overdue already at the last step.  While the feed is
@@ -378,7 +377,7 @@
 {
   if (self->suspended
       && (self->ops->should_watch (self->owner)
-          || store_is_earlier (self->store, self->table, self->version)))
+          || store_is_earlier (self->store, self->version)))
     feed_resume (self);
   else if (self->call != NULL && self->watching && watch_is_of_no_use (self, self->call))
     feed_restart_call (self, MSEC_NEVER);
--- a/packages/coordinator/owners.c
+++ b/packages/coordinator/owners.c
@@ -61,6 +61,12 @@
   discovery_post (self, msg);
 }
 
+uint64_t
+owners_version (const key_table_t *table, uint64_t row_version)
+{
+  return table->era > 0 ? store_version_in (table->era, row_version) : row_version;
+}
+
 void
 owners_finish (coordinator_t *self)
 {
--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -7,6 +7,7 @@
 #define ROLE_KEY TEXT ("granter")
 
 static void on_written (void *owner, const store_reply_t *reply);
+static void on_read_back (void *owner, const store_reply_t *reply);
 
 /* An upper bound of the store's current clock: the store read it after the call was
  * started. */
@@ -77,6 +78,24 @@
          && name_equal (&row->host, &self->settings->host);
 }
 
+/* Whether a row that was written in ERA, as it states, is of an earlier history of the
+ * store.  Earlier versions state none; 0. */
+static bool
+is_outdated (const coordinator_t *self, uint64_t era)
+{
+  return era < self->store->era && (era > 0 || self->store->losses > 0);
+}
+
+/* Whether the role's row that was read last doesn't tell who holds the role: it is of an
+ * earlier history of the store, or lost. */
+static bool
+is_row_outdated (const coordinator_t *self)
+{
+  const role_t *role = &self->role;
+
+  return role->version == 0 ? self->store->losses > 0 : is_outdated (self, role->row.era);
+}
+
 static void
 notify_role (coordinator_t *self, msec_t until)
 {
@@ -171,6 +190,8 @@
   if (attempt == NULL)
     return; /* role_step reads the row, and tries again */
   write->started = now;
+  role->tables_lost &= !keys_are_written (&self->keys);
+  keys_raise_fence (&self->keys, self->store->era * KEYS_FENCES_PER_ERA + 1);
   role->last_sequence = MAX (role->row.sequence, role->last_sequence) + 1;
   *attempt = (role_attempt_t){ self, true, role->last_sequence, now };
   write->row = (role_row_t){
@@ -181,6 +202,8 @@
     .next_fence = MAX (self->keys.next_fence, role->row.next_fence),
     .until = self->stopping ? 0 : store_clock_now (role, now) + ROLE_LEASE_MS,
     .longest_hold = longest_hold (self, now),
+    .era = self->store->era,
+    .incomplete = role->tables_lost,
   };
   /* From now on the row may state this, though its answer may be lost. */
   keys_state_hold (&self->keys, MIN (self->keys.stated_hold, write->row.longest_hold));
@@ -190,6 +213,7 @@
   puts[0] = (store_put_t){ STORE_ROLE, ROLE_KEY, { row->str, row->len } };
   if (write->has_table)
     {
+      write->table.era = self->store->era;
       table = key_rows_encode_table (&write->table);
       puts[n_puts++] = (store_put_t){ STORE_KEYS,
                                       name_text (&write->table.service),
@@ -266,21 +290,26 @@
   fault_t fault;
 
   key_table_init (&table, name_text (service));
+  /* Its table may have been lost. */
+  msg.unreadable = row == NULL && self->role.tables_lost;
   if (row != NULL
       && key_rows_decode_table (&table,
                                 (text_t){ row->value->str, row->value->len },
                                 &fault)
              == STATUS_OK)
     {
-      table.version = row->version;
       msg.table = &table;
+      msg.outdated = is_outdated (self, table.era);
+      table.version = owners_version (&table, row->version);
       eventlog_write (EVENT_STATE,
                       "role",
                       "table_loaded",
-                      "service=%.*s version=%llu era=%llu ranges=%u predecessor_ms=%lld",
+                      "service=%.*s version=%llu era=%llu outdated=%d ranges=%u "
+                      "predecessor_ms=%lld",
                       NAME_ARG (*service),
                       (unsigned long long)table.version,
                       (unsigned long long)self->store->era,
+                      msg.outdated,
                       table.ranges->len,
                       (long long)msg.predecessor_hold);
       owners_update (self, &table);
@@ -463,7 +492,10 @@
   return now + role->row.until - store_clock_now (role, now) - ROLE_MARGIN_MS;
 }
 
-/* After a write with unknown outcome: the row shows whether it was committed. */
+static bool note_era (coordinator_t *self, msec_t now);
+
+/* After a write with unknown outcome, or a loss of the store: the row shows whether it
+ * was committed, or who has the role since. */
 static void
 on_read_back (void *owner, const store_reply_t *reply)
 {
@@ -472,14 +504,16 @@
   msec_t now = msclock_now (&self->clock);
 
   note_read (self, reply);
-  if (!role->write.in_progress || !role->write.reading_back)
+  if (note_era (self, now) || !role->write.in_progress || !role->write.reading_back)
     return; /* read for an earlier write */
   role->write.reading_back = false;
   if (reply->outcome != STORE_DONE || reply->version < role->version)
     return; /* role_step retries */
   uint64_t version = role->version;
   parse_role_row (role, reply);
-  if (!is_ours (self, &role->row))
+  if (is_row_outdated (self) && role->state == ROLE_HELD && now < role->lease_end)
+    write_role (self, now); /* nobody else may take it before this lease ends */
+  else if (is_row_outdated (self) || !is_ours (self, &role->row))
     lose_role (self, "another_holder", now);
   else if (role->write.first_sequence != 0
            && role->row.sequence >= role->write.first_sequence
@@ -503,6 +537,55 @@
   read_role (self, on_read_back, now);
 }
 
+/*
+ * Returns whether the store has come back from an older copy since the last step.
+ *
+ * The commits that have no answer yet are lost, or will be performed under an earlier era
+ * only.  If this host holds the role, its lease was the last one of that era, and nobody
+ * acts by another before it has ended: the host goes on by what it knows, and writes that
+ * again.
+ */
+static bool
+note_era (coordinator_t *self, msec_t now)
+{
+  const keys_msg_t lost = { .kind = KEYS_STORE_LOST };
+  role_t *role = &self->role;
+  const uint64_t before = role->era;
+
+  if (before == self->store->era)
+    return false;
+  role->era = self->store->era;
+  role->gave_way_at_version = 0;
+  if (role->state == ROLE_HELD && now < role->lease_end)
+    {
+      eventlog_write (EVENT_STATE,
+                      "role",
+                      "kept",
+                      "era=%llu before=%llu row_version=%llu lease_ms=%lld",
+                      (unsigned long long)role->era,
+                      (unsigned long long)before,
+                      (unsigned long long)role->version,
+                      (long long)(role->lease_end - now));
+      keys_raise_fence (&self->keys, role->era * KEYS_FENCES_PER_ERA + 1);
+      discard_writes (role);
+      role->write.in_progress = true;
+      role->tables_lost = true;
+      grants_handle (self, &lost);
+      read_back (self, now);
+    }
+  else if (role->state != ROLE_NOT_HELD)
+    lose_role (self, "store_lost", now);
+  else
+    {
+      discard_writes (role);
+      if (before > 0 && !peers_granter_is_live (self))
+        role->next_check
+            = MIN (role->next_check,
+                   now + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS));
+    }
+  return true;
+}
+
 /* The store turned the newest attempt away and no other can be performed later. */
 static void
 reject_write (coordinator_t *self, msec_t now)
@@ -533,6 +616,7 @@
 
   note_reply (self, reply, attempt->started);
   attempt->in_flight = false;
+  note_era (self, now);
   /* The row shows what became of earlier attempts. */
   if (!role->write.in_progress || attempt->sequence != role->write.row.sequence)
     return;
@@ -604,6 +688,7 @@
 
   role->checking = false;
   note_read (self, reply);
+  note_era (self, now);
   if (role->state != ROLE_NOT_HELD || self->stopping)
     return;
   if (reply->outcome != STORE_DONE)
@@ -616,7 +701,8 @@
       return;
     }
   parse_role_row (role, reply);
-  if (role->version != 0 && reply->clock <= role->row.until)
+  const bool outdated = is_row_outdated (self);
+  if (!outdated && role->version != 0 && reply->clock <= role->row.until)
     {
       role->check_failed = false;
       self->granter = role->row.address;
@@ -625,26 +711,44 @@
                                   + check_handicap (self));
       return;
     }
+  const msec_t vacant_for
+      = outdated ? vacancy_note (&role->vacancy,
+                                 store_version_in (self->store->era, role->version),
+                                 now)
+                 : 0;
+  if (vacant_for < 0)
+    {
+      role->check_failed = false;
+      role->next_check = now - vacant_for;
+      if (!keys_remembers (&self->keys, now))
+        role->next_check += ROLE_KEEPER_MS + check_handicap (self)
+                            + (msec_t)rng_below (&self->rng, ROLE_CHECK_JITTER_MS);
+      return;
+    }
   eventlog_write (EVENT_STATE,
                   "role",
                   "vacant",
                   "holder=%.*s until=%lld store_clock=%lld row_version=%llu "
-                  "era=%llu longest_hold_ms=%lld",
+                  "row_era=%llu era=%llu longest_hold_ms=%lld",
                   NAME_ARG (role->row.host),
                   (long long)role->row.until,
                   (long long)reply->clock,
                   (unsigned long long)role->version,
+                  (unsigned long long)role->row.era,
                   (unsigned long long)self->store->era,
                   (long long)role->row.longest_hold);
   /* A holder that resigned (UNTIL is 0) sent grants of the longest hold right before it
    * wrote the row.  Without a row nothing is known, but there may be owners. */
-  msec_t since = role->row.until == 0 ? 0 : MAX (reply->clock - role->row.until, 0);
+  msec_t since = outdated               ? vacant_for
+                 : role->row.until == 0 ? 0
+                                        : MAX (reply->clock - role->row.until, 0);
   bool gave_way = gives_way (self, since, now);
   role->check_failed = false;
   if (gave_way)
     return;
   keys_inherit_hold (&self->keys, role->row.longest_hold);
   role->predecessor_grants_end = now + keys_predecessor_hold (&self->keys, since);
+  role->tables_lost = outdated || role->row.incomplete;
   role->state = ROLE_ACQUIRING;
   write_role (self, now);
 }
@@ -666,6 +770,7 @@
   role_t *role = &self->role;
   role_write_t *write = &role->write;
 
+  note_era (self, now);
   if (role->state == ROLE_HELD && now >= role->lease_end)
     lose_role (self, "lease_expired", now);
   if (role->state == ROLE_HELD)
--- a/packages/coordinator/tests/test_role.c
+++ b/packages/coordinator/tests/test_role.c
@@ -1025,10 +1025,222 @@
   end (&fixture);
 }
 
+/* The store comes back from an older copy. */
+static void
+lose_store (fixture_t *self)
+{
+  self->store.era++;
+  self->store.losses++;
+}
+
+/* A row of another host, whose lease has ended, written in ERA. */
+static role_row_t
+row_of_another (uint64_t era)
+{
+  role_row_t row = { .incarnation = 1, .next_fence = 6, .era = era };
+
+  name_set (&row.host, TEXT ("g"));
+  name_set (&row.address, TEXT ("127.0.0.1:3"));
+  row.until = START_MS + STORE_CLOCK_AHEAD_MS - 1;
+  return row;
+}
+
+/* Answers each check of the role with ROW until the host writes it, or LIMIT ms have
+ * passed.  VERSION rises with each check if RENEWED.  Returns the time that passed since
+ * the first check. */
+static msec_t
+check_until_written (
+    fixture_t *self, const role_row_t *row, uint64_t version, bool renewed, msec_t limit)
+{
+  msec_t first = 0;
+
+  while (count_commits (self) == 0 && (first == 0 || now (self) - first < limit))
+    {
+      pass_time (self, 50);
+      if (!self->coordinator.role.checking)
+        continue;
+      first = first == 0 ? now (self) : first;
+      call_t read = take_call (self, false, STORE_ROLE);
+      answer (self, &read, version, row != NULL ? key_rows_encode_role (row) : NULL);
+      version += renewed;
+    }
+  return now (self) - first;
+}
+
+static void
+test_a_row_of_an_earlier_era_is_replaced_after_a_lease (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  fixture.store.era = 2;
+  role_row_t row = row_of_another (1);
+  assert_true (check_until_written (&fixture, &row, 2 * STORE_ERA_STEP + 7, false, 9000)
+               >= ROLE_LEASE_MS);
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  assert_int_equal (write.row.era, 2);
+  assert_true (write.row.incomplete);
+  assert_true (write.row.next_fence > 2 * KEYS_FENCES_PER_ERA);
+  end (&fixture);
+}
+
+static void
+test_a_row_that_its_holder_renews_under_an_earlier_era_is_left_alone (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  fixture.store.era = 2;
+  role_row_t row = row_of_another (1);
+  check_until_written (&fixture, &row, 2 * STORE_ERA_STEP + 7, true, 20000);
+  assert_int_equal (count_commits (&fixture), 0);
+  end (&fixture);
+}
+
+static void
+test_a_role_whose_row_was_lost_is_taken_after_a_lease (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  fixture.store.era = 1;
+  lose_store (&fixture);
+  assert_true (check_until_written (&fixture, NULL, 2 * STORE_ERA_STEP + 7, false, 9000)
+               >= ROLE_LEASE_MS);
+  assert_int_equal (count_commits (&fixture), 1);
+  end (&fixture);
+}
+
+/* Acquires the role in era 1, and grants keys. */
+static void
+begin_as_granter (fixture_t *self)
+{
+  begin (self);
+  self->store.era = 1;
+  acquire (self, STORE_ERA_STEP + 2, NULL);
+  call_t read = take_call (self, false, STORE_KEYS);
+  answer_owners (self, &read, STORE_ERA_STEP + 2, 5);
+  call_t write = take_call (self, true, STORE_ROLE);
+  answer (self, &write, STORE_ERA_STEP + 3, NULL);
+  assert_int_equal (self->coordinator.role.state, ROLE_HELD);
+  g_array_set_size (self->calls, 0);
+}
+
+/* The granter meets the copy's row ROW after a loss.  Returns its next write. */
+static call_t
+write_after_loss (fixture_t *self, const role_row_t *row)
+{
+  lose_store (self);
+  pass_time (self, 50);
+  call_t read = take_call (self, false, STORE_ROLE);
+  answer (self, &read, 2 * STORE_ERA_STEP + 1, key_rows_encode_role (row));
+  return take_call (self, true, STORE_ROLE);
+}
+
+static void
+test_a_granter_keeps_its_role_and_writes_its_tables_again (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin_as_granter (&fixture);
+  uint64_t fence = granted_fence (&fixture);
+  role_row_t row = row_of_another (1);
+  call_t write = write_after_loss (&fixture, &row);
+  assert_int_equal (write.expected, 2 * STORE_ERA_STEP + 1);
+  assert_int_equal (write.row.era, 2);
+  assert_true (write.row.incomplete);
+  assert_true (write.row.next_fence > 2 * KEYS_FENCES_PER_ERA);
+  answer (&fixture, &write, 2 * STORE_ERA_STEP + 2, NULL);
+  pass_time (&fixture, 50);
+  write = take_call (&fixture, true, STORE_ROLE);
+  assert_true (write.with_owners);
+  assert_true (write.row.incomplete);
+  answer (&fixture, &write, 2 * STORE_ERA_STEP + 3, NULL);
+  assert_int_equal (fixture.coordinator.role.state, ROLE_HELD);
+  assert_int_equal (granted_fence (&fixture), fence);
+  write = next_write (&fixture);
+  assert_false (write.row.incomplete);
+  end (&fixture);
+}
+
+static void
+test_a_granter_gives_way_to_one_of_the_later_era (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin_as_granter (&fixture);
+  role_row_t row = row_of_another (2);
+  lose_store (&fixture);
+  pass_time (&fixture, 50);
+  call_t read = take_call (&fixture, false, STORE_ROLE);
+  answer (&fixture, &read, 2 * STORE_ERA_STEP + 1, key_rows_encode_role (&row));
+  assert_int_equal (fixture.coordinator.role.state, ROLE_NOT_HELD);
+  end (&fixture);
+}
+
+static void
+test_a_commit_of_an_earlier_era_grants_nothing (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  fixture.store.era = 1;
+  acquire (&fixture, STORE_ERA_STEP + 2, NULL);
+  call_t read = take_call (&fixture, false, STORE_KEYS);
+  answer_owners (&fixture, &read, STORE_ERA_STEP + 2, 5);
+  unsigned grants = fixture.grants;
+  call_t write = take_call (&fixture, true, STORE_ROLE);
+  assert_true (write.with_owners);
+  lose_store (&fixture);
+  answer (&fixture, &write, 2 * STORE_ERA_STEP + 9, NULL);
+  assert_int_equal (fixture.grants, grants);
+  assert_int_equal (granted_fence (&fixture), 5);
+  end (&fixture);
+}
+
+static void
+test_an_older_table_does_not_replace_what_hosts_know (void **state)
+{
+  fixture_t fixture;
+
+  (void)state;
+  begin (&fixture);
+  key_table_t table = owned_table (&fixture, 5), copy = owned_table (&fixture, 4);
+  table.version = STORE_ERA_STEP + 90;
+  copy.era = 1;
+  owners_update (&fixture.coordinator, &table);
+  copy.version = owners_version (&copy, 2 * STORE_ERA_STEP + 20);
+  owners_update (&fixture.coordinator, &copy);
+  const key_table_t *known = owners_find (&fixture.coordinator, &fixture.service);
+  assert_int_equal (known->version, STORE_ERA_STEP + 90);
+  copy.era = 2;
+  copy.version = owners_version (&copy, 2 * STORE_ERA_STEP + 21);
+  owners_update (&fixture.coordinator, &copy);
+  known = owners_find (&fixture.coordinator, &fixture.service);
+  assert_int_equal (known->version, 2 * STORE_ERA_STEP + 21);
+  key_table_finish (&table);
+  key_table_finish (&copy);
+  end (&fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_row_of_an_earlier_era_is_replaced_after_a_lease),
+    cmocka_unit_test (
+        test_a_row_that_its_holder_renews_under_an_earlier_era_is_left_alone),
+    cmocka_unit_test (test_a_role_whose_row_was_lost_is_taken_after_a_lease),
+    cmocka_unit_test (test_a_granter_keeps_its_role_and_writes_its_tables_again),
+    cmocka_unit_test (test_a_granter_gives_way_to_one_of_the_later_era),
+    cmocka_unit_test (test_a_commit_of_an_earlier_era_grants_nothing),
+    cmocka_unit_test (test_an_older_table_does_not_replace_what_hosts_know),
     cmocka_unit_test (
         test_owners_that_were_read_before_the_role_was_acquired_do_not_count),
     cmocka_unit_test (test_owners_that_were_read_before_a_commit_do_not_replace_it),
--- a/packages/core/limits.h
+++ b/packages/core/limits.h
@@ -383,6 +383,10 @@
 /* Of these without an answer while an owner is to release its keys: each is one more
  * grant that may be read late. */
 #define KEYS_FENCE_ATTEMPTS_MAX 4
+/* Time for owners to confirm what a granter remembers after a loss of the store. */
+#define KEYS_CONFIRM_MS 1500
+/* Fences of one era of the store; those of the next one begin above them. */
+#define KEYS_FENCES_PER_ERA 1000000000u
 /* Before the initial assignment: no target has joined for this long. */
 #define KEYS_INITIAL_WAIT_MS 1200
 #define KEYS_RETRY_MS 150 /* between attempts of a failed call */
@@ -447,6 +451,8 @@
 /* A host with at least this handicap leaves a vacant role to the others at first. */
 #define ROLE_GIVE_WAY_MS 50
 #define ROLE_START_HANDICAPS 5
+/* Head start of the last granter over other hosts after a loss of the store. */
+#define ROLE_KEEPER_MS 600
 #define ROLE_ATTEMPTS_MAX 8 /* writes of the role without an answer yet */
 #define ROLE_READS_MAX 4    /* reads of the owners without an answer yet */
 #define ROLE_MARGIN_MS 100  /* from the check to the grant's last byte */
--- a/packages/directory/key_table.c
+++ b/packages/directory/key_table.c
@@ -24,6 +24,7 @@
 {
   key_table_init (self, name_text (&from->service));
   self->version = from->version;
+  self->era = from->era;
   g_array_append_vals (self->ranges, from->ranges->data, from->ranges->len);
 }
 
--- a/packages/directory/key_table.h
+++ b/packages/directory/key_table.h
@@ -30,6 +30,7 @@
 {
   name_t service;
   uint64_t version; /* the store's version when the owners were committed */
+  uint64_t era;     /* of the store, as the granter knew it then; 0: not stated */
   GArray *ranges;   /* key_range_t */
 } key_table_t;
 
--- a/packages/keys/key_commits.c
+++ b/packages/keys/key_commits.c
@@ -92,6 +92,18 @@
   append_commit (self, service, out);
 }
 
+void
+key_commits_rewrite (const keys_t *self, key_service_t *service, GArray *out)
+{
+  if (service->commit_pending || !service->unwritten || service->ranges->len == 0)
+    return;
+  for (guint i = 0; i < service->ranges->len; i++)
+    if (range_at (service, i)->owner.len == 0)
+      return; /* it is about to be assigned for the first time */
+  service->commit_pending = true;
+  append_commit (self, service, out);
+}
+
 /* The answer to a grant under the fence before no longer counts.  The grant may arrive
  * until its call ends, and be read late if that ends as one that was taken and not
  * answered. */
@@ -110,7 +122,7 @@
 void
 key_commits_succeeded (key_service_t *service, msec_t now)
 {
-  service->commit_pending = false;
+  service->commit_pending = service->unwritten = false;
   for (guint i = 0; i < service->ranges->len; i++)
     {
       key_range_state_t *range = range_at (service, i);
--- a/packages/keys/key_commits.h
+++ b/packages/keys/key_commits.h
@@ -10,6 +10,9 @@
 /* Assigns unassigned ranges to targets and requests the commit. */
 void key_commits_assign (keys_t *self, key_service_t *service, GArray *out);
 
+/* Requests a commit of the ranges as they are if the store has lost the table. */
+void key_commits_rewrite (const keys_t *self, key_service_t *service, GArray *out);
+
 /* If the service needs new fences, requests a commit of them with unchanged owners. */
 void key_commits_renew_fences (keys_t *self, key_service_t *service, GArray *out);
 
--- a/packages/keys/key_holds.c
+++ b/packages/keys/key_holds.c
@@ -15,6 +15,18 @@
   self->any_until = MAX (self->any_until, until - KEYS_STALL_MS);
 }
 
+void
+key_holds_unknown_owner (key_holds_t *self, msec_t until)
+{
+  self->unknown_until = MAX (self->unknown_until, until);
+}
+
+msec_t
+key_holds_unknown_end (const key_holds_t *self)
+{
+  return self->unknown_until;
+}
+
 void
 key_holds_sent (key_holds_t *self, msec_t hold, msec_t now)
 {
--- a/packages/keys/key_holds.h
+++ b/packages/keys/key_holds.h
@@ -27,6 +27,7 @@
   msec_t late_until;      /* all without an answer have, if read by the end of the call */
   msec_t unread_until;    /* the same, if read as late as possible */
   msec_t inherited_until; /* all of predecessors have, if read so late; 0: none */
+  msec_t unknown_until;   /* all to owners that no table names; 0: there are none */
   bool foreign;           /* another process answered at the owner's address */
   bool fenced_off;        /* the owner's process rejects those of predecessors */
 } key_holds_t;
@@ -41,6 +42,9 @@
 /* A grant of HOLD is sent. */
 void key_holds_sent (key_holds_t *self, msec_t hold, msec_t now);
 
+/* Another process, which isn't known, may hold the range until UNTIL. */
+void key_holds_unknown_owner (key_holds_t *self, msec_t until);
+
 /* It was answered, so it has arrived by now. */
 void key_holds_answered (key_holds_t *self, msec_t hold, msec_t now);
 
@@ -67,6 +71,9 @@
 /* Whether grants of predecessors may take effect at NOW. */
 bool key_holds_inherited (const key_holds_t *self, msec_t now);
 
+/* From when on no owner can hold the range by grants that aren't known. */
+msec_t key_holds_unknown_end (const key_holds_t *self);
+
 /* From when on the owner can't hold the range.  RELEASED: it has released it since its
  * last grant was sent.  DEAF: nobody listens at its address. */
 msec_t key_holds_end (const key_holds_t *self, bool released, bool deaf);
--- a/packages/keys/key_rows.c
+++ b/packages/keys/key_rows.c
@@ -60,8 +60,9 @@
 
 /*
  * "owners": [target, address, start time], each once.  "runs": [first key, fence,
- * index of the owner]; a range ends before the first key of the next one.  The format is
- * compact because a row holds at most 64 KiB; a longer table is packed.
+ * index of the owner]; a range ends before the first key of the next one.  "era": of the
+ * store.  The format is compact because a row holds at most 64 KiB; a longer table is
+ * packed.
  */
 GString *
 key_rows_encode_table (const key_table_t *table)
@@ -80,7 +81,13 @@
                                         owner_index (owners, indices, range)));
     }
   g_hash_table_unref (indices);
-  GString *row = encode_json (json_pack ("{s:o,s:o}", "owners", owners, "runs", ranges));
+  GString *row = encode_json (json_pack ("{s:o,s:o,s:I}",
+                                         "owners",
+                                         owners,
+                                         "runs",
+                                         ranges,
+                                         "era",
+                                         (json_int_t)table->era));
   return row->len > KEYS_ROW_PLAIN_MAX_BYTES ? pack_row (row) : row;
 }
 
@@ -125,6 +132,7 @@
   json_t *value;
 
   g_array_set_size (table->ranges, 0);
+  table->era = json_number (root, "era");
   json_array_foreach (ranges, i, value)
     {
       key_range_t range;
@@ -166,7 +174,7 @@
 GString *
 key_rows_encode_role (const role_row_t *role)
 {
-  return encode_json (json_pack ("{s:o,s:o,s:I,s:I,s:I,s:I,s:I}",
+  return encode_json (json_pack ("{s:o,s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:b}",
                                  "host",
                                  json_from_name (&role->host),
                                  "address",
@@ -180,7 +188,11 @@
                                  "until",
                                  (json_int_t)role->until,
                                  "longest_hold",
-                                 (json_int_t)role->longest_hold));
+                                 (json_int_t)role->longest_hold,
+                                 "era",
+                                 (json_int_t)role->era,
+                                 "incomplete",
+                                 role->incomplete));
 }
 
 status_t
@@ -199,6 +211,8 @@
   role->until = (msec_t)until;
   role->longest_hold
       = (msec_t)MIN (json_number (root, "longest_hold"), KEYS_HOLD_LIMIT_MS);
+  role->era = json_number (root, "era");
+  role->incomplete = json_is_true (json_object_get (root, "incomplete"));
   json_decref (root);
   return ok ? STATUS_OK
             : fault_raise (fault, STATUS_DECODE, "granter role row is malformed");
--- a/packages/keys/key_rows.h
+++ b/packages/keys/key_rows.h
@@ -23,6 +23,8 @@
   uint64_t next_fence;  /* above every committed fence */
   msec_t until;         /* end of the lease on the store's clock; 0: the host resigned */
   msec_t longest_hold;  /* of the grants of this or an earlier holder; 0: not stated */
+  uint64_t era;         /* of the store, as the writer knew it; 0: not stated */
+  bool incomplete;      /* a table may be missing, as the store lost it */
 } role_row_t;
 
 /* Returns JSON, packed if it is over KEYS_ROW_PLAIN_MAX_BYTES, to be freed by the caller.
--- a/packages/keys/keys.c
+++ b/packages/keys/keys.c
@@ -2,6 +2,7 @@
 
 #include "key_commits.h"
 #include "key_plan.h"
+#include "key_recall.h"
 
 #include <math.h>
 
@@ -258,6 +259,8 @@
       key_holds_not_fenced_off (&range->holds);
       range->fence_confirmed = false;
     }
+  if (now < key_holds_unknown_end (&range->holds))
+    return;
   msec_t reassignable_at = key_holds_end (&range->holds, range->released, range->refused);
   if (ended || now >= reassignable_at)
     {
@@ -298,8 +301,9 @@
   if (service->ranges->len == 0
       && now >= MAX (service->last_join_at, service->held_until) + KEYS_INITIAL_WAIT_MS)
     key_plan_initial (self, service);
-  if (!self->resigning && self->store_reachable)
+  if (!self->resigning && self->store_reachable && key_recall_is_complete (service, now))
     key_plan_rebalance (self, service, now);
+  key_recall_step (service, now);
   for (guint i = 0; i < service->ranges->len; i++)
     {
       key_range_state_t *range = range_at (service, i);
@@ -308,10 +312,11 @@
       if (range->phase == RANGE_REVOKING && !self->resigning)
         revoke_range (self, service, range, now, out);
     }
-  if (self->resigning || !may_grant (self, now))
+  if (self->resigning || !may_grant (self, now) || !key_recall_is_complete (service, now))
     return;
   key_commits_renew_fences (self, service, out);
   key_commits_assign (self, service, out);
+  key_commits_rewrite (self, service, out);
 }
 
 static uint32_t
@@ -426,9 +431,14 @@
     return;
   service->table_loaded = true;
   service->commit_pending = false;
+  service->unwritten = msg->outdated || msg->unreadable;
   if (msg->unreadable)
     service->held_until = MAX (service->held_until, now + msg->predecessor_hold);
-  service->needs_new_fences = msg->table != NULL && msg->predecessor_hold > 0;
+  service->needs_new_fences
+      = msg->table != NULL && msg->predecessor_hold > 0 && !msg->outdated;
+  if ((msg->outdated || msg->unreadable)
+      && key_recall_ranges (self, service, msg->predecessor_hold, now))
+    return;
   g_array_set_size (service->ranges, 0);
   for (guint i = 0; msg->table != NULL && i < msg->table->ranges->len; i++)
     {
@@ -443,12 +453,28 @@
                                   .granted = true };
       if (msg->predecessor_hold > 0)
         key_holds_inherit (&range.holds, now + msg->predecessor_hold);
+      if (msg->outdated)
+        key_recall_lose_owner (&range, now + msg->predecessor_hold, now);
       g_array_append_val (service->ranges, range);
       /* No fence is issued twice, even if the role's row is missing. */
       self->next_fence = MAX (self->next_fence, stored->fence + 1);
     }
 }
 
+static void
+handle_store_loss (keys_t *self)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    {
+      key_service_t *service = service_at (self, i);
+      if (!service->table_loaded)
+        continue;
+      if (service->commit_pending)
+        key_commits_rejected (self, service);
+      service->unwritten = true;
+    }
+}
+
 /* Whether the owner's process is listed at another address than is called. */
 static bool
 is_elsewhere (const keys_t *self, const key_range_state_t *range)
@@ -554,6 +580,9 @@
           key_holds_not_fenced_off (&range->holds);
           range->fence_confirmed = false;
         }
+      if (range->confirming
+          && !key_recall_answered (service, range, kind, msg->shared, now))
+        return;
       if (kind == KEYS_GRANTED)
         {
           key_holds_answered (&range->holds, range->last_hold, now);
@@ -638,6 +667,9 @@
   if (until == 0 && self->role_until != 0)
     for (guint i = 0; i < self->services->len; i++)
       {
+        key_recall_role_ended (service_at (self, i),
+                               self->role_until,
+                               longest_grant (self));
         service_at (self, i)->table_loaded = false;
         service_at (self, i)->commit_pending = false;
       }
@@ -667,6 +699,9 @@
     case KEYS_TABLE:
       load_table (self, msg, now);
       break;
+    case KEYS_STORE_LOST:
+      handle_store_loss (self);
+      break;
     case KEYS_COMMITTED:
       if (service != NULL)
         key_commits_succeeded (service, now);
@@ -765,6 +800,24 @@
   return self->role_until != 0 && service != NULL && !service->table_loaded;
 }
 
+bool
+keys_are_written (const keys_t *self)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    if (!service_at (self, i)->table_loaded || service_at (self, i)->unwritten)
+      return false;
+  return true;
+}
+
+bool
+keys_remembers (const keys_t *self, msec_t now)
+{
+  for (guint i = 0; i < self->services->len; i++)
+    if (now < service_at (self, i)->remembered_until)
+      return true;
+  return false;
+}
+
 void
 keys_raise_fence (keys_t *self, uint64_t next_fence)
 {
--- a/packages/keys/keys.h
+++ b/packages/keys/keys.h
@@ -20,6 +20,15 @@
  * after a release. The new granter therefore commits new fences for all ranges, and a
  * target that accepted a grant under a new fence rejects what is left of the old ones.
  *
+ * The store may come back from an older copy.  A granter that has held the role since
+ * before goes by its own ranges, and writes them again.  One that acquires the role meets
+ * a table which may lack the last moves: nobody knows who holds a range, so that none is
+ * granted, to any target, before every grant of earlier granters has expired.  Until then
+ * no table is written, as a successor would trust it.  If it held the role a short time
+ * ago, it asks the owners that it remembers, by a renewal under the fence that they have:
+ * a granter in between would have shown them a higher one before it moved their keys.
+ * Fences of a later era of the store are above all of earlier ones.
+ *
  * Targets may repeat an answer in place of the next one.  What frees keys is therefore
  * taken from answers alone that can belong to no other call: a release, the acceptance of
  * a new fence, and that another target has the address.
@@ -27,12 +36,13 @@
 
 typedef enum
 {
-  KEYS_ROLE,      /* the role is held until ROLE_UNTIL; 0: not held */
-  KEYS_SERVICES,  /* the services whose keys have owners */
-  KEYS_TARGETS,   /* all listed targets */
-  KEYS_TABLE,     /* the stored table of one service, or none; counts while the role is
-                     held, the first time since it was acquired */
-  KEYS_COMMITTED, /* the pending commit took effect */
+  KEYS_ROLE,       /* the role is held until ROLE_UNTIL; 0: not held */
+  KEYS_SERVICES,   /* the services whose keys have owners */
+  KEYS_TARGETS,    /* all listed targets */
+  KEYS_TABLE,      /* the stored table of one service, or none; counts while the role is
+                      held, the first time since it was acquired */
+  KEYS_STORE_LOST, /* the store has lost its latest commits; the role is still held */
+  KEYS_COMMITTED,  /* the pending commit took effect */
   KEYS_COMMIT_REJECTED, /* the store rejected the pending commit and applied nothing */
   KEYS_GRANTED,         /* the target accepted the grant */
   KEYS_SUPERSEDED,      /* the target has seen a higher fence */
@@ -55,7 +65,8 @@
   const GArray *targets;  /* TARGETS: target_entry_t */
   const key_table_t *table; /* TABLE; NULL: none, or unreadable */
   msec_t predecessor_hold;  /* TABLE: no grant of a predecessor lasts longer than this */
-  bool unreadable;          /* TABLE: a table is stored, but can't be decoded */
+  bool unreadable;          /* TABLE: the stored table can't be decoded, or was lost */
+  bool outdated;            /* TABLE: the store may have lost a newer one */
   name_t service;           /* TABLE, COMMITTED to CALL_FAILED, LOADS, SERVICE_TIMES */
   uint64_t call;            /* GRANTED to CALL_FAILED: which one ended */
   bool release;             /* CALL_FAILED: the call was a release */
@@ -135,6 +146,7 @@
   msec_t last_hold;       /* hold of the latest call; 0 for a release */
   uint64_t old_call;      /* a grant under the fence before, still under way; 0: none */
   msec_t old_call_hold;
+  bool confirming; /* the owner is remembered, and hasn't confirmed it yet */
   uint64_t called; /* start time of the listed process when it was last called */
   uint64_t fenced; /* the same of the process that accepted the fence */
   bool answered, unanswered; /* the last call since its keys are taken back */
@@ -154,8 +166,12 @@
   bool table_loaded; /* the stored table was read */
   bool commit_pending;
   bool needs_new_fences; /* for the ranges taken over from a predecessor */
-  msec_t last_join_at;   /* when the last target joined */
-  msec_t held_until;     /* all grants by an unreadable table have expired by then */
+  bool unwritten;        /* the store has lost its latest table */
+  msec_t
+      remembered_until; /* no successor can have moved the ranges without a new fence */
+  msec_t confirm_until; /* owners that haven't confirmed their ranges by then are lost */
+  msec_t last_join_at;  /* when the last target joined */
+  msec_t held_until;    /* all grants by an unreadable table have expired by then */
   msec_t next_plan_at;
   GArray *ranges;                        /* key_range_state_t, ascending, without gaps */
   double loads[KEY_BUCKETS];             /* decayed request counts, as of the last plan */
@@ -208,6 +224,13 @@
 /* Whether the table of SERVICE is to be read: none was loaded since the role is held. */
 bool keys_lacks_table (const keys_t *self, const name_t *service);
 
+/* Whether the store has a table of each service, as far as this host knows: none was lost
+ * that it hasn't written again. */
+bool keys_are_written (const keys_t *self);
+
+/* Whether this host has granted lately, so that owners may confirm what it remembers. */
+bool keys_remembers (const keys_t *self, msec_t now);
+
 /* Raises the next fence to NEXT_FENCE, the counter stored with the role; never lowers it.
  */
 void keys_raise_fence (keys_t *self, uint64_t next_fence);
--- a/packages/store/store.c
+++ b/packages/store/store.c
@@ -14,20 +14,26 @@
   return names[outcome];
 }
 
-bool
-store_has_eras (store_table_t table)
+uint64_t
+store_version_era (uint64_t version)
 {
-  return table == STORE_CONFIGURATION || table == STORE_TARGETS;
+  return version / STORE_ERA_STEP;
 }
 
 uint64_t
-store_version_era (uint64_t version)
+store_version_number (uint64_t version)
 {
-  return version / STORE_ERA_STEP;
+  return version % STORE_ERA_STEP;
+}
+
+uint64_t
+store_version_in (uint64_t era, uint64_t version)
+{
+  return era * STORE_ERA_STEP + store_version_number (version);
 }
 
 bool
-store_is_earlier (const store_t *self, store_table_t table, uint64_t version)
+store_is_earlier (const store_t *self, uint64_t version)
 {
-  return store_has_eras (table) && store_version_era (version) < self->era;
+  return store_version_era (version) < self->era;
 }
--- a/packages/store/store.h
+++ b/packages/store/store.h
@@ -14,10 +14,9 @@
  * block; each ends in exactly one call of its `done`.
  *
  * The store may come back from an older copy: a new history of it begins, its era, in
- * which version numbers are given out again.  A version of the configuration or of the
- * targets is the number of its era times STORE_ERA_STEP, plus its number in that history,
- * so that versions of a later era are higher.  Those of the keys and of the role are
- * numbers alone.
+ * which version numbers are given out again.  A version is the number of its era times
+ * STORE_ERA_STEP, plus its number in that history, so that versions of a later era are
+ * higher.
  */
 
 #define STORE_ERA_STEP 1000000000000u /* versions of one era are below it */
@@ -118,14 +117,16 @@
   uint64_t rejected; /* answers of an earlier era, or without one though others had it */
 };
 
-/* Whether versions of TABLE tell their era: others than the router write it, and write it
- * again after a loss. */
-bool store_has_eras (store_table_t table);
-
 /* The era that VERSION tells; 0: none. */
 uint64_t store_version_era (uint64_t version);
 
-/* Whether VERSION of TABLE is of an earlier era than the latest. */
-bool store_is_earlier (const store_t *self, store_table_t table, uint64_t version);
+/* The number that VERSION has in its era. */
+uint64_t store_version_number (uint64_t version);
+
+/* VERSION's number as one of ERA. */
+uint64_t store_version_in (uint64_t era, uint64_t version);
+
+/* Whether VERSION is of an earlier era than the latest. */
+bool store_is_earlier (const store_t *self, uint64_t version);
 
 const char *store_outcome_name (store_outcome_t outcome);
--- a/packages/store/tests/test_store.c
+++ b/packages/store/tests/test_store.c
@@ -32,9 +32,11 @@
 
   (void)state;
   assert_true (after > before);
-  assert_true (store_is_earlier (&store, STORE_CONFIGURATION, before));
-  assert_false (store_is_earlier (&store, STORE_CONFIGURATION, after));
-  assert_false (store_is_earlier (&store, STORE_ROLE, 500));
+  assert_true (store_is_earlier (&store, before));
+  assert_false (store_is_earlier (&store, after));
+  assert_true (store_is_earlier (&store, 500));
+  assert_int_equal (store_version_number (before), 500);
+  assert_int_equal (store_version_in (2, before), 2 * STORE_ERA_STEP + 500);
 }
 
 int
--- a/tests/grants/grants.c
+++ b/tests/grants/grants.c
@@ -30,7 +30,8 @@
  * Random runs draw deviations and, besides, faults of targets, links and hosts: targets
  * that start again at their address or another one, under their id or another one, whose
  * address goes to another service, that leave, join, or whose entries lapse, links that
- * are cut, a store that refuses or loses some calls of a host, keys that become hot.
+ * are cut, a store that refuses or loses some calls of a host, keys that become hot, and
+ * with --losses a store that comes back from older copies.
  * Hosts learn of entries at various times.
  *
  * Every set of up to K deviations within the time window is run from the start.  The
@@ -83,16 +84,17 @@
   g_free (run);
 }
 
-/* Runs N random runs from SEED on; VERBOSE prints the commands that arrive. */
+/* Runs N random runs from SEED on; LOSSES: the store loses commits; VERBOSE prints the
+ * commands that arrive. */
 static void
-explore_randomly (search_t *self, uint64_t seed, int n, bool verbose)
+explore_randomly (search_t *self, uint64_t seed, int n, bool losses, bool verbose)
 {
   for (int i = 0; i < n; i++)
     {
       sim_t *run = g_new0 (sim_t, 1);
       run->verbose = verbose;
       sim = run;
-      sim_draw_run (seed + (uint64_t)i);
+      sim_draw_run (seed + (uint64_t)i, losses);
       sim_run (run, self->settings);
       self->runs++;
       self->violations += run->violation[0] != 0;
@@ -141,9 +143,14 @@
                                      "deviations of the traced run");
   struct arg_int *random = arg_int0 (NULL, "random", "N", "N random runs instead");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "of the first random run (1)");
+  struct arg_lit *losses
+      = arg_lit0 (NULL,
+                  "losses",
+                  "in random runs the store also comes back from older copies");
   struct arg_lit *verbose = arg_lit0 ("v", NULL, "trace random runs");
   struct arg_end *end = arg_end (4);
-  void *table[] = { deviations, stride, scenario, points, random, seed, verbose, end };
+  void *table[]
+      = { deviations, stride, scenario, points, random, seed, losses, verbose, end };
   router_settings_t settings[HOSTS] = { 0 };
   search_t search = { .settings = settings };
 
@@ -174,6 +181,7 @@
     explore_randomly (&search,
                       (uint64_t)seed->ival[0],
                       random->ival[0],
+                      losses->count > 0,
                       verbose->count > 0);
   for (; random->count == 0 && search.scenario < SCENARIO_COUNT; search.scenario++)
     explore (&search,
--- a/tests/grants/sim.c
+++ b/tests/grants/sim.c
@@ -25,6 +25,12 @@
                 (long long)sim->now);
 }
 
+static uint64_t
+random_options (point_kind_t kind)
+{
+  return (uint64_t)(kind == POINT_STORE ? STORE_RANDOM_OPTIONS : sim_options[kind]);
+}
+
 int
 sim_choose (point_kind_t kind)
 {
@@ -33,7 +39,7 @@
   if (sim->random)
     return sim->now >= WINDOW_FROM_MS && sim->now < RANDOM_TO_MS
                    && rng_below (&sim->rng, 1000) < sim->rate
-               ? (int)rng_below (&sim->rng, (uint64_t)sim_options[kind])
+               ? (int)rng_below (&sim->rng, random_options (kind))
                : 0;
   if (sim->now < WINDOW_FROM_MS || sim->now >= WINDOW_TO_MS
       || sim->n_points == POINTS_MAX)
@@ -485,6 +491,16 @@
   return changed;
 }
 
+static msec_t
+end_of (const sim_t *self)
+{
+  const bool lost = self->era > 1 || self->store_away;
+
+  if (self->random)
+    return lost ? RANDOM_END_AFTER_LOSS_MS : RANDOM_END_MS;
+  return lost ? END_AFTER_LOSS_MS : END_MS;
+}
+
 void
 sim_run (sim_t *self, const router_settings_t *settings)
 {
@@ -521,7 +537,7 @@
       self->hosts[i].index = i;
       start_host (&self->hosts[i], &settings[i]);
     }
-  while (self->now < (self->random ? RANDOM_END_MS : END_MS) && self->violation[0] == 0)
+  while (self->now < end_of (self) && self->violation[0] == 0)
     {
       self->now += DELAY_MS;
       sim_step_store ();
--- a/tests/grants/sim.h
+++ b/tests/grants/sim.h
@@ -27,9 +27,12 @@
 /* 17 s after the window, and the time in which a grant may lie unread: longer than the
  * longest hold, so that the keys of a lost target can be granted again. */
 #define END_MS (24000 + KEYS_STALL_MS)
+/* After a loss of the store its granter may be unknown for a lease after the return. */
+#define END_AFTER_LOSS_MS (END_MS + STORE_AWAY_LONG_MS + ROLE_LEASE_MS + ROLE_CHECK_MS)
 /* Random runs last longer, since faults of several kinds have to meet. */
 #define RANDOM_TO_MS 16000
 #define RANDOM_END_MS (36000 + KEYS_STALL_MS)
+#define RANDOM_END_AFTER_LOSS_MS (RANDOM_END_MS + END_AFTER_LOSS_MS - END_MS)
 #define FREEZE_MS 3200
 #define RESTART_MS 400
 #define HOST_FAULT_INTERVAL_MS 250 /* between choice points for host faults */
@@ -99,6 +102,7 @@
   STORE_RESTORED_LATE,   /* the same as the first, after longer than a lease */
   STORE_RESTORED_KILLED, /* the same as the first, and the caller is killed meanwhile */
   STORE_OPTIONS,
+  STORE_RANDOM_OPTIONS = STORE_RESTORED, /* random runs draw losses by themselves */
   COMMAND_LOST = 1,
   COMMAND_RESPONSE_LOST,
   COMMAND_DELAYED,        /* executed late; the host sees a failure */
@@ -233,6 +237,7 @@
   const deviation_t *deviations;
   guint n_deviations;
   bool random;             /* deviations and faults are drawn, instead of named */
+  bool losses;             /* the store's returns from older copies as well */
   rng_t rng;               /* of a random run */
   uint64_t rate;           /* deviations in 1,000 choice points of a random run */
   uint32_t hot_key;        /* the first of the hottest keys of a random run; 0: none */
@@ -316,8 +321,8 @@
 /* Has a host know the targets' entries as they are now. */
 void sim_read_targets (guint host);
 
-/* Draws the settings of a random run. */
-void sim_draw_run (uint64_t seed);
+/* Draws the settings of a random run.  LOSSES: the store may lose its latest commits. */
+void sim_draw_run (uint64_t seed, bool losses);
 
 /* Draws faults of targets, links and hosts for this moment, and ends those that are over.
  */
--- a/tests/grants/sim_random.c
+++ b/tests/grants/sim_random.c
@@ -4,6 +4,7 @@
 
 /* Of a random run: one fault in so many intervals, on average. */
 #define INTERVALS_PER_FAULT 5
+#define INTERVALS_PER_LOSS 12 /* one loss of the store in so many */
 #define HOT_KEYS 60
 #define REQUESTS_PER_TICK 12
 #define EXIT_MS 4000       /* from the entry of a leaving target to its end */
@@ -13,6 +14,8 @@
 #define OUTAGE_MAX_MS 5000 /* of the store, for one host */
 #define STALL_MAX_MS 8000  /* of a target */
 #define COMMITS_MAX 4
+#define LOSS_AWAY_MAX_MS 4000
+#define LOSS_COPY_AGE_MAX_MS 6000
 
 typedef enum
 {
@@ -214,12 +217,30 @@
   sim_publish_target (index);
 }
 
+/* The copy has the role's row: without one, a deployment counts as new. */
+static void
+draw_loss (void)
+{
+  const msec_t age_max = MIN (sim->now - WINDOW_FROM_MS, LOSS_COPY_AGE_MAX_MS);
+  const msec_t away = draw (LOSS_AWAY_MAX_MS), age = draw (age_max + 1);
+  const bool repeated = draw (2) == 0;
+
+  if (sim->verbose)
+    printf ("%5lld store away for %lld ms, back from %lld ms before, repeated %d\n",
+            (long long)sim->now,
+            (long long)away,
+            (long long)age,
+            repeated);
+  sim_lose_store (away, age, repeated);
+}
+
 void
-sim_draw_run (uint64_t seed)
+sim_draw_run (uint64_t seed, bool losses)
 {
   static const uint64_t rates[] = { 0, 3, 10, 40 };
 
   sim->random = true;
+  sim->losses = losses;
   rng_init (&sim->rng, seed);
   sim->rate = rates[rng_below (&sim->rng, G_N_ELEMENTS (rates))];
 }
@@ -230,6 +251,9 @@
   if (sim->now >= WINDOW_FROM_MS && sim->now < RANDOM_TO_MS
       && rng_below (&sim->rng, INTERVALS_PER_FAULT) == 0)
     inject ((fault_kind_t)rng_below (&sim->rng, FAULT_COUNT));
+  if (sim->losses && sim->now >= WINDOW_FROM_MS && sim->now < RANDOM_TO_MS
+      && rng_below (&sim->rng, INTERVALS_PER_LOSS) == 0)
+    draw_loss ();
   for (guint i = 0; i < TARGETS; i++)
     advance_target (i);
 }
--- a/tests/grants/sim_store.c
+++ b/tests/grants/sim_store.c
@@ -207,7 +207,9 @@
     option = rng_below (&sim->rng, 2) == 0 ? STORE_RESPONSE_LOST : STORE_DELAYED;
   if (option >= STORE_RESTORED)
     sim_lose_store (option == STORE_RESTORED_LATE ? STORE_AWAY_LONG_MS : STORE_AWAY_MS,
-                    STORE_COPY_AGE_MS,
+                    option == STORE_RESTORED_KILLED
+                        ? MIN (STORE_COPY_AGE_MS, sim->now - WINDOW_FROM_MS)
+                        : STORE_COPY_AGE_MS,
                     option == STORE_RESTORED_PAST);
   if (option == STORE_RESTORED_KILLED)
     host->kill_at = sim->now;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1074,8 +1074,7 @@
     parser.add_argument("--build", default=os.environ.get("BUILD", "build"))
     parser.add_argument(
         "--drills", action="store_true",
-        help="the store also comes back from older copies; granting keys after that is an open "
-        "issue (43), so that OWNER may be reported")
+        help="the store also comes back from older copies")
     parser.add_argument(
         "--evacuate", action="store_true",
         help="targets are in two data centres, which the operator empties now and then")
