A signal that is noticed late leaves callers as long as any other

What callers would see: new connections refused, or closed when idle, before the balancer has had two misses, if the signal was handled late.

Cause: one time stood for two: until when requests may be sent by expectation, which the end bounds and so counts from the signal, and until when the balancer directs callers here, which counts from when the host first says that it isn't ready.

--- a/packages/proxy/drain.c
+++ b/packages/proxy/drain.c
@@ -38,9 +38,9 @@
   if (self->draining)
     return;
   msec_t now = msclock_now (&self->clock);
-  self->drain = drain_times (signalled_at, self->bounds.grace_s);
+  self->drain = drain_times (signalled_at, now, self->bounds.grace_s);
   const dispatch_msg_t drain = { .kind = DISPATCH_DRAIN,
-                                 .callers_until = self->drain.callers_until,
+                                 .callers_until = self->drain.unbounded_until,
                                  .answers_until = self->drain.answers_until };
   self->draining = true;
   proxy_dispatch (self, &drain);
--- a/packages/proxy/drain_times.h
+++ b/packages/proxy/drain_times.h
@@ -9,6 +9,8 @@
 
 typedef struct
 {
+  /* Until then requests are sent that may outlast the process. */
+  msec_t unbounded_until;
   /* The platform has noticed that the host isn't ready: connections without a request are
    * closed. */
   msec_t callers_until;
@@ -17,6 +19,6 @@
   msec_t end;           /* all other connections are closed */
 } drain_times_t;
 
-/* The process is killed GRACE_S seconds after the signal, which was noticed at
- * SIGNALLED_AT. */
-drain_times_t drain_times (msec_t signalled_at, double grace_s);
+/* The process is killed GRACE_S seconds after the signal, which arrived at SIGNALLED_AT.
+ * The host isn't ready from NOTICED_AT on. */
+drain_times_t drain_times (msec_t signalled_at, msec_t noticed_at, double grace_s);
