--- a/packages/coordinator/role.c
+++ b/packages/coordinator/role.c
@@ -7,7 +7,7 @@
 #define ROLE_KEY TEXT ("granter")
 
 static void on_written (void *owner, const store_reply_t *reply);
-static void on_read_back (void *owner, const store_reply_t *reply);
+static bool note_era (coordinator_t *self, msec_t now);
 
 /* An upper bound of the store's current clock: the store read it after the call was
  * started. */
@@ -78,8 +78,8 @@
          && name_equal (&row->host, &self->settings->host);
 }
 
-/* Whether a row that was written in ERA, as it states, is of an earlier history of the
- * store.  Earlier versions state none; 0. */
+/* Whether a row that states ERA is of an earlier history of the store.  0: it states
+ * none, as an earlier version of this program wrote it. */
 static bool
 is_outdated (const coordinator_t *self, uint64_t era)
 {
@@ -492,8 +492,6 @@
   return now + role->row.until - store_clock_now (role, now) - ROLE_MARGIN_MS;
 }
 
-static bool note_era (coordinator_t *self, msec_t now);
-
 /* After a write with unknown outcome, or a loss of the store: the row shows whether it
  * was committed, or who has the role since. */
 static void
--- a/packages/keys/key_recall.h
+++ b/packages/keys/key_recall.h
@@ -10,8 +10,9 @@
  * table of its service from being written, as a successor would trust that.
  */
 
-/* The role ended when it was held until ROLE_END.  HOLD: the longest grant that this host
- * has stated.  Of a table that wasn't read in that tenure nothing is remembered. */
+/* The role ended, which was held until ROLE_END.  HOLD: the longest grant that this host
+ * has stated.  What is remembered of an earlier tenure stays as it is if the table wasn't
+ * read in this one. */
 void key_recall_role_ended (key_service_t *self, msec_t role_end, msec_t hold);
 
 /* Takes the ranges of the last tenure for this one, as far as their owners confirm them.
