--- a/packages/coordinator/stop_signal.c
+++ b/packages/coordinator/stop_signal.c
@@ -73,7 +73,7 @@
 void
 stop_signal_finish (void)
 {
-  struct sigaction action = { .sa_handler = SIG_DFL };
+  struct sigaction action = { .sa_handler = SIG_IGN };
 
   sigemptyset (&action.sa_mask);
   for (size_t i = 0; i < G_N_ELEMENTS (stop_signals); i++)
--- a/packages/coordinator/stop_signal.h
+++ b/packages/coordinator/stop_signal.h
@@ -20,5 +20,5 @@
  * created. */
 bool stop_signal_init (struct event_base *base, stop_signal_t done, void *owner);
 
-/* Restores the signals' default actions. */
+/* Ignores further signals, which must not kill a process that is about to exit. */
 void stop_signal_finish (void);
--- a/packages/coordinator/tests/test_stop_signal.c
+++ b/packages/coordinator/tests/test_stop_signal.c
@@ -52,11 +52,25 @@
   event_base_free (fixture.base);
 }
 
+static void
+test_a_signal_after_the_end_does_not_kill_the_process (void **state)
+{
+  fixture_t fixture = { .base = event_base_new () };
+
+  (void)state;
+  assert_true (stop_signal_init (fixture.base, on_signal, &fixture));
+  stop_signal_finish ();
+  raise (SIGTERM);
+  assert_int_equal (fixture.calls, 0);
+  event_base_free (fixture.base);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_busy_task_learns_when_the_signal_arrived),
+    cmocka_unit_test (test_a_signal_after_the_end_does_not_kill_the_process),
   };
 
   return cmocka_run_group_tests_name ("stop-signal", tests, NULL, NULL);
